--- /dev/null
+++ b/crates/router/src/host.rs
@@ -0,0 +1,139 @@
+//! What the router needs of its surroundings, and the plain types that cross the border.
+//!
+//! A host maps its own ids to small indices: members, groups, zones and txn types count from 0, and a txn
+//! keeps its index until the router releases it. All times are spans since the instance started.
+
+use std::time::Duration;
+
+/// What the router can have done. A host carries out each call in the order of the calls.
+pub trait Host {
+    /// Submits the txn to a member; `None` leaves the submission open until the txn expires.
+    fn send(&mut self, txn: usize, member: usize, time_out: Option<Duration>);
+    /// Stops waiting for one submission of a txn; its end is still reported.
+    fn cancel(&mut self, txn: usize, submission: u32);
+    /// Final answer: not done, and trying again is harmless.
+    fn decline(&mut self, txn: usize, come_back: Option<Duration>);
+    /// Final answer: given up, with no word on its effect.
+    fn roll_back(&mut self, txn: usize);
+    /// The router keeps nothing on this txn any more; its index may be used again.
+    fn release(&mut self, txn: usize);
+    fn probe(&mut self, member: usize);
+    /// Asks for a call of `reminder_due` at that time.
+    fn remind(&mut self, at: Duration, handle: u64);
+    /// Sends bytes to every sibling.
+    fn tell(&mut self, bytes: &[u8]);
+    /// Subscribes to changes of the member list.
+    fn listen(&mut self);
+}
+
+/// How often a txn may take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Repeatable,
+    /// A repeat is known by its mark within the window, among the members of the scope.
+    Referenced {
+        window: Duration,
+        scope: Scope,
+    },
+    OnceOnly,
+}
+
+/// Which members drop the repeats of a referenced txn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    Everywhere,
+    Zone,
+    Group,
+}
+
+/// What a txn type needs of the data it meets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// Taken by the primary alone.
+    Write,
+    /// Sees all that was committed before it arrived.
+    Fresh,
+    /// Sees the writes of its own session.
+    Session,
+    /// Data no older than this when it is submitted.
+    Bounded(Duration),
+    Loose,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct TxnType {
+    pub sla: Duration,
+    pub value: f64,
+    /// What is left of the value after the SLA time, as a share of it.
+    pub late_value: f64,
+    pub effect: Effect,
+    pub level: Level,
+}
+
+/// The rule on members that have just started.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdStart {
+    pub share: f64,
+    pub warm_up: Duration,
+    pub multiple: f64,
+    pub window: Duration,
+}
+
+/// Where this instance stands.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing {
+    pub me: usize,
+    pub fronts: usize,
+    pub zone: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    Up,
+    Draining,
+    Removed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Primary,
+    Replica,
+}
+
+/// How a submission or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Committed,
+    /// An error from the member; it may have had an effect.
+    Errored,
+    /// Turned away unseen.
+    Full,
+    TimedOut,
+    /// No connection could be made.
+    Unreachable,
+    /// The connection broke while the submission was out.
+    Dropped,
+    Cancelled,
+    /// It was never sent.
+    Moot,
+    /// Turned away untouched: wrong role, or too far behind.
+    Misplaced,
+}
+
+impl Ending {
+    /// Whether this ending proves that nothing ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Full | Ending::Unreachable | Ending::Moot | Ending::Misplaced)
+    }
+}
+
+/// What a member says of itself; whatever it left out is `None`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    pub position: Option<Duration>,
+    pub role: Option<Role>,
+    /// Txns waiting there.
+    pub queue: Option<f64>,
+    /// Busy share of its cores.
+    pub busy: Option<f64>,
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,8 @@
+//! Routing decisions for sharded, replicated databases, free of any protocol.
+//!
+//! [`routing`] decides, [`host`] is what it needs of its surroundings, [`ring`] counts over time.
+
+pub mod host;
+pub mod ring;
+pub mod routing;
+mod state;
--- /dev/null
+++ b/crates/router/src/ring.rs
@@ -0,0 +1,52 @@
+//! Sums over a sliding span of time, kept in fixed buckets that are used again in a ring.
+
+use std::time::Duration;
+
+/// A sum over the last `span`, in buckets of equal width.
+///
+/// ```
+/// use juniperdock_router::ring::Ring;
+/// use std::time::Duration;
+///
+/// let mut sent = Ring::new(Duration::from_secs(1), 4);
+/// sent.add(Duration::from_millis(100), 2.0);
+/// sent.add(Duration::from_millis(900), 1.0);
+/// assert_eq!(sent.sum(Duration::from_millis(950)), 3.0);
+/// assert_eq!(sent.sum(Duration::from_millis(1300)), 1.0);
+/// assert_eq!(sent.sum(Duration::from_secs(9)), 0.0);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Ring {
+    width: Duration,
+    newest: u64,
+    cells: Vec<f64>,
+}
+
+impl Ring {
+    /// One cell more than asked for, so that a sum covers at least `span`, never less.
+    pub fn new(span: Duration, buckets: usize) -> Self {
+        let buckets = buckets.max(1);
+        let width = (span / buckets as u32).max(Duration::from_micros(1));
+        Ring { width, newest: 0, cells: vec![0.0; buckets + 1] }
+    }
+
+    fn turn_to(&mut self, now: Duration) {
+        let at = (now.as_micros() / self.width.as_micros()) as u64;
+        let len = self.cells.len() as u64;
+        for step in (self.newest + 1).max((at + 1).saturating_sub(len))..=at {
+            self.cells[(step % len) as usize] = 0.0;
+        }
+        self.newest = self.newest.max(at);
+    }
+
+    pub fn add(&mut self, now: Duration, amount: f64) {
+        self.turn_to(now);
+        let len = self.cells.len() as u64;
+        self.cells[(self.newest % len) as usize] += amount;
+    }
+
+    pub fn sum(&mut self, now: Duration) -> f64 {
+        self.turn_to(now);
+        self.cells.iter().sum()
+    }
+}
--- /dev/null
+++ b/crates/router/src/routing.rs
@@ -0,0 +1,740 @@
+//! All decisions of the router.
+//!
+//! The host (see [`crate::host`] for the interface) builds one [`Router`] per instance and calls one method
+//! per input; each records the facts, then the ordered rules in `settle` run over the groups it touched until
+//! none fires. Sends leave through `submit` alone, and only if `gate` lets them pass.
+
+use crate::host::{ColdStart, Effect, Ending, Host, Level, Listed, Report, Role, Scope, Standing, TxnType};
+use crate::ring::Ring;
+use crate::state::{Group, Member, Submission, Txn};
+use oorandom::Rand64;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Share of the tightest bound between two probes of a member (the design's start value).
+const PROBES_PER_BOUND: u32 = 4;
+/// Probe interval where no txn type bounds its data.
+const IDLE_PROBE: Duration = Duration::from_millis(250);
+/// A member that fails is left alone this long at first, then twice as long each time, up to the longest.
+const SHUN_FIRST: Duration = Duration::from_millis(250);
+const SHUN_LONGEST: Duration = Duration::from_secs(4);
+/// Further submissions stay under this share of the first ones, counted over `RESEND_SPAN`.
+const RESEND_SHARE: f64 = 0.1;
+const RESEND_SPAN: Duration = Duration::from_secs(5);
+/// Submissions a member may hold from this front at first; answers in good time raise it.
+const ROOM_FIRST: f64 = 8.0;
+const ROOM_LEAST: f64 = 2.0;
+const ROOM_MOST: f64 = 64.0;
+/// A member whose answers take more than this share of the SLA time gets less room.
+const STRAIN: f64 = 0.6;
+/// Share of the writer's room that reads may use when no reader will do.
+const READS_AT_WRITER: f64 = 0.5;
+/// Kept free of a cold member's budget, for probes and handshakes.
+const COLD_SLACK: f64 = 0.3;
+
+#[derive(Debug)]
+pub struct Router {
+    rng: Rand64,
+    standing: Standing,
+    types: Vec<TxnType>,
+    cold: ColdStart,
+    max_submissions: u32,
+    /// Members turn away reads that they are too far behind for.
+    members_check: bool,
+    /// A member that is gone but was never seen draining may still be used.
+    gone_is_advice: bool,
+    come_back_most: Option<Duration>,
+    probe_every: Option<Duration>,
+    members: Vec<Member>,
+    groups: Vec<Group>,
+    txns: Vec<Option<Txn>>,
+    touched: Vec<usize>,
+    /// Newest commit told to each session.
+    sessions: HashMap<u64, Duration>,
+    /// Typical answer time by txn type, in seconds.
+    typical: Vec<Option<f64>>,
+    /// Work done per warm member in the cold window.
+    warm_work: f64,
+    first: Ring,
+    again: Ring,
+}
+
+impl Router {
+    pub fn new(seed: u64, standing: Standing, types: Vec<TxnType>, cold: ColdStart) -> Self {
+        let tightest = types.iter().filter_map(|t| match t.level {
+            Level::Bounded(bound) => Some(bound / PROBES_PER_BOUND),
+            _ => None,
+        });
+        Router {
+            rng: Rand64::new(seed as u128),
+            probe_every: Some(tightest.min().unwrap_or(IDLE_PROBE)),
+            standing,
+            typical: vec![None; types.len()],
+            types,
+            cold,
+            max_submissions: 1,
+            members_check: false,
+            gone_is_advice: false,
+            come_back_most: None,
+            members: Vec::new(),
+            groups: Vec::new(),
+            txns: Vec::new(),
+            touched: Vec::new(),
+            sessions: HashMap::new(),
+            warm_work: 0.0,
+            first: Ring::new(RESEND_SPAN, 10),
+            again: Ring::new(RESEND_SPAN, 10),
+        }
+    }
+
+    /// How many submissions a txn may have in all.
+    pub fn allow_submissions(&mut self, most: u32) {
+        self.max_submissions = most;
+    }
+
+    pub fn allow_probes(&mut self, allowed: bool) {
+        self.probe_every = self.probe_every.filter(|_| allowed);
+    }
+
+    /// How far in the future a declined client can be told to come back.
+    pub fn allow_come_back(&mut self, longest: Duration) {
+        self.come_back_most = Some(longest);
+    }
+
+    /// Members hold or turn away reads that they are too far behind for.
+    pub fn members_check_reads(&mut self) {
+        self.members_check = true;
+    }
+
+    /// Being gone from the list does not bind, only draining does.
+    pub fn gone_is_advice(&mut self) {
+        self.gone_is_advice = true;
+    }
+
+    // ---- inputs ----
+
+    /// The instance has started; the list follows.
+    pub fn started(&mut self, list_on_request: bool, host: &mut impl Host) {
+        if list_on_request {
+            host.listen();
+        }
+    }
+
+    /// The list could not be had, or the subscription dropped.
+    pub fn list_failed(&mut self, host: &mut impl Host) {
+        host.listen();
+    }
+
+    /// One entry of the list; `up_for` is the time since its latest start.
+    pub fn listed(
+        &mut self,
+        now: Duration,
+        member: usize,
+        group: usize,
+        zone: usize,
+        state: Listed,
+        primary: bool,
+        up_for: Option<Duration>,
+    ) {
+        while self.groups.len() <= group {
+            self.groups.push(Group::default());
+        }
+        while self.members.len() <= member {
+            self.members.push(Member::new(now, ROOM_FIRST, self.cold.window));
+        }
+        let m = &mut self.members[member];
+        (m.group, m.zone) = (group, zone);
+        if !m.listed {
+            m.listed = true;
+            m.probe_due = now;
+            self.groups[group].members.push(member);
+        }
+        m.drains = state == Listed::Draining;
+        m.stopped = match state {
+            Listed::Up => false,
+            Listed::Draining => true,
+            Listed::Removed => m.stopped && m.drains || !self.gone_is_advice,
+        };
+        if let Some(up_for) = up_for {
+            m.warm_at = (now + self.cold.warm_up).saturating_sub(up_for);
+        }
+        if primary && !m.stopped {
+            // A hint only: whoever it names is asked at once.
+            m.probe_due = now;
+        }
+        self.touch(group);
+    }
+
+    /// A full list has been handed over; members that it does not name are gone.
+    pub fn list_complete(&mut self, named: &[usize]) {
+        for m in 0..self.members.len() {
+            if !named.contains(&m) {
+                let binds = !self.gone_is_advice || self.members[m].drains;
+                self.members[m].stopped |= binds;
+                self.touch(self.members[m].group);
+            }
+        }
+    }
+
+    /// All changes of one list are in.
+    pub fn list_settled(&mut self, now: Duration, host: &mut impl Host) {
+        self.settle(now, host);
+    }
+
+    /// A client's txn; `wrote_ago` is the age of its session's last write where the client tells it.
+    pub fn txn_arrived(
+        &mut self,
+        now: Duration,
+        txn: usize,
+        kind: usize,
+        group: usize,
+        left: Duration,
+        session: Option<u64>,
+        wrote_ago: Option<Duration>,
+        host: &mut impl Host,
+    ) {
+        while self.groups.len() <= group {
+            self.groups.push(Group::default());
+        }
+        while self.txns.len() <= txn {
+            self.txns.push(None);
+        }
+        let must_see = match self.types[kind].level {
+            Level::Fresh => Some(now),
+            Level::Session => match (wrote_ago, session) {
+                (Some(ago), _) if ago.is_zero() => None,
+                (Some(ago), _) => Some(now.saturating_sub(ago)),
+                (None, Some(key)) => self.sessions.get(&key).copied(),
+                (None, None) => Some(now),
+            },
+            _ => None,
+        };
+        self.txns[txn] = Some(Txn {
+            kind,
+            group,
+            arrived: now,
+            expiry: now + left,
+            must_see,
+            session,
+            out: None,
+            submissions: 0,
+            may_have_run: None,
+            over: false,
+            held: true,
+        });
+        self.groups[group].held.push(txn);
+        self.first.add(now, 1.0);
+        self.touch(group);
+        self.settle(now, host);
+        self.remind_held(txn, txn as u64 * 2 + 1, host);
+    }
+
+    /// A submission has ended. `over`: the client has its final answer.
+    pub fn submission_ended(
+        &mut self,
+        now: Duration,
+        txn: usize,
+        over: bool,
+        member: usize,
+        ending: Ending,
+        role: Option<Role>,
+        position: Option<Duration>,
+        took: Duration,
+        host: &mut impl Host,
+    ) {
+        let Some(Some(t)) = self.txns.get_mut(txn) else { return };
+        let out = t.out.take();
+        t.over |= over;
+        let (kind, group, session) = (t.kind, t.group, t.session);
+        if let Some(out) = out
+            && !ending.never_ran()
+            && t.may_have_run.is_none()
+        {
+            t.may_have_run = Some((out.at, self.members[out.member].zone));
+        }
+        self.members[member].out = self.members[member].out.saturating_sub(1);
+        self.heard_role(now, member, role, position, ending == Ending::Committed);
+        if role == Some(Role::Replica) {
+            self.members[member].told_replica = true;
+        }
+        if ending == Ending::Committed
+            && self.types[kind].level == Level::Write
+            && let (Some(key), Some(at)) = (session, position)
+            && self.types.iter().any(|t| t.level == Level::Session)
+        {
+            let newest = self.sessions.entry(key).or_insert(at);
+            *newest = at.max(*newest);
+        }
+        self.judge(now, member, kind, ending, took);
+        self.touch(group);
+        if self.txn(txn).over {
+            self.txns[txn] = None;
+            host.release(txn);
+        } else {
+            self.go_on(now, txn, ending, host);
+        }
+        self.settle(now, host);
+    }
+
+    /// The client has left, or its answer is overdue.
+    pub fn client_left(&mut self, now: Duration, txn: usize, host: &mut impl Host) {
+        let Some(Some(t)) = self.txns.get_mut(txn) else { return };
+        t.over = true;
+        let group = t.group;
+        self.groups[group].held.retain(|&h| h != txn);
+        self.txn_mut(txn).held = false;
+        self.forget(txn, host);
+        self.touch(group);
+        self.settle(now, host);
+    }
+
+    pub fn probe_answered(
+        &mut self,
+        now: Duration,
+        member: usize,
+        ending: Ending,
+        report: Report,
+        host: &mut impl Host,
+    ) {
+        let m = &mut self.members[member];
+        m.probe_out = false;
+        if ending == Ending::Committed {
+            m.probe_failures = 0;
+            self.heard_role(now, member, report.role, report.position, false);
+        } else if ending != Ending::Full {
+            // A full probe desk says that the member is busy, not that it is gone.
+            m.probe_failures += 1;
+        }
+        self.plan_probe(now, member, host);
+        self.touch(self.members[member].group);
+        self.settle(now, host);
+    }
+
+    pub fn reminder_due(&mut self, now: Duration, handle: u64, host: &mut impl Host) {
+        let at = (handle / 2) as usize;
+        if handle.is_multiple_of(2) {
+            self.touch(self.members[at].group);
+        } else if let Some(Some(t)) = self.txns.get(at) {
+            self.touch(t.group);
+        }
+        self.settle(now, host);
+        // Hope may have moved on since the reminder was set.
+        self.remind_held(at, handle, host);
+    }
+
+    fn remind_held(&self, txn: usize, handle: u64, host: &mut impl Host) {
+        if let Some(Some(t)) = self.txns.get(txn)
+            && t.held
+            && handle == txn as u64 * 2 + 1
+        {
+            host.remind(self.hope(t), handle);
+        }
+    }
+
+    /// A sibling's message; nothing is shared yet.
+    pub fn peer_said(&mut self, _now: Duration, _bytes: &[u8]) {}
+
+    // ---- facts ----
+
+    fn touch(&mut self, group: usize) {
+        if !self.groups[group].touched {
+            self.groups[group].touched = true;
+            self.touched.push(group);
+        }
+    }
+
+    fn txn(&self, txn: usize) -> &Txn {
+        self.txns[txn].as_ref().expect("a txn in hand")
+    }
+
+    fn txn_mut(&mut self, txn: usize) -> &mut Txn {
+        self.txns[txn].as_mut().expect("a txn in hand")
+    }
+
+    /// Records a claim of role. A primary stands at the present, so its position dates its claim; an answer is
+    /// as new as now. A replica's report is at least as new as its position.
+    fn heard_role(
+        &mut self,
+        now: Duration,
+        member: usize,
+        role: Option<Role>,
+        position: Option<Duration>,
+        answer: bool,
+    ) {
+        let m = &mut self.members[member];
+        m.position = m.position.max(position);
+        match role {
+            Some(Role::Primary) => {
+                let date = if answer { Some(now) } else { position };
+                m.primary_at = m.primary_at.max(date);
+                if m.primary_at > m.replica_at {
+                    m.told_replica = false;
+                }
+            }
+            Some(Role::Replica) => {
+                let date = if position.is_none() { Some(now) } else { position };
+                m.replica_at = m.replica_at.max(date);
+            }
+            None => {}
+        }
+    }
+
+    /// Health, room and typical answer time, from this front's own traffic.
+    fn judge(&mut self, now: Duration, member: usize, kind: usize, ending: Ending, took: Duration) {
+        let sla = self.types[kind].sla.as_secs_f64();
+        let work = self.typical[kind].unwrap_or(sla / 4.0);
+        let m = &mut self.members[member];
+        match ending {
+            Ending::Committed => {
+                m.failures = 0;
+                m.shunned = Duration::ZERO;
+                m.done.add(now, work);
+                let secs = took.as_secs_f64();
+                m.strain += 0.1 * (secs / sla - m.strain);
+                if m.strain < STRAIN {
+                    m.room = (m.room + 1.0 / m.room).min(ROOM_MOST);
+                } else if now > m.last_cut + took {
+                    m.room = (m.room * 0.9).max(ROOM_LEAST);
+                    m.last_cut = now;
+                }
+                let typical = self.typical[kind].get_or_insert(secs);
+                // Falls fast and rises slowly: what an answer takes where nothing waits.
+                *typical += if secs < *typical { 0.05 } else { 0.01 } * (secs - *typical);
+            }
+            Ending::Full => {
+                m.room = (m.room * 0.7).max(ROOM_LEAST);
+                m.shunned = m.shunned.max(now + SHUN_FIRST / 4);
+            }
+            Ending::Misplaced | Ending::Cancelled | Ending::Moot => {}
+            Ending::Errored | Ending::TimedOut | Ending::Unreachable | Ending::Dropped => {
+                // One error or one slow answer is bad luck; a broken connection, or a row, is not.
+                m.failures += 1;
+                let certain = matches!(ending, Ending::Unreachable | Ending::Dropped);
+                if certain || m.failures >= 3 {
+                    let times = m.failures.saturating_sub(if certain { 1 } else { 3 }).min(8);
+                    m.shunned = now + (SHUN_FIRST * 2u32.pow(times)).min(SHUN_LONGEST);
+                }
+            }
+        }
+        // A failed submission to the writer empties the slot; only a claim made after this fills it again.
+        let lost = match ending {
+            Ending::Misplaced => self.types[kind].level == Level::Write,
+            Ending::TimedOut | Ending::Unreachable | Ending::Dropped => true,
+            _ => false,
+        };
+        let group = self.members[member].group;
+        if lost && self.groups[group].writer == Some(member) {
+            self.members[member].doubted = Some(now);
+            for i in 0..self.groups[group].members.len() {
+                let m = self.groups[group].members[i];
+                self.members[m].probe_due = self.members[m].probe_due.min(now);
+            }
+        }
+    }
+
+    /// What becomes of a txn whose submission ended without a final answer.
+    fn go_on(&mut self, now: Duration, txn: usize, ending: Ending, host: &mut impl Host) {
+        let kind = self.types[self.txn(txn).kind];
+        let once_only_ran = kind.effect == Effect::OnceOnly && self.txn(txn).may_have_run.is_some();
+        let spent = self.txn(txn).submissions >= self.max_submissions;
+        // Submissions that never ran cost the members little; the others stay within a budget.
+        let over_budget =
+            !ending.never_ran() && self.again.sum(now) >= 1.0 + RESEND_SHARE * self.first.sum(now);
+        if once_only_ran || spent || over_budget || now >= self.hope(self.txn(txn)) {
+            self.answer(now, txn, host);
+        } else {
+            if !ending.never_ran() {
+                self.again.add(now, 1.0);
+            }
+            let group = self.txn(txn).group;
+            self.txn_mut(txn).held = true;
+            self.groups[group].held.push(txn);
+            host.remind(self.hope(self.txn(txn)), txn as u64 * 2 + 1);
+        }
+    }
+
+    /// Until when there is hope of an answer that is worth something.
+    fn hope(&self, t: &Txn) -> Duration {
+        let kind = self.types[t.kind];
+        let work = self.typical[t.kind].map_or(kind.sla / 4, Duration::from_secs_f64);
+        let worthless = if kind.late_value > 0.0 { t.expiry } else { t.expiry.min(t.arrived + kind.sla) };
+        let window = match (kind.effect, t.may_have_run) {
+            (Effect::Referenced { window, .. }, Some((at, _))) => at + window,
+            _ => t.expiry,
+        };
+        worthless.saturating_sub(work).min(window).max(t.arrived)
+    }
+
+    /// Declines a txn where that is allowed, else rolls it back. At once: nothing is gained by waiting.
+    fn answer(&mut self, _now: Duration, txn: usize, host: &mut impl Host) {
+        let t = self.txn(txn);
+        let kind = self.types[t.kind];
+        let harmless = match kind.effect {
+            Effect::Repeatable => true,
+            Effect::Referenced { scope, .. } => t.may_have_run.is_none() || scope == Scope::Everywhere,
+            Effect::OnceOnly => t.may_have_run.is_none(),
+        };
+        if harmless {
+            host.decline(txn, self.come_back_most.map(|most| most.min(kind.sla / 2)));
+        } else {
+            host.roll_back(txn);
+        }
+        self.txn_mut(txn).over = true;
+        self.txn_mut(txn).held = false;
+        self.forget(txn, host);
+    }
+
+    fn forget(&mut self, txn: usize, host: &mut impl Host) {
+        if self.txn(txn).out.is_none() {
+            self.txns[txn] = None;
+            host.release(txn);
+        }
+    }
+
+    fn plan_probe(&mut self, now: Duration, member: usize, host: &mut impl Host) {
+        let Some(every) = self.probe_every else { return };
+        let m = &self.members[member];
+        let empty = self.groups[m.group].writer.is_none();
+        let pause = match m.probe_failures {
+            0 if empty => every / 2,
+            0 => every,
+            n => every * 2u32.pow(n.min(3)),
+        };
+        self.members[member].probe_due = now + pause;
+        host.remind(now + pause, member as u64 * 2);
+    }
+
+    // ---- rules ----
+
+    /// Goes through the ordered rules for each group touched, until none fires.
+    fn settle(&mut self, now: Duration, host: &mut impl Host) {
+        while let Some(group) = self.touched.pop() {
+            self.groups[group].touched = false;
+            while self.fill_slot(group)
+                || self.probe_due(now, group, host)
+                || self.give_up(now, group, host)
+                || self.place(now, group, host)
+            {}
+        }
+    }
+
+    /// The newest dated claim takes the writer slot; ties go to the highest index. No claim empties it.
+    fn fill_slot(&mut self, group: usize) -> bool {
+        let claims = self.groups[group].members.iter().filter_map(|&i| {
+            let m = &self.members[i];
+            let date = m.primary_at?;
+            let stands = Some(date) > m.replica_at && Some(date) > m.doubted && !m.stopped;
+            stands.then_some((date, i))
+        });
+        let writer = claims.max().map(|(_, i)| i);
+        let changed = self.groups[group].writer != writer;
+        if changed {
+            self.groups[group].writer = writer;
+            if let Some(w) = writer {
+                // What was held goes out by degrees: room grows with each answer.
+                self.members[w].room = self.members[w].room.min(ROOM_FIRST);
+                self.members[w].shunned = Duration::ZERO;
+            }
+        }
+        changed
+    }
+
+    fn probe_due(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
+        if self.probe_every.is_none() {
+            return false;
+        }
+        let due = self.groups[group].members.iter().copied().find(|&i| {
+            let m = &self.members[i];
+            m.probe_due <= now && !m.probe_out && !m.stopped
+        });
+        if let Some(i) = due {
+            self.members[i].probe_out = true;
+            host.probe(i);
+        }
+        due.is_some()
+    }
+
+    /// A held txn without hope is answered at once.
+    fn give_up(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
+        let mut held = std::mem::take(&mut self.groups[group].held);
+        let before = held.len();
+        held.retain(|&txn| {
+            let keep = now < self.hope(self.txn(txn));
+            if !keep {
+                self.answer(now, txn, host);
+            }
+            keep
+        });
+        let fired = held.len() < before;
+        self.groups[group].held = held;
+        fired
+    }
+
+    /// Places what can be placed, dearest first, then oldest first.
+    fn place(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
+        let mut held = std::mem::take(&mut self.groups[group].held);
+        held.sort_by(|&a, &b| {
+            let (a, b) = (self.txn(a), self.txn(b));
+            let value = |t: &Txn| self.types[t.kind].value;
+            value(b).total_cmp(&value(a)).then(a.arrived.cmp(&b.arrived))
+        });
+        let before = held.len();
+        held.retain(|&txn| match self.choose(now, txn) {
+            Some(member) => !self.submit(now, txn, member, host),
+            None => true,
+        });
+        let fired = held.len() < before;
+        self.groups[group].held = held;
+        fired
+    }
+
+    /// The member for a txn: the writer for writes and fresh reads, else a random reader inside the bound.
+    fn choose(&mut self, now: Duration, txn: usize) -> Option<usize> {
+        let t = self.txn(txn);
+        let (group, kind) = (t.group, t.kind);
+        let writer = self.groups[group].writer.filter(|&w| self.members[w].out < self.members[w].room as u32);
+        if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
+            return writer;
+        }
+        let mut inside: Vec<usize> = Vec::new();
+        let mut known = false;
+        for i in 0..self.groups[group].members.len() {
+            let m = self.groups[group].members[i];
+            let reader = self.groups[group].writer != Some(m);
+            if reader
+                && self.proven(now, txn, m)
+                && !self.members[m].stopped
+                && self.members[m].shunned <= now
+            {
+                known = true;
+                if self.members[m].out < self.members[m].room as u32 && self.gate(now, txn, m) {
+                    inside.push(m);
+                }
+            }
+        }
+        match inside.len() {
+            0 if known => None,
+            0 => {
+                let w = writer.filter(|&w| {
+                    let m = &self.members[w];
+                    f64::from(m.out) < m.room * READS_AT_WRITER
+                });
+                if self.members_check { self.least_behind(now, txn).or(w) } else { w }
+            }
+            1 => Some(inside[0]),
+            n => {
+                // Two drawn at random, the one with less in hand for its answer time is taken.
+                let a = self.rng.rand_range(0..n as u64) as usize;
+                let b = (a + 1 + self.rng.rand_range(0..n as u64 - 1) as usize) % n;
+                let cost = |m: usize| {
+                    let m = &self.members[m];
+                    f64::from(m.out + 1)
+                        * m.strain.max(0.01)
+                        * if m.zone == self.standing.zone { 1.0 } else { 1.1 }
+                };
+                let (a, b) = (inside[a], inside[b]);
+                Some(if cost(b) < cost(a) { b } else { a })
+            }
+        }
+    }
+
+    /// Where members check reads themselves, the reader that is least behind may be tried.
+    fn least_behind(&self, now: Duration, txn: usize) -> Option<usize> {
+        let group = &self.groups[self.txn(txn).group];
+        let fit = group.members.iter().copied().filter(|&i| {
+            let m = &self.members[i];
+            group.writer != Some(i) && !m.stopped && m.shunned <= now && m.out < m.room as u32
+        });
+        fit.max_by_key(|&i| (self.members[i].position, i))
+    }
+
+    /// Whether the member's data is proven recent enough for the read.
+    fn proven(&self, now: Duration, txn: usize, member: usize) -> bool {
+        let t = self.txn(txn);
+        let position = self.members[member].position;
+        match self.types[t.kind].level {
+            Level::Write => false,
+            Level::Loose => true,
+            Level::Bounded(bound) => position.is_some_and(|p| p + bound >= now + Duration::from_millis(1)),
+            Level::Fresh | Level::Session => t.must_see.is_none_or(|need| position >= Some(need)),
+        }
+    }
+
+    /// Every rule on sends, each in its place; no send passes by.
+    fn gate(&mut self, now: Duration, txn: usize, member: usize) -> bool {
+        let t = self.txn(txn);
+        let kind = self.types[t.kind];
+        // Rule 1: nothing for a txn that has its answer, or whose client has left.
+        let in_time = !t.over && now < t.expiry;
+        // Rule 2: one submission out at a time; no second effect.
+        let once = t.out.is_none()
+            && t.submissions < self.max_submissions
+            && match (kind.effect, t.may_have_run) {
+                (Effect::Repeatable, _) | (_, None) => true,
+                (Effect::OnceOnly, Some(_)) => false,
+                (Effect::Referenced { window, scope }, Some((at, zone))) => {
+                    now < at + window && (scope != Scope::Zone || self.members[member].zone == zone)
+                }
+            };
+        // Rule 3: nothing new once the list says draining or gone; the grace is not used.
+        let stays = self.members[member].group == t.group && !self.members[member].stopped;
+        // Rule 5: proof, or a member that has been primary and has not answered as a replica since.
+        let m = &self.members[member];
+        let primary = m.primary_at.is_some() && !m.told_replica;
+        let current =
+            kind.level == Level::Write || primary || self.members_check || self.proven(now, txn, member);
+        in_time && once && stays && current && self.within_cold_budget(now, member, t.kind)
+    }
+
+    /// Rule 4. Each front sends a cold member at most the multiple of its present share of what the same front
+    /// gets done on a warm member: summed over all fronts that is no more than a warm member can do.
+    fn within_cold_budget(&mut self, now: Duration, member: usize, kind: usize) -> bool {
+        let left = self.members[member].warm_at.saturating_sub(now);
+        if left.is_zero() {
+            return true;
+        }
+        let (mut warm, mut done) = (0u32, 0.0);
+        for m in self.members.iter_mut().filter(|m| m.warm_at <= now && !m.stopped) {
+            warm += 1;
+            done += m.done.sum(now);
+        }
+        if warm > 0 {
+            self.warm_work = done / f64::from(warm);
+        }
+        let missing = left.as_secs_f64() / self.cold.warm_up.as_secs_f64().max(1e-9);
+        let share = 1.0 - (1.0 - self.cold.share) * missing.min(1.0);
+        let budget = self.cold.multiple * share * self.warm_work * (1.0 - COLD_SLACK);
+        let work = self.work(kind);
+        self.members[member].sent.sum(now) + work <= budget
+    }
+
+    fn work(&self, kind: usize) -> f64 {
+        self.typical[kind].unwrap_or(self.types[kind].sla.as_secs_f64() / 4.0)
+    }
+
+    /// The only way to a member. False if the gate does not open.
+    fn submit(&mut self, now: Duration, txn: usize, member: usize, host: &mut impl Host) -> bool {
+        if !self.gate(now, txn, member) {
+            return false;
+        }
+        let kind = self.types[self.txn(txn).kind];
+        let work = self.work(self.txn(txn).kind);
+        let t = self.txn_mut(txn);
+        let time_out = match kind.effect {
+            // Worth trying elsewhere only while the second answer can still be in time.
+            Effect::Repeatable if now < t.arrived + kind.sla => {
+                let rest = (t.arrived + kind.sla).min(t.expiry) - now;
+                rest.checked_sub(Duration::from_secs_f64(work)).filter(|w| w.as_secs_f64() > 1.5 * work)
+            }
+            _ => None,
+        };
+        t.out = Some(Submission { member, at: now });
+        t.submissions += 1;
+        t.held = false;
+        let m = &mut self.members[member];
+        m.out += 1;
+        m.sent.add(now, work);
+        host.send(txn, member, time_out);
+        true
+    }
+}
--- /dev/null
+++ b/crates/simhost/src/line.rs
@@ -0,0 +1,67 @@
+//! One line of the wire: a name, then `name=value` parts in any order.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+#[derive(Clone, Copy)]
+pub struct Line<'a> {
+    pub name: &'a str,
+    rest: &'a str,
+}
+
+impl<'a> Line<'a> {
+    pub fn new(text: &'a str) -> Self {
+        let (name, rest) = text.split_once(' ').unwrap_or((text, ""));
+        Line { name, rest }
+    }
+
+    pub fn parts(&self) -> impl Iterator<Item = (&'a str, &'a str)> {
+        self.rest.split(' ').filter_map(|part| part.split_once('='))
+    }
+
+    pub fn text(&self, field: &str) -> Option<&'a str> {
+        self.parts().find(|&(name, _)| name == field).map(|(_, value)| value)
+    }
+
+    pub fn opt<T: FromStr>(&self, field: &str) -> Result<Option<T>, String> {
+        self.text(field).map(|v| parse(self.name, field, v)).transpose()
+    }
+
+    pub fn need<T: FromStr>(&self, field: &str) -> Result<T, String> {
+        self.opt(field)?.ok_or_else(|| format!("{}: expected a field {field}", self.name))
+    }
+
+    pub fn flag(&self, field: &str) -> Result<bool, String> {
+        match self.text(field) {
+            None | Some("0" | "false") => Ok(false),
+            Some("1" | "true") => Ok(true),
+            Some(v) => Err(format!("{}: expected 0 or 1 in {field}, found {v:?}", self.name)),
+        }
+    }
+
+    /// Milliseconds, exact to the microsecond.
+    pub fn millis(&self, field: &str) -> Result<Option<i64>, String> {
+        self.opt::<f64>(field)?.map(|ms| micros(ms).ok_or_else(|| bad(self.name, field, &ms))).transpose()
+    }
+
+    pub fn span(&self, field: &str) -> Result<Option<Duration>, String> {
+        Ok(self.millis(field)?.map(span))
+    }
+}
+
+pub fn span(micros: i64) -> Duration {
+    Duration::from_micros(micros.max(0) as u64)
+}
+
+pub fn micros(ms: f64) -> Option<i64> {
+    let us = (ms * 1000.0).round();
+    (us.is_finite() && us.abs() < 9e15).then_some(us as i64)
+}
+
+pub fn parse<T: FromStr>(name: &str, field: &str, value: &str) -> Result<T, String> {
+    value.parse().map_err(|_| bad(name, field, &value))
+}
+
+fn bad(name: &str, field: &str, value: &dyn std::fmt::Debug) -> String {
+    format!("{name}: expected a value of another form in {field}, found {value:?}")
+}
--- /dev/null
+++ b/crates/simhost/src/main.rs
@@ -0,0 +1,58 @@
+//! Hosts router instances on the simulator's line protocol: reads batches of events on standard input, writes
+//! one reply per batch on standard output. Words and ids are translated here one to one; nothing is chosen.
+
+mod line;
+mod world;
+
+use std::io::{self, BufRead, BufReader, BufWriter, Write};
+use std::process::ExitCode;
+use world::World;
+
+fn main() -> ExitCode {
+    match run(BufReader::with_capacity(1 << 20, io::stdin().lock()), BufWriter::new(io::stdout().lock())) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("juniperdock-simhost: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Plays batches until the input ends; the error names the line it met.
+fn run(mut input: impl BufRead, mut output: impl Write) -> Result<(), String> {
+    let mut world = World::default();
+    let mut text = Vec::new();
+    let mut number = 0u64;
+    let mut in_batch = false;
+    loop {
+        text.clear();
+        if input.read_until(b'\n', &mut text).map_err(|e| format!("reading after line {number}: {e}"))? == 0 {
+            break;
+        }
+        number += 1;
+        let line = std::str::from_utf8(&text).map_err(|_| format!("line {number}: expected UTF-8 text"))?;
+        let line = line.trim_end_matches(['\n', '\r']);
+        if line.is_empty() && !in_batch {
+            continue;
+        }
+        let at = |why: String| format!("line {number}: {why}");
+        if line.starts_with("ROUND ") == in_batch {
+            return Err(at(format!(
+                "expected {}, found {line:?}",
+                if in_batch { "an event or COMMIT" } else { "ROUND" }
+            )));
+        }
+        in_batch = !world.event(line).map_err(at)?;
+        if !in_batch {
+            output
+                .write_all(world.reply().as_bytes())
+                .and_then(|()| output.flush())
+                .map_err(|e| format!("writing the reply after line {number}: {e}"))?;
+            world.clear_reply();
+        }
+    }
+    if in_batch {
+        return Err(format!("line {number}: the input ended inside a batch, expected COMMIT"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/simhost/src/world.rs
@@ -0,0 +1,475 @@
+//! The instances of this process, the lists they share, and the reply being written.
+
+use crate::line::{self, Line};
+use juniperdock_router::host::{
+    ColdStart, Effect, Ending, Host, Level, Listed, Report, Role, Scope, Standing, TxnType,
+};
+use juniperdock_router::routing::Router;
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::time::Duration;
+
+/// One row of a shared list, as it came.
+struct Row {
+    store: String,
+    cell: u64,
+    zone: usize,
+    state: Listed,
+    primary: bool,
+    came_up: Option<i64>,
+}
+
+/// Ids of one instance and the indices that stand for them.
+#[derive(Default)]
+struct Ids {
+    front: u64,
+    /// The clock, in microseconds, at the instance's start, and where positions count from.
+    start: i64,
+    zero: i64,
+    stores: HashMap<String, usize>,
+    store_names: Vec<String>,
+    cells: HashMap<u64, usize>,
+    txns: HashMap<u64, usize>,
+    txn_ids: Vec<u64>,
+    free: Vec<usize>,
+}
+
+impl Ids {
+    fn store(&mut self, name: &str) -> usize {
+        if let Some(&at) = self.stores.get(name) {
+            return at;
+        }
+        self.store_names.push(name.to_owned());
+        self.stores.insert(name.to_owned(), self.store_names.len() - 1);
+        self.store_names.len() - 1
+    }
+
+    fn known_store(&self, name: &str) -> Result<usize, String> {
+        self.stores.get(name).copied().ok_or_else(|| format!("expected a store of a list, found {name:?}"))
+    }
+
+    fn cell(&mut self, number: u64) -> usize {
+        let next = self.cells.len();
+        *self.cells.entry(number).or_insert(next)
+    }
+
+    fn new_txn(&mut self, id: u64) -> Result<usize, String> {
+        if self.txns.contains_key(&id) {
+            return Err(format!("expected a new id, found {id} again"));
+        }
+        let at = self.free.pop().unwrap_or_else(|| {
+            self.txn_ids.push(id);
+            self.txn_ids.len() - 1
+        });
+        self.txn_ids[at] = id;
+        self.txns.insert(id, at);
+        Ok(at)
+    }
+
+    fn since_start(&self, clock: i64) -> Duration {
+        line::span(clock - self.start)
+    }
+
+    /// A position from before the start proves nothing that this instance can use.
+    fn position(&self, micros: i64) -> Option<Duration> {
+        u64::try_from(self.zero + micros - self.start).ok().map(Duration::from_micros)
+    }
+}
+
+struct Instance {
+    router: Router,
+    ids: Ids,
+}
+
+/// Writes the router's calls as actions.
+struct Actions<'a> {
+    ids: &'a mut Ids,
+    out: &'a mut String,
+}
+
+impl Actions<'_> {
+    fn put(&mut self, action: std::fmt::Arguments<'_>) {
+        self.out.write_fmt(action).expect("a String takes all");
+        self.out.push('\n');
+    }
+}
+
+fn ms(span: Duration) -> f64 {
+    span.as_micros() as f64 / 1000.0
+}
+
+impl Host for Actions<'_> {
+    fn send(&mut self, txn: usize, member: usize, time_out: Option<Duration>) {
+        let give_up = ms(time_out.unwrap_or(Duration::ZERO));
+        let (front, id) = (self.ids.front, self.ids.txn_ids[txn]);
+        let store = &self.ids.store_names[member];
+        writeln!(self.out, "PLACE Front={front} Corr={id} Store={store} GiveUpAfter={give_up}")
+            .expect("a String takes all");
+    }
+
+    fn cancel(&mut self, txn: usize, submission: u32) {
+        let (front, id) = (self.ids.front, self.ids.txn_ids[txn]);
+        self.put(format_args!("ABORT_ATTEMPT Front={front} Corr={id} N={submission}"));
+    }
+
+    fn decline(&mut self, txn: usize, come_back: Option<Duration>) {
+        let (front, id) = (self.ids.front, self.ids.txn_ids[txn]);
+        match come_back {
+            Some(wait) => {
+                self.put(format_args!("OVERLOAD_REPLY Front={front} Corr={id} ComeBack={}", ms(wait)));
+            }
+            None => self.put(format_args!("OVERLOAD_REPLY Front={front} Corr={id}")),
+        }
+    }
+
+    fn roll_back(&mut self, txn: usize) {
+        let (front, id) = (self.ids.front, self.ids.txn_ids[txn]);
+        self.put(format_args!("ABORT Front={front} Corr={id}"));
+    }
+
+    fn release(&mut self, txn: usize) {
+        self.ids.txns.remove(&self.ids.txn_ids[txn]);
+        self.ids.free.push(txn);
+    }
+
+    fn probe(&mut self, member: usize) {
+        let (front, store) = (self.ids.front, &self.ids.store_names[member]);
+        writeln!(self.out, "PROBE Front={front} Store={store}").expect("a String takes all");
+    }
+
+    fn remind(&mut self, at: Duration, handle: u64) {
+        let fire_at = (self.ids.start + at.as_micros() as i64) as f64 / 1000.0;
+        let front = self.ids.front;
+        self.put(format_args!("REMIND Front={front} FireAt={fire_at} Handle={handle}"));
+    }
+
+    fn tell(&mut self, bytes: &[u8]) {
+        let front = self.ids.front;
+        write!(self.out, "SHARE Front={front} Peer=-1 Payload=").expect("a String takes all");
+        for byte in bytes {
+            write!(self.out, "{byte:02x}").expect("a String takes all");
+        }
+        self.out.push_str(if bytes.is_empty() { "-\n" } else { "\n" });
+    }
+
+    fn listen(&mut self) {
+        let front = self.ids.front;
+        self.put(format_args!("LISTEN Front={front} On=1"));
+    }
+}
+
+#[derive(Default)]
+pub struct World {
+    clock: i64,
+    turn: u64,
+    lists: Vec<Vec<Row>>,
+    /// The list being read, and how many rows are still to come.
+    filling: Option<(usize, usize)>,
+    instances: HashMap<u64, Instance>,
+    out: String,
+}
+
+impl World {
+    pub fn reply(&self) -> &str {
+        &self.out
+    }
+
+    pub fn clear_reply(&mut self) {
+        self.out.clear();
+    }
+
+    /// Takes in one line; true once it has closed the batch.
+    pub fn event(&mut self, text: &str) -> Result<bool, String> {
+        let line = Line::new(text);
+        if self.filling.is_some() != (line.name == "ROW") {
+            return Err(match self.filling {
+                Some((_, left)) => format!("expected {left} more ROW, found {text:?}"),
+                None => format!("expected no ROW outside a ROSTER, found {text:?}"),
+            });
+        }
+        match line.name {
+            "ROUND" => {
+                self.clock = line.millis("Time")?.ok_or("ROUND: expected a field Time")?;
+                self.turn = line.need("turn")?;
+            }
+            "COMMIT" => {
+                writeln!(self.out, "READY turn={}", self.turn).expect("a String takes all");
+                return Ok(true);
+            }
+            "ROSTER" => {
+                let (list, rows): (usize, usize) = (line.need("List")?, line.need("Hosts")?);
+                if list > 15 {
+                    return Err(format!("ROSTER: expected a List from 0 to 15, found {list}"));
+                }
+                while self.lists.len() <= list {
+                    self.lists.push(Vec::new());
+                }
+                self.lists[list].clear();
+                self.filling = (rows > 0).then_some((list, rows));
+            }
+            "ROW" => self.row(&line)?,
+            "BORN" => {
+                let instance = born(&line, self.clock)?;
+                let asks = line.text("Discovery") == Some("on_request");
+                let front = instance.ids.front;
+                self.instances.insert(front, instance);
+                self.call(front, |router, _, host| router.started(asks, host))?;
+            }
+            "RETIRE" => {
+                let front: u64 = line.need("Front")?;
+                self.instances.remove(&front).ok_or_else(|| unborn(front))?;
+            }
+            "UPDATE" => self.update(&line)?,
+            _ => self.instance_event(&line)?,
+        }
+        Ok(false)
+    }
+
+    fn row(&mut self, line: &Line) -> Result<(), String> {
+        let Some((list, left)) = self.filling else { return Ok(()) };
+        self.lists[list].push(Row {
+            store: line.need("Store")?,
+            cell: line.need("Cell")?,
+            zone: line.opt("RegionPart")?.unwrap_or(0),
+            state: match line.text("Health") {
+                Some("up") | None => Listed::Up,
+                Some("draining") => Listed::Draining,
+                Some("removed") => Listed::Removed,
+                Some(other) => {
+                    return Err(format!("ROW: expected up, draining or removed in Health, found {other:?}"));
+                }
+            },
+            primary: line.opt::<f64>("IsPrimary")?.unwrap_or(0.0) > 0.5,
+            came_up: line.millis("CameUp")?.filter(|&at| at != 0),
+        });
+        self.filling = (left > 1).then_some((list, left - 1));
+        Ok(())
+    }
+
+    fn update(&mut self, line: &Line) -> Result<(), String> {
+        let front: u64 = line.need("Front")?;
+        let complete = match line.text("How") {
+            Some("Partial") => false,
+            Some("Complete" | "Persisted") => true,
+            Some("Error") => return self.call(front, |router, _, host| router.list_failed(host)),
+            other => return Err(format!("UPDATE: expected a known How, found {other:?}")),
+        };
+        let list: usize = line.need("List")?;
+        let rows = std::mem::take(
+            self.lists.get_mut(list).ok_or_else(|| format!("UPDATE: expected a known List, found {list}"))?,
+        );
+        let clock = self.clock;
+        let done = self.call(front, |router, now, host| {
+            let mut named = Vec::with_capacity(rows.len());
+            for row in &rows {
+                let (member, group) = (host.ids.store(&row.store), host.ids.cell(row.cell));
+                let up_for = row.came_up.map(|at| line::span(clock - at));
+                router.listed(now, member, group, row.zone, row.state, row.primary, up_for);
+                named.push(member);
+            }
+            if complete {
+                router.list_complete(&named);
+            }
+            router.list_settled(now, host);
+        });
+        self.lists[list] = rows;
+        done
+    }
+
+    fn instance_event(&mut self, line: &Line) -> Result<(), String> {
+        let known =
+            ["JOB_IN", "ATTEMPT_END", "TICK_DUE", "CANCELLED_BY_CLIENT", "HEALTH_RESULT", "MEMO", "ACCEPTED"];
+        if !known.contains(&line.name) {
+            return Err(format!("expected a known message, found {:?}", line.name));
+        }
+        let front: u64 = line.need("Front")?;
+        let ids = &mut self.instances.get_mut(&front).ok_or_else(|| unborn(front))?.ids;
+        match line.name {
+            "JOB_IN" => {
+                let (kind, cell): (usize, u64) = (line.need("Class")?, line.need("Shard")?);
+                let left = line.span("Left")?.ok_or("JOB_IN: expected a field Left")?;
+                let (session, wrote) = (line.opt("ClientKey")?, line.span("WroteMsAgo")?);
+                let txn = ids.new_txn(line.need("Corr")?)?;
+                let group = ids.cell(cell);
+                self.call(front, |router, now, host| {
+                    router.txn_arrived(now, txn, kind, group, left, session, wrote, host);
+                })
+            }
+            "ATTEMPT_END" => {
+                let (over, took) = (line.flag("DoneFlag")?, line.span("CostTime")?.unwrap_or_default());
+                let ending = ending(line)?;
+                let member = ids.known_store(line.text("Store").unwrap_or_default())?;
+                let stand: i64 = line.opt("Stand")?.unwrap_or(0);
+                let role = match stand % 4 {
+                    1 => Some(Role::Primary),
+                    2 => Some(Role::Replica),
+                    _ => None,
+                };
+                let position = Some(stand / 4).filter(|&p| p > 0).and_then(|p| ids.position(p * 1000));
+                let Some(&txn) = ids.txns.get(&line.need::<u64>("Corr")?) else { return Ok(()) };
+                self.call(front, |router, now, host| {
+                    router.submission_ended(now, txn, over, member, ending, role, position, took, host);
+                })
+            }
+            "TICK_DUE" => {
+                let handle = line.need("Handle")?;
+                self.call(front, |router, now, host| router.reminder_due(now, handle, host))
+            }
+            "CANCELLED_BY_CLIENT" => {
+                let Some(&txn) = ids.txns.get(&line.need::<u64>("Corr")?) else { return Ok(()) };
+                self.call(front, |router, now, host| router.client_left(now, txn, host))
+            }
+            "HEALTH_RESULT" => {
+                let ending = ending(line)?;
+                let member = ids.known_store(line.text("Store").unwrap_or_default())?;
+                let report = report(line, ids)?;
+                self.call(front, |router, now, host| {
+                    router.probe_answered(now, member, ending, report, host);
+                })
+            }
+            "MEMO" => {
+                let payload = line.text("Payload").unwrap_or("-");
+                let bytes: Option<Vec<u8>> = if payload == "-" {
+                    Some(Vec::new())
+                } else if payload.len().is_multiple_of(2) && payload.is_ascii() {
+                    (0..payload.len())
+                        .step_by(2)
+                        .map(|i| u8::from_str_radix(&payload[i..i + 2], 16).ok())
+                        .collect()
+                } else {
+                    None
+                };
+                let bytes = bytes.ok_or_else(|| format!("MEMO: expected hex digits, found {payload:?}"))?;
+                self.call(front, |router, now, _| router.peer_said(now, &bytes))
+            }
+            // Only streamed txn types have a start of their answer; nothing is decided on it.
+            _ => Ok(()),
+        }
+    }
+
+    /// Calls the router of an instance; should it panic, the simulator is told.
+    fn call(
+        &mut self,
+        front: u64,
+        input: impl FnOnce(&mut Router, Duration, &mut Actions),
+    ) -> Result<(), String> {
+        let Instance { router, ids } = self.instances.get_mut(&front).ok_or_else(|| unborn(front))?;
+        let now = ids.since_start(self.clock);
+        let mut host = Actions { ids, out: &mut self.out };
+        if let Err(panic) = catch_unwind(AssertUnwindSafe(|| input(router, now, &mut host))) {
+            let why = panic.downcast_ref::<String>().map(String::as_str);
+            let why = why.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("a panic without text");
+            let why = why.replace(['\n', '\r'], " ");
+            writeln!(self.out, "BROKEN Front={front} Msg={why}").expect("a String takes all");
+        }
+        Ok(())
+    }
+}
+
+fn unborn(front: u64) -> String {
+    format!("expected an instance that was born, found Front={front}")
+}
+
+fn ending(line: &Line) -> Result<Ending, String> {
+    Ok(match line.text("Verdict").unwrap_or_default() {
+        "OK" => Ending::Committed,
+        "INTERNAL" => Ending::Errored,
+        "RESOURCE_EXHAUSTED" => Ending::Full,
+        "DEADLINE_EXCEEDED" => Ending::TimedOut,
+        "UNAVAILABLE" => Ending::Unreachable,
+        "ABORTED" => Ending::Dropped,
+        "CANCELLED" => Ending::Cancelled,
+        "TOO_LATE" => Ending::Moot,
+        "NOT_FOUND" => Ending::Misplaced,
+        other => return Err(format!("{}: expected a known Verdict, found {other:?}", line.name)),
+    })
+}
+
+fn report(line: &Line, ids: &Ids) -> Result<Report, String> {
+    let mut report = Report::default();
+    for (name, value) in line.text("Stats").unwrap_or("").split(',').filter_map(|p| p.split_once(':')) {
+        let value: f64 = line::parse(line.name, name, value)?;
+        match name {
+            // Rounded down: a position must never be claimed that was not reached.
+            "x0" => report.position = ids.position((value * 1e6 + 1e-3).floor() as i64),
+            "x1" => report.role = Some(if value > 0.5 { Role::Primary } else { Role::Replica }),
+            "q" => report.queue = Some(value),
+            "busy" => report.busy = Some(value),
+            _ => {}
+        }
+    }
+    Ok(report)
+}
+
+/// Reads what an instance is handed at its start.
+fn born(line: &Line, clock: i64) -> Result<Instance, String> {
+    let at = |path: String| line.millis(&path);
+    let count: usize = line.opt("Services.count")?.unwrap_or(0);
+    let levels: Vec<&str> = line.text("Specifics.ReadLevel").unwrap_or("").split(',').collect();
+    let ages: Vec<&str> = line.text("Specifics.MaxAge").unwrap_or("").split(',').collect();
+    let mut types = Vec::with_capacity(count);
+    for i in 0..count {
+        let span = |key: &str| Ok::<_, String>(line::span(at(format!("Services.{i}.{key}"))?.unwrap_or(0)));
+        let effect = match line.text(&format!("Services.{i}.Effect")) {
+            Some("pure") => Effect::Repeatable,
+            Some("token") => Effect::Referenced {
+                window: span("Window")?,
+                scope: match line.text(&format!("Services.{i}.DedupScope")) {
+                    Some("all") => Scope::Everywhere,
+                    Some("zone") => Scope::Zone,
+                    _ => Scope::Group,
+                },
+            },
+            Some("side_effect") | None => Effect::OnceOnly,
+            Some(v) => return Err(format!("BORN: expected a known Services.{i}.Effect, found {v:?}")),
+        };
+        let age: f64 =
+            ages.get(i).filter(|a| !a.is_empty()).map_or(Ok(0.0), |a| line::parse("BORN", "MaxAge", a))?;
+        let level = match levels.get(i).copied().unwrap_or("loose") {
+            "update" => Level::Write,
+            "latest" => Level::Fresh,
+            "own_writes" => Level::Session,
+            "recent" => Level::Bounded(line::span(line::micros(age).unwrap_or(0))),
+            "loose" | "" => Level::Loose,
+            v => return Err(format!("BORN: expected a known read level, found {v:?}")),
+        };
+        types.push(TxnType {
+            sla: span("Objective")?,
+            value: line.opt(&format!("Services.{i}.Value"))?.unwrap_or(1.0),
+            late_value: line.opt(&format!("Services.{i}.LateWorth"))?.unwrap_or(0.0),
+            effect,
+            level,
+        });
+    }
+    let standing = Standing {
+        me: line.opt("Me")?.unwrap_or(0),
+        fronts: line.opt("Balancers")?.unwrap_or(1),
+        zone: line.opt("Zone")?.unwrap_or(0),
+    };
+    let cold = ColdStart {
+        share: line.opt("Guarantees.ColdFrom")?.unwrap_or(1.0),
+        warm_up: line.span("Guarantees.WarmUp")?.unwrap_or_default(),
+        multiple: line.opt("Guarantees.TipMultiple")?.unwrap_or(1.0),
+        window: line.span("Guarantees.OverloadFor")?.unwrap_or(Duration::from_secs(1)),
+    };
+    let mut router = Router::new(line.need("Entropy")?, standing, types, cold);
+    router.allow_submissions(line.opt("Bounds.TryLimit")?.unwrap_or(1));
+    router.allow_probes(line.flag("Bounds.MayProbe")?);
+    if line.flag("Bounds.RetryAfter")? {
+        router.allow_come_back(line.span("Bounds.MaxRetryAfter")?.unwrap_or_default());
+    }
+    if matches!(line.text("Specifics.ServerChecks"), Some("reject" | "hold")) {
+        router.members_check_reads();
+    }
+    if line.flag("Guarantees.GoneIsAdvice")? {
+        router.gone_is_advice();
+    }
+    let ids = Ids {
+        front: line.need("Front")?,
+        start: clock,
+        zero: at("Specifics.Zero".to_owned())?.unwrap_or(clock),
+        ..Ids::default()
+    };
+    Ok(Instance { router, ids })
+}
