Judge silence instead of timing reads out early

Cause: a read's time-out before its SLA time doubled the load while the work ran on, and a client's end of patience at a busy writer emptied the slot. Now a member that holds work and answers nothing is hushed.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -29,6 +29,8 @@
 const STRAIN: f64 = 0.6;
 /// Share of the writer's room that reads may use when no reader will do.
 const READS_AT_WRITER: f64 = 0.5;
+/// A member is silent when it has held work this many answer times without answering anything.
+const SILENCE: f64 = 4.0;
 /// Kept free of a cold member's budget, for probes and handshakes.
 const COLD_SLACK: f64 = 0.3;
 
@@ -252,7 +254,10 @@
         {
             t.may_have_run = Some((out.at, self.members[out.member].zone));
         }
-        self.members[member].out = self.members[member].out.saturating_sub(1);
+        self.members[member].in_hand.retain(|&held| held != txn);
+        if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Ending::Moot | Ending::Unreachable) {
+            self.members[member].last_answer = now;
+        }
         self.heard_role(now, member, role, position, ending == Ending::Committed);
         if role == Some(Role::Replica) {
             self.members[member].told_replica = true;
@@ -405,8 +410,9 @@
                 m.room = (m.room * 0.7).max(ROOM_LEAST);
                 m.shunned = m.shunned.max(now + SHUN_FIRST / 4);
             }
-            Ending::Misplaced | Ending::Cancelled | Ending::Moot => {}
-            Ending::Errored | Ending::TimedOut | Ending::Unreachable | Ending::Dropped => {
+            // A time-out is the client's end of patience; whether the member is at fault, `hush` tells.
+            Ending::Misplaced | Ending::Cancelled | Ending::Moot | Ending::TimedOut => {}
+            Ending::Errored | Ending::Unreachable | Ending::Dropped => {
                 // One error or one slow answer is bad luck; a broken connection, or a row, is not.
                 m.failures += 1;
                 let certain = matches!(ending, Ending::Unreachable | Ending::Dropped);
@@ -419,11 +425,18 @@
         // A failed submission to the writer empties the slot; only a claim made after this fills it again.
         let lost = match ending {
             Ending::Misplaced => self.types[kind].level == Level::Write,
-            Ending::TimedOut | Ending::Unreachable | Ending::Dropped => true,
+            Ending::Unreachable | Ending::Dropped => true,
             _ => false,
         };
+        if lost {
+            self.doubt(now, member);
+        }
+    }
+
+    /// Empties the writer slot if this member holds it, and starts a probe round.
+    fn doubt(&mut self, now: Duration, member: usize) {
         let group = self.members[member].group;
-        if lost && self.groups[group].writer == Some(member) {
+        if self.groups[group].writer == Some(member) {
             self.members[member].doubted = Some(now);
             for i in 0..self.groups[group].members.len() {
                 let m = self.groups[group].members[i];
@@ -510,7 +523,8 @@
     fn settle(&mut self, now: Duration, host: &mut impl Host) {
         while let Some(group) = self.touched.pop() {
             self.groups[group].touched = false;
-            while self.fill_slot(group)
+            while self.hush(now, group, host)
+                || self.fill_slot(group)
                 || self.probe_due(now, group, host)
                 || self.give_up(now, group, host)
                 || self.place(now, group, host)
@@ -518,6 +532,38 @@
         }
     }
 
+    /// A member that holds submissions and has answered none for some answer times is silent: it is shunned and
+    /// what may run again is called off, to be sent elsewhere. Meets hangs, cut links and stalled machines alike;
+    /// harms when a member answers in bursts far apart, and then costs a further submission within the budget.
+    fn hush(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
+        let mut fired = false;
+        for i in 0..self.groups[group].members.len() {
+            let member = self.groups[group].members[i];
+            let m = &self.members[member];
+            let sent = m.in_hand.iter().filter_map(|&t| self.txn(t).out.as_ref()).map(|o| o.at).min();
+            let Some(sent) = sent else { continue };
+            let slowest = m.in_hand.iter().map(|&t| self.work(self.txn(t).kind)).fold(0.0, f64::max);
+            let since = now.saturating_sub(sent.max(m.last_answer).max(m.hushed)).as_secs_f64();
+            if since <= SILENCE * slowest {
+                continue;
+            }
+            fired = true;
+            self.members[member].hushed = now;
+            self.members[member].failures += 1;
+            self.members[member].room = ROOM_LEAST;
+            let times = self.members[member].failures.min(8);
+            self.members[member].shunned = now + (SHUN_FIRST * 2u32.pow(times)).min(SHUN_LONGEST);
+            self.doubt(now, member);
+            for &txn in &self.members[member].in_hand {
+                let t = self.txn(txn);
+                if self.types[t.kind].effect == Effect::Repeatable && !t.over {
+                    host.cancel(txn, t.submissions - 1);
+                }
+            }
+        }
+        fired
+    }
+
     /// The newest dated claim takes the writer slot; ties go to the highest index. No claim empties it.
     fn fill_slot(&mut self, group: usize) -> bool {
         let claims = self.groups[group].members.iter().filter_map(|&i| {
@@ -592,7 +638,9 @@
     fn choose(&mut self, now: Duration, txn: usize) -> Option<usize> {
         let t = self.txn(txn);
         let (group, kind) = (t.group, t.kind);
-        let writer = self.groups[group].writer.filter(|&w| self.members[w].out < self.members[w].room as u32);
+        let writer = self.groups[group]
+            .writer
+            .filter(|&w| self.members[w].in_hand.len() < self.members[w].room as usize);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
             return writer;
         }
@@ -607,7 +655,7 @@
                 && self.members[m].shunned <= now
             {
                 known = true;
-                if self.members[m].out < self.members[m].room as u32 && self.gate(now, txn, m) {
+                if self.members[m].in_hand.len() < self.members[m].room as usize && self.gate(now, txn, m) {
                     inside.push(m);
                 }
             }
@@ -617,7 +665,7 @@
             0 => {
                 let w = writer.filter(|&w| {
                     let m = &self.members[w];
-                    f64::from(m.out) < m.room * READS_AT_WRITER
+                    (m.in_hand.len() as f64) < m.room * READS_AT_WRITER
                 });
                 if self.members_check { self.least_behind(now, txn).or(w) } else { w }
             }
@@ -628,7 +676,7 @@
                 let b = (a + 1 + self.rng.rand_range(0..n as u64 - 1) as usize) % n;
                 let cost = |m: usize| {
                     let m = &self.members[m];
-                    f64::from(m.out + 1)
+                    (m.in_hand.len() + 1) as f64
                         * m.strain.max(0.01)
                         * if m.zone == self.standing.zone { 1.0 } else { 1.1 }
                 };
@@ -643,7 +691,7 @@
         let group = &self.groups[self.txn(txn).group];
         let fit = group.members.iter().copied().filter(|&i| {
             let m = &self.members[i];
-            group.writer != Some(i) && !m.stopped && m.shunned <= now && m.out < m.room as u32
+            group.writer != Some(i) && !m.stopped && m.shunned <= now && m.in_hand.len() < m.room as usize
         });
         fit.max_by_key(|&i| (self.members[i].position, i))
     }
@@ -717,24 +765,15 @@
         if !self.gate(now, txn, member) {
             return false;
         }
-        let kind = self.types[self.txn(txn).kind];
         let work = self.work(self.txn(txn).kind);
         let t = self.txn_mut(txn);
-        let time_out = match kind.effect {
-            // Worth trying elsewhere only while the second answer can still be in time.
-            Effect::Repeatable if now < t.arrived + kind.sla => {
-                let rest = (t.arrived + kind.sla).min(t.expiry) - now;
-                rest.checked_sub(Duration::from_secs_f64(work)).filter(|w| w.as_secs_f64() > 1.5 * work)
-            }
-            _ => None,
-        };
         t.out = Some(Submission { member, at: now });
         t.submissions += 1;
         t.held = false;
         let m = &mut self.members[member];
-        m.out += 1;
+        m.in_hand.push(txn);
         m.sent.add(now, work);
-        host.send(txn, member, time_out);
+        host.send(txn, member, None);
         true
     }
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -25,7 +25,10 @@
     pub probe_out: bool,
     pub probe_due: Duration,
     pub probe_failures: u32,
-    pub out: u32,
+    /// Txns with a submission out to it.
+    pub in_hand: Vec<usize>,
+    pub last_answer: Duration,
+    pub hushed: Duration,
     pub room: f64,
     pub last_cut: Duration,
     /// Recent answer time as a share of the SLA time.
@@ -54,7 +57,9 @@
             probe_out: false,
             probe_due: now,
             probe_failures: 0,
-            out: 0,
+            in_hand: Vec::new(),
+            last_answer: Duration::ZERO,
+            hushed: Duration::ZERO,
             room,
             last_cut: now,
             strain: 0.0,
