--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -26,7 +26,7 @@
 const ROOM_LEAST: f64 = 2.0;
 const ROOM_MOST: f64 = 64.0;
 /// A member whose answers take more than this share of the SLA time gets less room.
-const STRAIN: f64 = 0.6;
+const STRAIN: f64 = 0.5;
 /// Share of the writer's room that reads may use when no reader will do.
 const READS_AT_WRITER: f64 = 0.5;
 /// A member is silent when it has held work this many answer times without answering anything.
@@ -395,8 +395,8 @@
                 m.shunned = Duration::ZERO;
                 m.done.add(now, work);
                 let secs = took.as_secs_f64();
-                m.strain += 0.1 * (secs / sla - m.strain);
-                if m.strain < STRAIN {
+                m.slow += 0.2 * (secs / work - m.slow);
+                if m.slow * work < STRAIN * sla {
                     m.room = (m.room + 1.0 / m.room).min(ROOM_MOST);
                 } else if now > m.last_cut + took {
                     m.room = (m.room * 0.9).max(ROOM_LEAST);
@@ -660,32 +660,42 @@
                 }
             }
         }
-        match inside.len() {
+        // Exception: reads spill to the writer while it answers faster than the readers, which have no room left
+        // or take too much of the SLA time; half of its room stays with the writes.
+        let spare = writer.filter(|&w| {
+            let m = &self.members[w];
+            (m.in_hand.len() as f64) < m.room * READS_AT_WRITER
+        });
+        let reader = match inside.len() {
             0 if known => None,
-            0 => {
-                let w = writer.filter(|&w| {
-                    let m = &self.members[w];
-                    (m.in_hand.len() as f64) < m.room * READS_AT_WRITER
-                });
-                if self.members_check { self.least_behind(now, txn).or(w) } else { w }
-            }
-            1 => Some(inside[0]),
+            0 if self.members_check => self.least_behind(now, txn),
+            0 => None,
             n => {
                 // Two drawn at random, the one with less in hand for its answer time is taken.
-                let a = self.rng.rand_range(0..n as u64) as usize;
-                let b = (a + 1 + self.rng.rand_range(0..n as u64 - 1) as usize) % n;
-                let cost = |m: usize| {
-                    let m = &self.members[m];
-                    (m.in_hand.len() + 1) as f64
-                        * m.strain.max(0.01)
-                        * if m.zone == self.standing.zone { 1.0 } else { 1.1 }
-                };
-                let (a, b) = (inside[a], inside[b]);
-                Some(if cost(b) < cost(a) { b } else { a })
+                let a = inside[self.rng.rand_range(0..n as u64) as usize];
+                let b = inside[self.rng.rand_range(0..n as u64) as usize];
+                Some(if self.cost(b) < self.cost(a) { b } else { a })
             }
+        };
+        let sla = self.types[kind].sla.as_secs_f64();
+        match (reader, spare) {
+            (Some(r), Some(w))
+                if self.members[r].slow * self.work(kind) > STRAIN * sla && self.cost(w) < self.cost(r) =>
+            {
+                Some(w)
+            }
+            (Some(r), _) => Some(r),
+            (None, w) => w,
         }
     }
 
+    /// What a further submission to the member would wait for, on a scale of this front's own.
+    fn cost(&self, member: usize) -> f64 {
+        let m = &self.members[member];
+        let afar = if m.zone == self.standing.zone { 1.0 } else { 1.1 };
+        (m.in_hand.len() + 1) as f64 * m.slow * afar
+    }
+
     /// Where members check reads themselves, the reader that is least behind may be tried.
     fn least_behind(&self, now: Duration, txn: usize) -> Option<usize> {
         let group = &self.groups[self.txn(txn).group];
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -31,8 +31,8 @@
     pub hushed: Duration,
     pub room: f64,
     pub last_cut: Duration,
-    /// Recent answer time as a share of the SLA time.
-    pub strain: f64,
+    /// Recent answer time, as a multiple of what is typical of the txn type.
+    pub slow: f64,
     pub failures: u32,
     pub shunned: Duration,
     pub sent: Ring,
@@ -62,7 +62,7 @@
             hushed: Duration::ZERO,
             room,
             last_cut: now,
-            strain: 0.0,
+            slow: 1.0,
             failures: 0,
             shunned: Duration::ZERO,
             sent: Ring::new(window, 10),
