--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -668,7 +668,8 @@
         });
         let reader = match inside.len() {
             0 if known => None,
-            0 if self.members_check => self.least_behind(now, txn),
+            // Once: a member that turned the read away is as far behind a moment later.
+            0 if self.members_check && self.txn(txn).submissions == 0 => self.least_behind(now, txn),
             0 => None,
             n => {
                 // Two drawn at random, the one with less in hand for its answer time is taken.
