--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -29,8 +29,9 @@
 const STRAIN: f64 = 0.5;
 /// Share of the writer's room that reads may use when no reader will do.
 const READS_AT_WRITER: f64 = 0.5;
-/// A member is silent when it has held work this many answer times without answering anything.
-const SILENCE: f64 = 4.0;
+/// A member is silent when it has held work this many mean answer times without answering anything; with two
+/// or more in hand half of that says as much.
+const SILENCE: f64 = 5.0;
 /// Kept free of a cold member's budget, for probes and handshakes.
 const COLD_SLACK: f64 = 0.3;
 
@@ -55,6 +56,8 @@
     sessions: HashMap<u64, Duration>,
     /// Typical answer time by txn type, in seconds.
     typical: Vec<Option<f64>>,
+    /// Mean answer time by txn type of late, over all members, in seconds.
+    usual: Vec<Option<f64>>,
     /// Work done per warm member in the cold window.
     warm_work: f64,
     first: Ring,
@@ -72,6 +75,7 @@
             probe_every: Some(tightest.min().unwrap_or(IDLE_PROBE)),
             standing,
             typical: vec![None; types.len()],
+            usual: vec![None; types.len()],
             types,
             cold,
             max_submissions: 1,
@@ -402,6 +406,8 @@
                     m.room = (m.room * 0.9).max(ROOM_LEAST);
                     m.last_cut = now;
                 }
+                let usual = self.usual[kind].get_or_insert(secs);
+                *usual += 0.02 * (secs - *usual);
                 let typical = self.typical[kind].get_or_insert(secs);
                 // Falls fast and rises slowly: what an answer takes where nothing waits.
                 *typical += if secs < *typical { 0.05 } else { 0.01 } * (secs - *typical);
@@ -542,7 +548,8 @@
             let m = &self.members[member];
             let sent = m.in_hand.iter().filter_map(|&t| self.txn(t).out.as_ref()).map(|o| o.at).min();
             let Some(sent) = sent else { continue };
-            let slowest = m.in_hand.iter().map(|&t| self.work(self.txn(t).kind)).fold(0.0, f64::max);
+            let usual = |&t: &usize| self.usual[self.txn(t).kind].unwrap_or(self.work(self.txn(t).kind));
+            let slowest = m.in_hand.iter().map(usual).fold(0.0, f64::max) / m.in_hand.len().min(2) as f64;
             let since = now.saturating_sub(sent.max(m.last_answer).max(m.hushed)).as_secs_f64();
             if since <= SILENCE * slowest {
                 continue;
