--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -47,6 +47,9 @@
     /// A member that is gone but was never seen draining may still be used.
     gone_is_advice: bool,
     come_back_most: Option<Duration>,
+    /// Age of the positions' common zero at this instance's start, where siblings can be told of positions.
+    shared_zero: Option<Duration>,
+    marks: HashMap<u32, usize>,
     probe_every: Option<Duration>,
     members: Vec<Member>,
     groups: Vec<Group>,
@@ -82,6 +85,8 @@
             members_check: false,
             gone_is_advice: false,
             come_back_most: None,
+            shared_zero: None,
+            marks: HashMap::new(),
             members: Vec::new(),
             groups: Vec::new(),
             txns: Vec::new(),
@@ -107,6 +112,11 @@
         self.come_back_most = Some(longest);
     }
 
+    /// Siblings can be told things; positions are told as spans since a zero that lies this far before the start.
+    pub fn allow_telling(&mut self, zero: Duration) {
+        self.shared_zero = Some(zero).filter(|_| self.standing.fronts > 1);
+    }
+
     /// Members hold or turn away reads that they are too far behind for.
     pub fn members_check_reads(&mut self) {
         self.members_check = true;
@@ -131,11 +141,13 @@
         host.listen();
     }
 
-    /// One entry of the list; `up_for` is the time since its latest start.
+    /// One entry of the list; `mark` stands for the member at every front, `up_for` is the time since its latest
+    /// start.
     pub fn listed(
         &mut self,
         now: Duration,
         member: usize,
+        mark: u32,
         group: usize,
         zone: usize,
         state: Listed,
@@ -149,7 +161,8 @@
             self.members.push(Member::new(now, ROOM_FIRST, self.cold.window));
         }
         let m = &mut self.members[member];
-        (m.group, m.zone) = (group, zone);
+        (m.group, m.zone, m.mark) = (group, zone, mark);
+        self.marks.insert(mark, member);
         if !m.listed {
             m.listed = true;
             m.probe_due = now;
@@ -310,6 +323,7 @@
         if ending == Ending::Committed {
             m.probe_failures = 0;
             self.heard_role(now, member, report.role, report.position, false);
+            self.tell_siblings(member, report, host);
         } else if ending != Ending::Full {
             // A full probe desk says that the member is busy, not that it is gone.
             m.probe_failures += 1;
@@ -340,8 +354,37 @@
         }
     }
 
-    /// A sibling's message; nothing is shared yet.
-    pub fn peer_said(&mut self, _now: Duration, _bytes: &[u8]) {}
+    /// A sibling's message: a mark, a role and a position, which are true whoever heard them. Whatever has another
+    /// form is passed over.
+    pub fn peer_said(&mut self, now: Duration, bytes: &[u8], host: &mut impl Host) {
+        let (Some(zero), [a, b, c, d, role, micros @ ..]) = (self.shared_zero, bytes) else { return };
+        let Some(&member) = self.marks.get(&u32::from_be_bytes([*a, *b, *c, *d])) else { return };
+        let Ok(micros) = <[u8; 8]>::try_from(micros) else { return };
+        let at = Duration::from_micros(u64::from_be_bytes(micros));
+        let role = match role {
+            1 => Role::Primary,
+            2 => Role::Replica,
+            _ => return,
+        };
+        // A position before this front's start, or from the future, says nothing here.
+        let Some(position) = at.checked_sub(zero).filter(|&p| p <= now) else { return };
+        self.heard_role(now, member, Some(role), Some(position), false);
+        self.plan_probe(now, member, host);
+        self.touch(self.members[member].group);
+        self.settle(now, host);
+    }
+
+    /// Tells siblings what a probe found, so that one probe serves all fronts.
+    fn tell_siblings(&self, member: usize, report: Report, host: &mut impl Host) {
+        let (Some(zero), Some(role), Some(position)) = (self.shared_zero, report.role, report.position)
+        else {
+            return;
+        };
+        let mut bytes = self.members[member].mark.to_be_bytes().to_vec();
+        bytes.push(if role == Role::Primary { 1 } else { 2 });
+        bytes.extend(((zero + position).as_micros() as u64).to_be_bytes());
+        host.tell(&bytes);
+    }
 
     // ---- facts ----
 
@@ -519,6 +562,14 @@
             0 => every,
             n => every * 2u32.pow(n.min(3)),
         };
+        // Where siblings tell what they hear, each member has one front that probes it first; the others stand in
+        // by turns if they hear nothing.
+        let fronts = self.standing.fronts.max(1);
+        let turn = match self.shared_zero {
+            Some(_) => (m.mark as usize % fronts + fronts - self.standing.me % fronts) % fronts,
+            None => 0,
+        };
+        let pause = pause * (1 + turn as u32);
         self.members[member].probe_due = now + pause;
         host.remind(now + pause, member as u64 * 2);
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -7,6 +7,8 @@
 pub(crate) struct Member {
     pub group: usize,
     pub zone: usize,
+    /// The same at every front.
+    pub mark: u32,
     pub listed: bool,
     /// The list told to send nothing new.
     pub stopped: bool,
@@ -45,6 +47,7 @@
         Member {
             group: 0,
             zone: 0,
+            mark: 0,
             listed: false,
             stopped: true,
             drains: false,
--- a/crates/simhost/src/world.rs
+++ b/crates/simhost/src/world.rs
@@ -265,7 +265,7 @@
             for row in &rows {
                 let (member, group) = (host.ids.store(&row.store), host.ids.cell(row.cell));
                 let up_for = row.came_up.map(|at| line::span(clock - at));
-                router.listed(now, member, group, row.zone, row.state, row.primary, up_for);
+                router.listed(now, member, mark(&row.store), group, row.zone, row.state, row.primary, up_for);
                 named.push(member);
             }
             if complete {
@@ -341,7 +341,7 @@
                     None
                 };
                 let bytes = bytes.ok_or_else(|| format!("MEMO: expected hex digits, found {payload:?}"))?;
-                self.call(front, |router, now, _| router.peer_said(now, &bytes))
+                self.call(front, |router, now, host| router.peer_said(now, &bytes, host))
             }
             // Only streamed txn types have a start of their answer; nothing is decided on it.
             _ => Ok(()),
@@ -367,6 +367,11 @@
     }
 }
 
+/// FNV-1a: the same number for a store at every instance.
+fn mark(store: &str) -> u32 {
+    store.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
 fn unborn(front: u64) -> String {
     format!("expected an instance that was born, found Front={front}")
 }
@@ -465,11 +470,12 @@
     if line.flag("Guarantees.GoneIsAdvice")? {
         router.gone_is_advice();
     }
-    let ids = Ids {
-        front: line.need("Front")?,
-        start: clock,
-        zero: at("Specifics.Zero".to_owned())?.unwrap_or(clock),
-        ..Ids::default()
-    };
+    let zero = at("Specifics.Zero".to_owned())?.unwrap_or(clock);
+    if line.flag("Bounds.Peers")?
+        && let Ok(age) = u64::try_from(clock - zero)
+    {
+        router.allow_telling(Duration::from_micros(age));
+    }
+    let ids = Ids { front: line.need("Front")?, start: clock, zero, ..Ids::default() };
     Ok(Instance { router, ids })
 }
