Start answer times from the SLA time, count what was called off

Cause: the fastest answers come first, so patience started near nothing and cancelled all that was slower.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -58,9 +58,9 @@
     /// Newest commit told to each session.
     sessions: HashMap<u64, Duration>,
     /// Typical answer time by txn type, in seconds.
-    typical: Vec<Option<f64>>,
+    typical: Vec<f64>,
     /// Mean answer time by txn type of late, over all members, in seconds.
-    usual: Vec<Option<f64>>,
+    usual: Vec<f64>,
     /// Work done per warm member in the cold window.
     warm_work: f64,
     first: Ring,
@@ -77,8 +77,9 @@
             rng: Rand64::new(seed as u128),
             probe_every: Some(tightest.min().unwrap_or(IDLE_PROBE)),
             standing,
-            typical: vec![None; types.len()],
-            usual: vec![None; types.len()],
+            // Guesses until answers tell: fast answers come first, so a start from those would be far too low.
+            typical: types.iter().map(|t| t.sla.as_secs_f64() / 4.0).collect(),
+            usual: types.iter().map(|t| t.sla.as_secs_f64() / 2.0).collect(),
             types,
             cold,
             max_submissions: 1,
@@ -434,14 +435,19 @@
     /// Health, room and typical answer time, from this front's own traffic.
     fn judge(&mut self, now: Duration, member: usize, kind: usize, ending: Ending, took: Duration) {
         let sla = self.types[kind].sla.as_secs_f64();
-        let work = self.typical[kind].unwrap_or(sla / 4.0);
+        let work = self.typical[kind];
+        let secs = took.as_secs_f64();
+        let usual = &mut self.usual[kind];
+        // What was called off took at least this long: leaving it out would make patience ever shorter.
+        if ending == Ending::Committed || !ending.never_ran() && secs > *usual {
+            *usual += 0.02 * (secs - *usual);
+        }
         let m = &mut self.members[member];
         match ending {
             Ending::Committed => {
                 m.failures = 0;
                 m.shunned = Duration::ZERO;
                 m.done.add(now, work);
-                let secs = took.as_secs_f64();
                 m.slow += 0.2 * (secs / work - m.slow);
                 if m.slow * work < STRAIN * sla {
                     m.room = (m.room + 1.0 / m.room).min(ROOM_MOST);
@@ -449,9 +455,7 @@
                     m.room = (m.room * 0.9).max(ROOM_LEAST);
                     m.last_cut = now;
                 }
-                let usual = self.usual[kind].get_or_insert(secs);
-                *usual += 0.02 * (secs - *usual);
-                let typical = self.typical[kind].get_or_insert(secs);
+                let typical = &mut self.typical[kind];
                 // Falls fast and rises slowly: what an answer takes where nothing waits.
                 *typical += if secs < *typical { 0.05 } else { 0.01 } * (secs - *typical);
             }
@@ -518,7 +522,7 @@
     /// Until when there is hope of an answer that is worth something.
     fn hope(&self, t: &Txn) -> Duration {
         let kind = self.types[t.kind];
-        let work = self.typical[t.kind].map_or(kind.sla / 4, Duration::from_secs_f64);
+        let work = Duration::from_secs_f64(self.typical[t.kind]);
         let worthless = if kind.late_value > 0.0 { t.expiry } else { t.expiry.min(t.arrived + kind.sla) };
         let window = match (kind.effect, t.may_have_run) {
             (Effect::Referenced { window, .. }, Some((at, _))) => at + window,
@@ -599,7 +603,7 @@
             let m = &self.members[member];
             let sent = m.in_hand.iter().filter_map(|&t| self.txn(t).out.as_ref()).map(|o| o.at).min();
             let Some(sent) = sent else { continue };
-            let usual = |&t: &usize| self.usual[self.txn(t).kind].unwrap_or(self.work(self.txn(t).kind));
+            let usual = |&t: &usize| self.usual[self.txn(t).kind];
             let slowest = m.in_hand.iter().map(usual).fold(0.0, f64::max) / m.in_hand.len().min(2) as f64;
             let since = now.saturating_sub(sent.max(m.last_answer).max(m.hushed)).as_secs_f64();
             if since <= SILENCE * slowest {
@@ -739,7 +743,8 @@
         let sla = self.types[kind].sla.as_secs_f64();
         match (reader, spare) {
             (Some(r), Some(w))
-                if self.members[r].slow * self.work(kind) > STRAIN * sla && self.cost(w) < self.cost(r) =>
+                if self.members[r].slow * self.typical[kind] > STRAIN * sla
+                    && self.cost(w) < self.cost(r) =>
             {
                 Some(w)
             }
@@ -821,20 +826,16 @@
         let missing = left.as_secs_f64() / self.cold.warm_up.as_secs_f64().max(1e-9);
         let share = 1.0 - (1.0 - self.cold.share) * missing.min(1.0);
         let budget = self.cold.multiple * share * self.warm_work * (1.0 - COLD_SLACK);
-        let work = self.work(kind);
+        let work = self.typical[kind];
         self.members[member].sent.sum(now) + work <= budget
     }
 
-    fn work(&self, kind: usize) -> f64 {
-        self.typical[kind].unwrap_or(self.types[kind].sla.as_secs_f64() / 4.0)
-    }
-
     /// The only way to a member. False if the gate does not open.
     fn submit(&mut self, now: Duration, txn: usize, member: usize, host: &mut impl Host) -> bool {
         if !self.gate(now, txn, member) {
             return false;
         }
-        let work = self.work(self.txn(txn).kind);
+        let work = self.typical[self.txn(txn).kind];
         let t = self.txn_mut(txn);
         t.out = Some(Submission { member, at: now });
         t.submissions += 1;
