Count time-outs and cancels as slow answers that cut room

Cause: only committed answers shaped room and slowness, so a member that answered too late kept its room.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -442,19 +442,24 @@
         if ending == Ending::Committed || !ending.never_ran() && secs > *usual {
             *usual += 0.02 * (secs - *usual);
         }
+        let usual = Duration::from_secs_f64(*usual);
         let m = &mut self.members[member];
+        if matches!(ending, Ending::Committed | Ending::TimedOut | Ending::Cancelled) {
+            m.slow += 0.2 * (secs / work - m.slow);
+            if m.slow * work > STRAIN * sla {
+                if now > m.last_cut + usual {
+                    m.room = (m.room * 0.9).max(ROOM_LEAST);
+                    m.last_cut = now;
+                }
+            } else if ending == Ending::Committed {
+                m.room = (m.room + 1.0 / m.room).min(ROOM_MOST);
+            }
+        }
         match ending {
             Ending::Committed => {
                 m.failures = 0;
                 m.shunned = Duration::ZERO;
                 m.done.add(now, work);
-                m.slow += 0.2 * (secs / work - m.slow);
-                if m.slow * work < STRAIN * sla {
-                    m.room = (m.room + 1.0 / m.room).min(ROOM_MOST);
-                } else if now > m.last_cut + took {
-                    m.room = (m.room * 0.9).max(ROOM_LEAST);
-                    m.last_cut = now;
-                }
                 let typical = &mut self.typical[kind];
                 // Falls fast and rises slowly: what an answer takes where nothing waits.
                 *typical += if secs < *typical { 0.05 } else { 0.01 } * (secs - *typical);
