--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -22,11 +22,11 @@
 const RESEND_SHARE: f64 = 0.1;
 const RESEND_SPAN: Duration = Duration::from_secs(5);
 /// Submissions a member may hold from this front at first; answers in good time raise it.
-const ROOM_FIRST: f64 = 8.0;
+const ROOM_FIRST: f64 = 4.0;
 const ROOM_LEAST: f64 = 2.0;
 const ROOM_MOST: f64 = 64.0;
 /// A member whose answers take more than this share of the SLA time gets less room.
-const STRAIN: f64 = 0.5;
+const STRAIN: f64 = 0.35;
 /// Share of the writer's room that reads may use when no reader will do.
 const READS_AT_WRITER: f64 = 0.5;
 /// A member is silent when it has held work this many mean answer times without answering anything; with two
