--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -32,6 +32,8 @@
 /// A member is silent when it has held work this many mean answer times without answering anything; with two
 /// or more in hand half of that says as much.
 const SILENCE: f64 = 5.0;
+/// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
+const WRITER_DEARER: f64 = 2.0;
 /// Kept free of a cold member's budget, for probes and handshakes.
 const COLD_SLACK: f64 = 0.3;
 
@@ -727,8 +729,8 @@
                 }
             }
         }
-        // Exception: reads spill to the writer while it answers faster than the readers, which have no room left
-        // or take too much of the SLA time; half of its room stays with the writes.
+        // Exception: reads spill to the writer while the reader drawn costs twice as much, or none has room left;
+        // half of the writer's room stays with the writes.
         let spare = writer.filter(|&w| {
             let m = &self.members[w];
             (m.in_hand.len() as f64) < m.room * READS_AT_WRITER
@@ -745,16 +747,9 @@
                 Some(if self.cost(b) < self.cost(a) { b } else { a })
             }
         };
-        let sla = self.types[kind].sla.as_secs_f64();
         match (reader, spare) {
-            (Some(r), Some(w))
-                if self.members[r].slow * self.typical[kind] > STRAIN * sla
-                    && self.cost(w) < self.cost(r) =>
-            {
-                Some(w)
-            }
-            (Some(r), _) => Some(r),
-            (None, w) => w,
+            (Some(r), Some(w)) if WRITER_DEARER * self.cost(w) < self.cost(r) => Some(w),
+            (r, w) => r.or(w),
         }
     }
 
