Move state out of the module, date answers now, cancel only where allowed

Cause: an answer as a replica was dated by its position and could stay behind the claim that it disproves; a site that forbids cancelling would have been broken.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -6,6 +6,7 @@
 
 use crate::host::{ColdStart, Effect, Ending, Host, Level, Listed, Report, Role, Scope, Standing, TxnType};
 use crate::ring::Ring;
+pub use crate::state::Router;
 use crate::state::{Group, Member, Submission, Txn};
 use oorandom::Rand64;
 use std::collections::HashMap;
@@ -37,38 +38,6 @@
 /// Kept free of a cold member's budget, for probes and handshakes.
 const COLD_SLACK: f64 = 0.3;
 
-#[derive(Debug)]
-pub struct Router {
-    rng: Rand64,
-    standing: Standing,
-    types: Vec<TxnType>,
-    cold: ColdStart,
-    max_submissions: u32,
-    /// Members turn away reads that they are too far behind for.
-    members_check: bool,
-    /// A member that is gone but was never seen draining may still be used.
-    gone_is_advice: bool,
-    come_back_most: Option<Duration>,
-    /// Age of the positions' common zero at this instance's start, where siblings can be told of positions.
-    shared_zero: Option<Duration>,
-    marks: HashMap<u32, usize>,
-    probe_every: Option<Duration>,
-    members: Vec<Member>,
-    groups: Vec<Group>,
-    txns: Vec<Option<Txn>>,
-    touched: Vec<usize>,
-    /// Newest commit told to each session.
-    sessions: HashMap<u64, Duration>,
-    /// Typical answer time by txn type, in seconds.
-    typical: Vec<f64>,
-    /// Mean answer time by txn type of late, over all members, in seconds.
-    usual: Vec<f64>,
-    /// Work done per warm member in the cold window.
-    warm_work: f64,
-    first: Ring,
-    again: Ring,
-}
-
 impl Router {
     pub fn new(seed: u64, standing: Standing, types: Vec<TxnType>, cold: ColdStart) -> Self {
         let tightest = types.iter().filter_map(|t| match t.level {
@@ -85,6 +54,7 @@
             types,
             cold,
             max_submissions: 1,
+            may_cancel: false,
             members_check: false,
             gone_is_advice: false,
             come_back_most: None,
@@ -101,35 +71,6 @@
         }
     }
 
-    /// How many submissions a txn may have in all.
-    pub fn allow_submissions(&mut self, most: u32) {
-        self.max_submissions = most;
-    }
-
-    pub fn allow_probes(&mut self, allowed: bool) {
-        self.probe_every = self.probe_every.filter(|_| allowed);
-    }
-
-    /// How far in the future a declined client can be told to come back.
-    pub fn allow_come_back(&mut self, longest: Duration) {
-        self.come_back_most = Some(longest);
-    }
-
-    /// Siblings can be told things; positions are told as spans since a zero that lies this far before the start.
-    pub fn allow_telling(&mut self, zero: Duration) {
-        self.shared_zero = Some(zero).filter(|_| self.standing.fronts > 1);
-    }
-
-    /// Members hold or turn away reads that they are too far behind for.
-    pub fn members_check_reads(&mut self) {
-        self.members_check = true;
-    }
-
-    /// Being gone from the list does not bind, only draining does.
-    pub fn gone_is_advice(&mut self) {
-        self.gone_is_advice = true;
-    }
-
     // ---- inputs ----
 
     /// The instance has started; the list follows.
@@ -180,9 +121,13 @@
         if let Some(up_for) = up_for {
             m.warm_at = (now + self.cold.warm_up).saturating_sub(up_for);
         }
-        if primary && !m.stopped {
-            // A hint only: whoever it names is asked at once.
+        m.hinted = primary && !m.stopped;
+        if m.hinted {
+            // A hint only: whoever it names is asked at once, and believed only where members tell no roles.
             m.probe_due = now;
+            if self.probe_every.is_none() && m.primary_at.is_none() {
+                m.primary_at = Some(now);
+            }
         }
         self.touch(group);
     }
@@ -278,10 +223,7 @@
         if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Ending::Moot | Ending::Unreachable) {
             self.members[member].last_answer = now;
         }
-        self.heard_role(now, member, role, position, ending == Ending::Committed);
-        if role == Some(Role::Replica) {
-            self.members[member].told_replica = true;
-        }
+        self.heard_role(now, member, role, position, true);
         if ending == Ending::Committed
             && self.types[kind].level == Level::Write
             && let (Some(key), Some(at)) = (session, position)
@@ -325,7 +267,8 @@
         m.probe_out = false;
         if ending == Ending::Committed {
             m.probe_failures = 0;
-            self.heard_role(now, member, report.role, report.position, false);
+            let hint = Some(Role::Primary).filter(|_| m.hinted && m.primary_at.is_none());
+            self.heard_role(now, member, report.role.or(hint), report.position, false);
             self.tell_siblings(member, report, host);
         } else if ending != Ending::Full {
             // A full probe desk says that the member is busy, not that it is gone.
@@ -391,21 +334,6 @@
 
     // ---- facts ----
 
-    fn touch(&mut self, group: usize) {
-        if !self.groups[group].touched {
-            self.groups[group].touched = true;
-            self.touched.push(group);
-        }
-    }
-
-    fn txn(&self, txn: usize) -> &Txn {
-        self.txns[txn].as_ref().expect("a txn in hand")
-    }
-
-    fn txn_mut(&mut self, txn: usize) -> &mut Txn {
-        self.txns[txn].as_mut().expect("a txn in hand")
-    }
-
     /// Records a claim of role. A primary stands at the present, so its position dates its claim; an answer is
     /// as new as now. A replica's report is at least as new as its position.
     fn heard_role(
@@ -418,18 +346,10 @@
     ) {
         let m = &mut self.members[member];
         m.position = m.position.max(position);
+        let date = position.filter(|_| !answer).or(Some(now));
         match role {
-            Some(Role::Primary) => {
-                let date = if answer { Some(now) } else { position };
-                m.primary_at = m.primary_at.max(date);
-                if m.primary_at > m.replica_at {
-                    m.told_replica = false;
-                }
-            }
-            Some(Role::Replica) => {
-                let date = if position.is_none() { Some(now) } else { position };
-                m.replica_at = m.replica_at.max(date);
-            }
+            Some(Role::Primary) => m.primary_at = m.primary_at.max(date),
+            Some(Role::Replica) => m.replica_at = m.replica_at.max(date),
             None => {}
         }
     }
@@ -477,8 +397,7 @@
                 m.failures += 1;
                 let certain = matches!(ending, Ending::Unreachable | Ending::Dropped);
                 if certain || m.failures >= 3 {
-                    let times = m.failures.saturating_sub(if certain { 1 } else { 3 }).min(8);
-                    m.shunned = now + (SHUN_FIRST * 2u32.pow(times)).min(SHUN_LONGEST);
+                    m.shunned = now + shun_for(m.failures - if certain { 1 } else { 3 });
                 }
             }
         }
@@ -514,7 +433,7 @@
         let over_budget =
             !ending.never_ran() && self.again.sum(now) >= 1.0 + RESEND_SHARE * self.first.sum(now);
         if once_only_ran || spent || over_budget || now >= self.hope(self.txn(txn)) {
-            self.answer(now, txn, host);
+            self.answer(txn, host);
         } else {
             if !ending.never_ran() {
                 self.again.add(now, 1.0);
@@ -539,7 +458,7 @@
     }
 
     /// Declines a txn where that is allowed, else rolls it back. At once: nothing is gained by waiting.
-    fn answer(&mut self, _now: Duration, txn: usize, host: &mut impl Host) {
+    fn answer(&mut self, txn: usize, host: &mut impl Host) {
         let t = self.txn(txn);
         let kind = self.types[t.kind];
         let harmless = match kind.effect {
@@ -617,15 +536,13 @@
                 continue;
             }
             fired = true;
-            self.members[member].hushed = now;
-            self.members[member].failures += 1;
-            self.members[member].room = ROOM_LEAST;
-            let times = self.members[member].failures.min(8);
-            self.members[member].shunned = now + (SHUN_FIRST * 2u32.pow(times)).min(SHUN_LONGEST);
+            let m = &mut self.members[member];
+            (m.hushed, m.failures, m.room) = (now, m.failures + 1, ROOM_LEAST);
+            m.shunned = now + shun_for(m.failures);
             self.doubt(now, member);
             for &txn in &self.members[member].in_hand {
                 let t = self.txn(txn);
-                if self.types[t.kind].effect == Effect::Repeatable && !t.over {
+                if self.may_cancel && self.types[t.kind].effect == Effect::Repeatable && !t.over {
                     host.cancel(txn, t.submissions - 1);
                 }
             }
@@ -676,7 +593,7 @@
         held.retain(|&txn| {
             let keep = now < self.hope(self.txn(txn));
             if !keep {
-                self.answer(now, txn, host);
+                self.answer(txn, host);
             }
             keep
         });
@@ -707,9 +624,7 @@
     fn choose(&mut self, now: Duration, txn: usize) -> Option<usize> {
         let t = self.txn(txn);
         let (group, kind) = (t.group, t.kind);
-        let writer = self.groups[group]
-            .writer
-            .filter(|&w| self.members[w].in_hand.len() < self.members[w].room as usize);
+        let writer = self.groups[group].writer.filter(|&w| self.members[w].has_room());
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
             return writer;
         }
@@ -724,7 +639,7 @@
                 && self.members[m].shunned <= now
             {
                 known = true;
-                if self.members[m].in_hand.len() < self.members[m].room as usize && self.gate(now, txn, m) {
+                if self.members[m].has_room() && self.gate(now, txn, m) {
                     inside.push(m);
                 }
             }
@@ -765,7 +680,7 @@
         let group = &self.groups[self.txn(txn).group];
         let fit = group.members.iter().copied().filter(|&i| {
             let m = &self.members[i];
-            group.writer != Some(i) && !m.stopped && m.shunned <= now && m.in_hand.len() < m.room as usize
+            group.writer != Some(i) && !m.stopped && m.shunned <= now && m.has_room()
         });
         fit.max_by_key(|&i| (self.members[i].position, i))
     }
@@ -800,11 +715,11 @@
             };
         // Rule 3: nothing new once the list says draining or gone; the grace is not used.
         let stays = self.members[member].group == t.group && !self.members[member].stopped;
-        // Rule 5: proof, or a member that has been primary and has not answered as a replica since.
-        let m = &self.members[member];
-        let primary = m.primary_at.is_some() && !m.told_replica;
-        let current =
-            kind.level == Level::Write || primary || self.members_check || self.proven(now, txn, member);
+        // Rule 5: proof, or the writer; an answer or a report as a replica empties that slot.
+        let current = kind.level == Level::Write
+            || self.groups[t.group].writer == Some(member)
+            || self.members_check
+            || self.proven(now, txn, member);
         in_time && once && stays && current && self.within_cold_budget(now, member, t.kind)
     }
 
@@ -847,3 +762,7 @@
         true
     }
 }
+
+fn shun_for(times: u32) -> Duration {
+    (SHUN_FIRST * 2u32.pow(times.min(8))).min(SHUN_LONGEST)
+}
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,6 +1,9 @@
-//! What the router remembers; nothing is decided here.
+//! What the router remembers and is told at its start; nothing is decided here.
 
+use crate::host::{ColdStart, Standing, TxnType};
 use crate::ring::Ring;
+use oorandom::Rand64;
+use std::collections::HashMap;
 use std::time::Duration;
 
 #[derive(Debug)]
@@ -22,8 +25,8 @@
     pub replica_at: Option<Duration>,
     /// Claims to be primary up to this date count no more.
     pub doubted: Option<Duration>,
-    /// Answered as a replica since it last claimed to be primary.
-    pub told_replica: bool,
+    /// The list calls it primary.
+    pub hinted: bool,
     pub probe_out: bool,
     pub probe_due: Duration,
     pub probe_failures: u32,
@@ -42,6 +45,10 @@
 }
 
 impl Member {
+    pub fn has_room(&self) -> bool {
+        self.in_hand.len() < self.room as usize
+    }
+
     /// A member of which nothing is known yet.
     pub fn new(now: Duration, room: f64, window: Duration) -> Self {
         Member {
@@ -56,7 +63,7 @@
             primary_at: None,
             replica_at: None,
             doubted: None,
-            told_replica: false,
+            hinted: false,
             probe_out: false,
             probe_due: now,
             probe_failures: 0,
@@ -104,3 +111,86 @@
     pub over: bool,
     pub held: bool,
 }
+
+#[derive(Debug)]
+pub struct Router {
+    pub(crate) rng: Rand64,
+    pub(crate) standing: Standing,
+    pub(crate) types: Vec<TxnType>,
+    pub(crate) cold: ColdStart,
+    pub(crate) max_submissions: u32,
+    pub(crate) may_cancel: bool,
+    /// Members turn away reads that they are too far behind for.
+    pub(crate) members_check: bool,
+    /// A member that is gone but was never seen draining may still be used.
+    pub(crate) gone_is_advice: bool,
+    pub(crate) come_back_most: Option<Duration>,
+    /// Age of the positions' common zero at this instance's start, where siblings can be told of positions.
+    pub(crate) shared_zero: Option<Duration>,
+    pub(crate) marks: HashMap<u32, usize>,
+    pub(crate) probe_every: Option<Duration>,
+    pub(crate) members: Vec<Member>,
+    pub(crate) groups: Vec<Group>,
+    pub(crate) txns: Vec<Option<Txn>>,
+    pub(crate) touched: Vec<usize>,
+    /// Newest commit told to each session.
+    pub(crate) sessions: HashMap<u64, Duration>,
+    /// Typical answer time by txn type, in seconds.
+    pub(crate) typical: Vec<f64>,
+    /// Mean answer time by txn type of late, over all members, in seconds.
+    pub(crate) usual: Vec<f64>,
+    /// Work done per warm member in the cold window.
+    pub(crate) warm_work: f64,
+    pub(crate) first: Ring,
+    pub(crate) again: Ring,
+}
+
+impl Router {
+    /// How many submissions a txn may have in all.
+    pub fn allow_submissions(&mut self, most: u32) {
+        self.max_submissions = most;
+    }
+
+    pub fn allow_cancelling(&mut self) {
+        self.may_cancel = true;
+    }
+
+    pub fn allow_probes(&mut self, allowed: bool) {
+        self.probe_every = self.probe_every.filter(|_| allowed);
+    }
+
+    /// How far in the future a declined client can be told to come back.
+    pub fn allow_come_back(&mut self, longest: Duration) {
+        self.come_back_most = Some(longest);
+    }
+
+    /// Siblings can be told things; positions are told as spans since a zero that lies this far before the start.
+    pub fn allow_telling(&mut self, zero: Duration) {
+        self.shared_zero = Some(zero).filter(|_| self.standing.fronts > 1);
+    }
+
+    /// Members hold or turn away reads that they are too far behind for.
+    pub fn members_check_reads(&mut self) {
+        self.members_check = true;
+    }
+
+    /// Being gone from the list does not bind, only draining does.
+    pub fn gone_is_advice(&mut self) {
+        self.gone_is_advice = true;
+    }
+
+    pub(crate) fn touch(&mut self, group: usize) {
+        if !self.groups[group].touched {
+            self.groups[group].touched = true;
+            self.touched.push(group);
+        }
+    }
+
+    pub(crate) fn txn(&self, txn: usize) -> &Txn {
+        self.txns[txn].as_ref().expect("a txn in hand")
+    }
+
+    pub(crate) fn txn_mut(&mut self, txn: usize) -> &mut Txn {
+        self.txns[txn].as_mut().expect("a txn in hand")
+    }
+}
--- a/crates/simhost/src/world.rs
+++ b/crates/simhost/src/world.rs
@@ -460,6 +460,9 @@
     };
     let mut router = Router::new(line.need("Entropy")?, standing, types, cold);
     router.allow_submissions(line.opt("Bounds.TryLimit")?.unwrap_or(1));
+    if line.flag("Bounds.Cancel")? {
+        router.allow_cancelling();
+    }
     router.allow_probes(line.flag("Bounds.MayProbe")?);
     if line.flag("Bounds.RetryAfter")? {
         router.allow_come_back(line.span("Bounds.MaxRetryAfter")?.unwrap_or_default());
