--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -248,9 +248,6 @@
         let Some(Some(t)) = self.txns.get_mut(txn) else { return };
         t.over = true;
         let group = t.group;
-        self.groups[group].held.retain(|&h| h != txn);
-        self.txn_mut(txn).held = false;
-        self.forget(txn, host);
         self.touch(group);
         self.settle(now, host);
     }
@@ -426,13 +423,11 @@
 
     /// What becomes of a txn whose submission ended without a final answer.
     fn go_on(&mut self, now: Duration, txn: usize, ending: Ending, host: &mut impl Host) {
-        let kind = self.types[self.txn(txn).kind];
-        let once_only_ran = kind.effect == Effect::OnceOnly && self.txn(txn).may_have_run.is_some();
-        let spent = self.txn(txn).submissions >= self.max_submissions;
+        let barred = !self.may_run_again(now, self.txn(txn));
         // Submissions that never ran cost the members little; the others stay within a budget.
         let over_budget =
             !ending.never_ran() && self.again.sum(now) >= 1.0 + RESEND_SHARE * self.first.sum(now);
-        if once_only_ran || spent || over_budget || now >= self.hope(self.txn(txn)) {
+        if barred || over_budget || now >= self.hope(self.txn(txn)) {
             self.answer(txn, host);
         } else {
             if !ending.never_ran() {
@@ -450,11 +445,7 @@
         let kind = self.types[t.kind];
         let work = Duration::from_secs_f64(self.typical[t.kind]);
         let worthless = if kind.late_value > 0.0 { t.expiry } else { t.expiry.min(t.arrived + kind.sla) };
-        let window = match (kind.effect, t.may_have_run) {
-            (Effect::Referenced { window, .. }, Some((at, _))) => at + window,
-            _ => t.expiry,
-        };
-        worthless.saturating_sub(work).min(window).max(t.arrived)
+        worthless.saturating_sub(work).max(t.arrived)
     }
 
     /// Declines a txn where that is allowed, else rolls it back. At once: nothing is gained by waiting.
@@ -591,8 +582,11 @@
         let mut held = std::mem::take(&mut self.groups[group].held);
         let before = held.len();
         held.retain(|&txn| {
-            let keep = now < self.hope(self.txn(txn));
-            if !keep {
+            let t = self.txn(txn);
+            let keep = self.open(now, t) && self.may_run_again(now, t) && now < self.hope(t);
+            if t.over {
+                self.forget(txn, host);
+            } else if !keep {
                 self.answer(txn, host);
             }
             keep
@@ -632,14 +626,12 @@
         let mut known = false;
         for i in 0..self.groups[group].members.len() {
             let m = self.groups[group].members[i];
-            let reader = self.groups[group].writer != Some(m);
-            if reader
-                && self.proven(now, txn, m)
-                && !self.members[m].stopped
-                && self.members[m].shunned <= now
-            {
+            let reader = self.groups[group].writer != Some(m) && self.members[m].shunned <= now;
+            // Where members check reads the gate lets all pass; the design still wants them inside the bound.
+            let fits = reader && self.gate(now, txn, m);
+            if fits && (!self.members_check || self.proven(now, txn, m)) {
                 known = true;
-                if self.members[m].has_room() && self.gate(now, txn, m) {
+                if self.members[m].has_room() {
                     inside.push(m);
                 }
             }
@@ -697,22 +689,31 @@
         }
     }
 
+    /// Rule 1: nothing for a txn that has its answer, whose client has left, or whose time is up.
+    fn open(&self, now: Duration, t: &Txn) -> bool {
+        !t.over && now < t.expiry
+    }
+
+    /// Rule 2: one submission at a time, no more than allowed, and no second effect.
+    fn may_run_again(&self, now: Duration, t: &Txn) -> bool {
+        let in_turn = t.out.is_none() && t.submissions < self.max_submissions;
+        match (self.types[t.kind].effect, t.may_have_run) {
+            _ if !in_turn => false,
+            (Effect::Repeatable, _) | (_, None) => true,
+            (Effect::OnceOnly, Some(_)) => false,
+            (Effect::Referenced { window, .. }, Some((at, _))) => now < at + window,
+        }
+    }
+
     /// Every rule on sends, each in its place; no send passes by.
     fn gate(&mut self, now: Duration, txn: usize, member: usize) -> bool {
         let t = self.txn(txn);
         let kind = self.types[t.kind];
-        // Rule 1: nothing for a txn that has its answer, or whose client has left.
-        let in_time = !t.over && now < t.expiry;
-        // Rule 2: one submission out at a time; no second effect.
-        let once = t.out.is_none()
-            && t.submissions < self.max_submissions
-            && match (kind.effect, t.may_have_run) {
-                (Effect::Repeatable, _) | (_, None) => true,
-                (Effect::OnceOnly, Some(_)) => false,
-                (Effect::Referenced { window, scope }, Some((at, zone))) => {
-                    now < at + window && (scope != Scope::Zone || self.members[member].zone == zone)
-                }
-            };
+        let zoned = match (kind.effect, t.may_have_run) {
+            (Effect::Referenced { scope: Scope::Zone, .. }, Some((_, z))) => self.members[member].zone == z,
+            _ => true,
+        };
+        let once = zoned && self.may_run_again(now, t);
         // Rule 3: nothing new once the list says draining or gone; the grace is not used.
         let stays = self.members[member].group == t.group && !self.members[member].stopped;
         // Rule 5: proof, or the writer; an answer or a report as a replica empties that slot.
@@ -720,7 +721,7 @@
             || self.groups[t.group].writer == Some(member)
             || self.members_check
             || self.proven(now, txn, member);
-        in_time && once && stays && current && self.within_cold_budget(now, member, t.kind)
+        self.open(now, t) && once && stays && current && self.within_cold_budget(now, member, t.kind)
     }
 
     /// Rule 4. Each front sends a cold member at most the multiple of its present share of what the same front
--- /dev/null
+++ b/crates/router/tests/fake/mod.rs
@@ -0,0 +1,144 @@
+//! One tiny host: it writes down what the router has done and lets a story hand in its inputs.
+
+use juniperdock_router::host::*;
+use juniperdock_router::routing::Router;
+use std::time::Duration;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    Sent(usize, usize),
+    Cancelled(usize, u32),
+    Declined(usize),
+    RolledBack(usize),
+    Probed(usize),
+    Told(Vec<u8>),
+    Listened,
+}
+
+#[derive(Default)]
+pub struct Acts(pub Vec<Act>);
+
+impl Host for Acts {
+    fn send(&mut self, txn: usize, member: usize, _time_out: Option<Duration>) {
+        self.0.push(Act::Sent(txn, member));
+    }
+    fn cancel(&mut self, txn: usize, submission: u32) {
+        self.0.push(Act::Cancelled(txn, submission));
+    }
+    fn decline(&mut self, txn: usize, _come_back: Option<Duration>) {
+        self.0.push(Act::Declined(txn));
+    }
+    fn roll_back(&mut self, txn: usize) {
+        self.0.push(Act::RolledBack(txn));
+    }
+    fn release(&mut self, _txn: usize) {}
+    fn probe(&mut self, member: usize) {
+        self.0.push(Act::Probed(member));
+    }
+    fn remind(&mut self, _at: Duration, _handle: u64) {}
+    fn tell(&mut self, bytes: &[u8]) {
+        self.0.push(Act::Told(bytes.to_vec()));
+    }
+    fn listen(&mut self) {
+        self.0.push(Act::Listened);
+    }
+}
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Txn types of the stories, by index.
+pub const READ: usize = 0;
+pub const LOOSE: usize = 1;
+pub const ONCE: usize = 2;
+pub const MARKED: usize = 3;
+
+pub struct Story {
+    pub router: Router,
+    pub host: Acts,
+    pub now: Duration,
+    next: usize,
+}
+
+impl Story {
+    /// One group: members 0 to 2, of which nothing is known yet.
+    pub fn new() -> Self {
+        Story::of(Standing { me: 0, fronts: 2, zone: 0 })
+    }
+
+    pub fn of(standing: Standing) -> Self {
+        let kind = |effect, level| TxnType { sla: ms(400), value: 1.0, late_value: 0.5, effect, level };
+        let marked = Effect::Referenced { window: ms(2000), scope: Scope::Group };
+        let types = vec![
+            kind(Effect::Repeatable, Level::Bounded(ms(300))),
+            kind(Effect::Repeatable, Level::Loose),
+            kind(Effect::OnceOnly, Level::Write),
+            kind(marked, Level::Write),
+        ];
+        let cold = ColdStart { share: 0.2, warm_up: ms(10_000), multiple: 2.5, window: ms(1500) };
+        let mut router = Router::new(7, standing, types, cold);
+        router.allow_submissions(6);
+        router.allow_cancelling();
+        router.allow_come_back(ms(500));
+        let mut story = Story { router, host: Acts::default(), now: ms(1000), next: 0 };
+        for member in 0..3 {
+            story.list(member, Listed::Up, None);
+        }
+        story
+    }
+
+    /// As `new`, with member 0 as the writer and fresh reports from all.
+    pub fn running() -> Self {
+        let mut story = Story::new();
+        story.report_all(0);
+        story
+    }
+
+    pub fn list(&mut self, member: usize, state: Listed, up_for: Option<Duration>) {
+        self.router.listed(self.now, member, 100 + member as u32, 0, 0, state, false, up_for);
+        self.router.list_settled(self.now, &mut self.host);
+    }
+
+    pub fn report(&mut self, member: usize, role: Role, position: Duration) {
+        let report = Report { position: Some(position), role: Some(role), ..Report::default() };
+        self.router.probe_answered(self.now, member, Ending::Committed, report, &mut self.host);
+    }
+
+    pub fn report_all(&mut self, writer: usize) {
+        for member in 0..3 {
+            let role = if member == writer { Role::Primary } else { Role::Replica };
+            self.report(member, role, self.now);
+        }
+    }
+
+    pub fn arrive(&mut self, kind: usize, left: u64) -> usize {
+        self.next += 1;
+        let (now, txn) = (self.now, self.next);
+        self.router.txn_arrived(now, txn, kind, 0, ms(left), None, None, &mut self.host);
+        txn
+    }
+
+    pub fn end(&mut self, txn: usize, member: usize, ending: Ending, took: u64) {
+        let over = ending == Ending::Committed;
+        let (now, took) = (self.now, ms(took));
+        self.router.submission_ended(now, txn, over, member, ending, None, None, took, &mut self.host);
+    }
+
+    /// Lets time pass; a reminder touches the group and the txn.
+    pub fn wait(&mut self, span: u64, txn: usize) {
+        self.now += ms(span);
+        self.router.reminder_due(self.now, 0, &mut self.host);
+        self.router.reminder_due(self.now, txn as u64 * 2 + 1, &mut self.host);
+    }
+
+    pub fn did(&self, act: &Act) -> bool {
+        self.host.0.contains(act)
+    }
+
+    /// Where the txn was sent, in order.
+    pub fn sends(&self, txn: usize) -> Vec<usize> {
+        let sent = |act: &Act| if let Act::Sent(t, m) = act { (*t == txn).then_some(*m) } else { None };
+        self.host.0.iter().filter_map(sent).collect()
+    }
+}
--- /dev/null
+++ b/crates/router/tests/stories.rs
@@ -0,0 +1,269 @@
+//! Short stories, one for each failure met and each rule kept.
+
+mod fake;
+
+use fake::{Act, LOOSE, MARKED, ONCE, READ, Story, ms};
+use juniperdock_router::host::{Ending, Listed, Role, Standing};
+
+#[test]
+fn writes_wait_until_a_primary_is_known() {
+    let mut s = Story::new();
+    let txn = s.arrive(ONCE, 2000);
+    assert!(s.did(&Act::Probed(0)) && s.sends(txn).is_empty());
+    s.now += ms(50);
+    s.report_all(1);
+    assert_eq!(s.sends(txn), [1]);
+}
+
+#[test]
+fn a_broken_writer_empties_the_slot_and_old_claims_do_not_refill_it() {
+    let mut s = Story::running();
+    let lost = s.arrive(MARKED, 2000);
+    s.now += ms(100);
+    s.end(lost, 0, Ending::Dropped, 100);
+    let held = s.arrive(ONCE, 2000);
+    s.report(0, Role::Primary, s.now - ms(20));
+    assert!(s.sends(held).is_empty(), "the claim is older than the failure");
+    s.now += ms(100);
+    s.report(2, Role::Primary, s.now - ms(20));
+    assert_eq!(s.sends(held), [2]);
+    assert_eq!(s.sends(lost), [0, 2], "a referenced txn goes again inside its group and window");
+}
+
+#[test]
+fn a_late_report_of_the_old_primary_does_not_take_the_slot_back() {
+    let mut s = Story::running();
+    s.now += ms(500);
+    s.report(1, Role::Primary, s.now);
+    s.report(0, Role::Primary, s.now - ms(400));
+    let txn = s.arrive(ONCE, 2000);
+    assert_eq!(s.sends(txn), [1]);
+}
+
+#[test]
+fn an_answer_as_a_replica_beats_an_earlier_claim() {
+    let mut s = Story::running();
+    let txn = s.arrive(MARKED, 2000);
+    s.now += ms(10);
+    let (now, behind) = (s.now, Some(s.now - ms(300)));
+    let replica = Some(Role::Replica);
+    s.router.submission_ended(now, txn, false, 0, Ending::Errored, replica, behind, ms(10), &mut s.host);
+    let next = s.arrive(READ, 1000);
+    assert!(!s.sends(next).contains(&0), "no read may count on it as the primary");
+}
+
+#[test]
+fn once_only_goes_again_only_if_it_never_ran() {
+    let mut s = Story::running();
+    let txn = s.arrive(ONCE, 2000);
+    s.now += ms(5);
+    s.end(txn, 0, Ending::Misplaced, 5);
+    s.now += ms(50);
+    s.report_all(1);
+    assert_eq!(s.sends(txn), [0, 1]);
+    s.end(txn, 1, Ending::Errored, 20);
+    assert_eq!(s.sends(txn).len(), 2);
+    assert!(s.did(&Act::RolledBack(txn)) && !s.did(&Act::Declined(txn)));
+}
+
+#[test]
+fn submissions_are_counted() {
+    let mut s = Story::running();
+    let txn = s.arrive(ONCE, 9000);
+    for _ in 0..10 {
+        s.end(txn, 0, Ending::Full, 1);
+        s.now += ms(60);
+        s.report_all(0);
+    }
+    assert_eq!(s.sends(txn).len(), 6);
+    assert!(s.did(&Act::Declined(txn)));
+}
+
+#[test]
+fn referenced_is_rolled_back_when_its_window_closes() {
+    let mut s = Story::running();
+    let txn = s.arrive(MARKED, 5000);
+    s.now += ms(100);
+    s.end(txn, 0, Ending::Dropped, 100);
+    s.wait(1950, txn);
+    s.report_all(1);
+    assert_eq!(s.sends(txn), [0]);
+    assert!(s.did(&Act::RolledBack(txn)) && !s.did(&Act::Declined(txn)));
+}
+
+#[test]
+fn a_draining_or_gone_member_gets_nothing() {
+    let mut s = Story::running();
+    s.list(1, Listed::Draining, None);
+    s.list(0, Listed::Removed, None);
+    for _ in 0..3 {
+        let read = s.arrive(READ, 1000);
+        assert_eq!(s.sends(read), [2]);
+    }
+    let write = s.arrive(ONCE, 1000);
+    assert!(s.sends(write).is_empty());
+}
+
+#[test]
+fn a_cold_member_gets_its_share_of_what_a_warm_one_does() {
+    let mut s = Story::running();
+    s.list(1, Listed::Up, Some(ms(0)));
+    for _ in 0..40 {
+        let read = s.arrive(LOOSE, 1000);
+        s.now += ms(20);
+        let member = s.sends(read).first().copied();
+        if let Some(member) = member {
+            s.end(read, member, Ending::Committed, 20);
+        }
+    }
+    let to = |m| s.host.0.iter().filter(|a| matches!(a, Act::Sent(_, to) if *to == m)).count();
+    assert!(to(1) * 3 < to(2), "{} to the cold member, {} to a warm one", to(1), to(2));
+}
+
+#[test]
+fn a_read_goes_only_where_its_bound_is_proven() {
+    let mut s = Story::running();
+    s.now += ms(250);
+    s.report(1, Role::Replica, s.now - ms(200));
+    s.now += ms(60);
+    let read = s.arrive(READ, 1000);
+    assert_eq!(s.sends(read), [1], "member 2 was last heard of 310 ms ago");
+    s.now += ms(60);
+    let read = s.arrive(READ, 1000);
+    assert_eq!(s.sends(read), [0], "none is inside: the writer");
+}
+
+#[test]
+fn what_a_sibling_proves_counts_and_noise_does_not() {
+    let mut s = Story::running();
+    s.router.allow_telling(ms(9000));
+    s.now += ms(400);
+    let mut news = 102u32.to_be_bytes().to_vec();
+    news.push(2);
+    news.extend(((ms(9000) + s.now).as_micros() as u64).to_be_bytes());
+    for noise in [&news[..5], &[9; 13], &[], &[0xff; 40]] {
+        s.router.peer_said(s.now, noise, &mut s.host);
+    }
+    let early = s.arrive(READ, 1000);
+    assert_eq!(s.sends(early), [0]);
+    s.router.peer_said(s.now, &news, &mut s.host);
+    let read = s.arrive(READ, 1000);
+    assert_eq!(s.sends(read), [2]);
+}
+
+#[test]
+fn each_txn_gets_one_answer_and_nothing_after() {
+    let mut s = Story::new();
+    let (gone, late) = (s.arrive(ONCE, 2000), s.arrive(ONCE, 600));
+    s.router.client_left(s.now, gone, &mut s.host);
+    s.wait(590, late);
+    s.wait(20, late);
+    s.report_all(0);
+    assert!(s.sends(gone).is_empty() && s.sends(late).is_empty());
+    let answers = |t| s.host.0.iter().filter(|&a| a == &Act::Declined(t) || a == &Act::RolledBack(t)).count();
+    assert_eq!((answers(gone), answers(late)), (0, 1));
+    assert!(s.did(&Act::Declined(late)), "it never ran, so the client may try again");
+}
+
+#[test]
+fn a_silent_member_is_hushed_and_its_reads_go_elsewhere() {
+    let mut s = Story::running();
+    s.list(2, Listed::Draining, None);
+    let reads = [s.arrive(LOOSE, 3000), s.arrive(LOOSE, 3000)];
+    assert_eq!(s.sends(reads[0]), [1]);
+    s.wait(1500, reads[0]);
+    assert!(s.did(&Act::Cancelled(reads[0], 0)));
+    s.report_all(0);
+    s.end(reads[0], 1, Ending::Cancelled, 1500);
+    assert_eq!(s.sends(reads[0]), [1, 0], "the shunned reader is passed over");
+}
+
+#[test]
+fn a_first_fast_answer_does_not_make_the_others_look_silent() {
+    let mut s = Story::running();
+    let reads: Vec<usize> = (0..4).map(|_| s.arrive(LOOSE, 3000)).collect();
+    let first = s.sends(reads[0])[0];
+    s.now += ms(5);
+    s.end(reads[0], first, Ending::Committed, 5);
+    s.wait(100, reads[1]);
+    assert!(!s.host.0.iter().any(|a| matches!(a, Act::Cancelled(..))));
+}
+
+#[test]
+fn quick_errors_do_not_look_like_low_load() {
+    let mut s = Story::running();
+    for _ in 0..12 {
+        let read = s.arrive(LOOSE, 1000);
+        let member = s.sends(read)[0];
+        s.now += ms(2);
+        let ending = if member == 1 { Ending::Errored } else { Ending::Committed };
+        s.end(read, member, ending, 2);
+    }
+    s.host.0.clear();
+    for _ in 0..3 {
+        let read = s.arrive(LOOSE, 1000);
+        assert_ne!(s.sends(read), [1]);
+    }
+}
+
+#[test]
+fn answers_that_come_too_late_cut_room() {
+    let mut s = Story::running();
+    let write = |s: &mut Story| {
+        let txn = s.arrive(ONCE, 3000);
+        (txn, !s.sends(txn).is_empty())
+    };
+    let fits = (0..20).map(|_| write(&mut s)).filter(|&(_, sent)| sent).map(|(t, _)| t).collect::<Vec<_>>();
+    for &txn in &fits {
+        s.now += ms(250);
+        s.end(txn, 0, Ending::TimedOut, 2900);
+    }
+    s.wait(3000, 0);
+    s.report_all(0);
+    let again = (0..20).filter(|_| write(&mut s).1).count();
+    assert!(again < fits.len(), "{again} after {}", fits.len());
+}
+
+#[test]
+fn reads_spill_to_the_writer_when_readers_have_no_room() {
+    let mut s = Story::running();
+    let members: Vec<usize> = (0..12)
+        .flat_map(|_| {
+            let r = s.arrive(READ, 1000);
+            s.sends(r)
+        })
+        .collect();
+    assert!(members[..2].iter().all(|&m| m != 0), "readers come first");
+    let at_writer = members.iter().filter(|&&m| m == 0).count();
+    assert!((1..=2).contains(&at_writer), "half of the writer's room is the writes'");
+}
+
+#[test]
+fn where_members_check_reads_the_least_behind_is_tried_once() {
+    let mut s = Story::running();
+    s.router.members_check_reads();
+    s.now += ms(200);
+    s.report(2, Role::Replica, s.now - ms(190));
+    s.now += ms(200);
+    let read = s.arrive(READ, 1000);
+    assert_eq!(s.sends(read), [2]);
+    s.end(read, 2, Ending::Misplaced, 20);
+    assert_eq!(s.sends(read), [2, 0]);
+}
+
+#[test]
+fn the_same_inputs_give_the_same_actions() {
+    let play = || {
+        let mut s = Story::of(Standing { me: 1, fronts: 3, zone: 0 });
+        s.report_all(0);
+        for i in 0..50 {
+            let txn = s.arrive(i % 4, 1000);
+            if let Some(&member) = s.sends(txn).first() {
+                s.end(txn, member, Ending::Committed, 30);
+            }
+            s.wait(7, txn);
+        }
+        s.host.0
+    };
+    assert_eq!(play(), play());
+}
