Leave a full member alone for longer each time, the writer too

A member that is full answers in a millisecond and looked free. Told from a dead one by its quick answers.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -376,16 +376,18 @@
         }
         match ending {
             Ending::Committed => {
-                m.failures = 0;
+                (m.failures, m.fulls) = (0, 0);
                 m.shunned = Duration::ZERO;
                 m.done.add(now, work);
                 let typical = &mut self.typical[kind];
                 // Falls fast and rises slowly: what an answer takes where nothing waits.
                 *typical += if secs < *typical { 0.05 } else { 0.01 } * (secs - *typical);
             }
+            // Turned away at once, it looks fast and idle: left alone for longer each time, also as the writer.
             Ending::Full => {
                 m.room = (m.room * 0.7).max(ROOM_LEAST);
-                m.shunned = m.shunned.max(now + SHUN_FIRST / 4);
+                m.fulls = (m.fulls + 1).min(8);
+                m.shunned = m.shunned.max(now + SHUN_FIRST / 8 * 2u32.pow(m.fulls.min(4)));
             }
             // A time-out is the client's end of patience; whether the member is at fault, `hush` tells.
             Ending::Misplaced | Ending::Cancelled | Ending::Moot | Ending::TimedOut => {}
@@ -618,7 +620,8 @@
     fn choose(&mut self, now: Duration, txn: usize) -> Option<usize> {
         let t = self.txn(txn);
         let (group, kind) = (t.group, t.kind);
-        let writer = self.groups[group].writer.filter(|&w| self.members[w].has_room());
+        let fit = |w: &usize| self.members[*w].has_room() && self.members[*w].shunned <= now;
+        let writer = self.groups[group].writer.filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
             return writer;
         }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -39,6 +39,8 @@
     /// Recent answer time, as a multiple of what is typical of the txn type.
     pub slow: f64,
     pub failures: u32,
+    /// Times in a row that it was full.
+    pub fulls: u32,
     pub shunned: Duration,
     pub sent: Ring,
     pub done: Ring,
@@ -74,6 +76,7 @@
             last_cut: now,
             slow: 1.0,
             failures: 0,
+            fulls: 0,
             shunned: Duration::ZERO,
             sent: Ring::new(window, 10),
             done: Ring::new(window, 10),
