--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -26,8 +26,8 @@
 const ROOM_FIRST: f64 = 4.0;
 const ROOM_LEAST: f64 = 2.0;
 const ROOM_MOST: f64 = 64.0;
-/// A member whose answers take more than this multiple of what is typical of the txn type gets less room.
-const STRAIN: f64 = 1.6;
+/// A member whose answers take more than this share of the SLA time gets less room.
+const STRAIN: f64 = 0.25;
 /// Share of the writer's room that reads may use when no reader will do.
 const READS_AT_WRITER: f64 = 0.5;
 /// A member is silent when it has held work this many mean answer times without answering anything; with two
@@ -353,6 +353,7 @@
 
     /// Health, room and typical answer time, from this front's own traffic.
     fn judge(&mut self, now: Duration, member: usize, kind: usize, ending: Ending, took: Duration) {
+        let sla = self.types[kind].sla.as_secs_f64();
         let work = self.typical[kind];
         let secs = took.as_secs_f64();
         let usual = &mut self.usual[kind];
@@ -364,7 +365,7 @@
         let m = &mut self.members[member];
         if matches!(ending, Ending::Committed | Ending::TimedOut | Ending::Cancelled) {
             m.slow += 0.2 * (secs / work - m.slow);
-            if m.slow > STRAIN {
+            if m.slow * work > STRAIN * sla {
                 if now > m.last_cut + usual {
                     m.room = (m.room * 0.9).max(ROOM_LEAST);
                     m.last_cut = now;
