Release held txns of like value newest first

Cause: under overload the oldest held is the next to be late, so first-in-first-out answered nearly everything late. Could hurt where a steady overload starves the old; they are declined in time then.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -598,13 +598,13 @@
         fired
     }
 
-    /// Places what can be placed, dearest first, then oldest first.
+    /// Places what can be placed, dearest first, then newest first: under overload the oldest would all be late.
     fn place(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let mut held = std::mem::take(&mut self.groups[group].held);
         held.sort_by(|&a, &b| {
             let (a, b) = (self.txn(a), self.txn(b));
             let value = |t: &Txn| self.types[t.kind].value;
-            value(b).total_cmp(&value(a)).then(a.arrived.cmp(&b.arrived))
+            value(b).total_cmp(&value(a)).then(b.arrived.cmp(&a.arrived))
         });
         let before = held.len();
         held.retain(|&txn| match self.choose(now, txn) {
