--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -29,7 +29,7 @@
 /// A member whose answers take more than this share of the SLA time gets less room.
 const STRAIN: f64 = 0.25;
 /// Share of the writer's room that reads may use when no reader will do.
-const READS_AT_WRITER: f64 = 0.75;
+const READS_AT_WRITER: f64 = 0.5;
 /// A member is silent when it has held work this many mean answer times without answering anything; with two
 /// or more in hand half of that says as much.
 const SILENCE: f64 = 5.0;
