--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -25,9 +25,6 @@
 /// Submissions a member may hold from this front at first; answers in good time raise it.
 const ROOM_FIRST: f64 = 4.0;
 const ROOM_LEAST: f64 = 2.0;
-/// A member that reports less than this busy has cores to spare; known for so long.
-const BUSY: f64 = 0.85;
-const BUSY_KNOWN: Duration = Duration::from_millis(500);
 const ROOM_MOST: f64 = 64.0;
 /// A member whose answers take more than this share of the SLA time gets less room.
 const STRAIN: f64 = 0.25;
@@ -269,9 +266,6 @@
             m.probe_failures = 0;
             let hint = Some(Role::Primary).filter(|_| m.hinted && m.primary_at.is_none());
             self.heard_role(now, member, report.role.or(hint), report.position, false);
-            if report.busy.is_some_and(|b| b < BUSY) {
-                self.members[member].idle_at = report.position;
-            }
             self.tell_siblings(member, report, host);
         } else if ending != Ending::Full {
             // A full probe desk says that the member is busy, not that it is gone.
@@ -371,9 +365,7 @@
         let m = &mut self.members[member];
         if matches!(ending, Ending::Committed | Ending::TimedOut | Ending::Cancelled) {
             m.slow += 0.2 * (secs / work - m.slow);
-            // Slow answers with cores to spare are not a matter of too much work there.
-            let idle = m.idle_at.is_some_and(|at| at + BUSY_KNOWN > now);
-            if m.slow * work > STRAIN * sla && !idle {
+            if m.slow * work > STRAIN * sla {
                 if now > m.last_cut + usual {
                     m.room = (m.room * 0.9).max(ROOM_LEAST);
                     m.last_cut = now;
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -38,8 +38,6 @@
     pub last_cut: Duration,
     /// Recent answer time, as a multiple of what is typical of the txn type.
     pub slow: f64,
-    /// When it last had cores to spare: proven by the position in that report.
-    pub idle_at: Option<Duration>,
     pub failures: u32,
     /// Times in a row that it was full.
     pub fulls: u32,
@@ -77,7 +75,6 @@
             room,
             last_cut: now,
             slow: 1.0,
-            idle_at: None,
             failures: 0,
             fulls: 0,
             shunned: Duration::ZERO,
