--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -666,7 +666,7 @@
     /// What a further submission to the member would wait for, on a scale of this front's own.
     fn cost(&self, member: usize) -> f64 {
         let m = &self.members[member];
-        let afar = if m.zone == self.standing.zone { 1.0 } else { 1.4 };
+        let afar = if m.zone == self.standing.zone { 1.0 } else { 1.1 };
         (m.in_hand.len() + 1) as f64 * m.slow * afar
     }
 
