--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -460,7 +460,7 @@
             Effect::OnceOnly => t.may_have_run.is_none(),
         };
         if harmless {
-            host.decline(txn, self.come_back_most.map(|most| most.min(kind.sla / 4)));
+            host.decline(txn, self.come_back_most.map(|most| most.min(kind.sla / 2)));
         } else {
             host.roll_back(txn);
         }
