--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -16,10 +16,6 @@
 const PROBES_PER_BOUND: u32 = 4;
 /// Probe interval where no txn type bounds its data.
 const IDLE_PROBE: Duration = Duration::from_millis(250);
-/// A group that had no txn for one interval is probed at this multiple of it.
-const IDLE_PROBES: u32 = 5;
-/// A read waits so long for a probe.
-const PROBE_PATIENCE: Duration = Duration::from_millis(20);
 /// A member that fails is left alone this long at first, then twice as long each time, up to the longest.
 const SHUN_FIRST: Duration = Duration::from_millis(250);
 const SHUN_LONGEST: Duration = Duration::from_secs(4);
@@ -193,16 +189,7 @@
             over: false,
             held: true,
         });
-        let every = self.probe_every.unwrap_or_default();
-        let g = &mut self.groups[group];
-        g.held.push(txn);
-        if g.wanted + every < now {
-            for &m in &g.members {
-                let m = &mut self.members[m];
-                m.probe_due = m.probe_due.min(m.heard + every);
-            }
-        }
-        g.wanted = now;
+        self.groups[group].held.push(txn);
         self.first.add(now, 1.0);
         self.touch(group);
         self.settle(now, host);
@@ -491,13 +478,10 @@
 
     fn plan_probe(&mut self, now: Duration, member: usize, host: &mut impl Host) {
         let Some(every) = self.probe_every else { return };
-        self.members[member].heard = now;
         let m = &self.members[member];
         let empty = self.groups[m.group].writer.is_none();
         let pause = match m.probe_failures {
             0 if empty => every / 2,
-            // A group without traffic is asked seldom; its next txn brings the probes forward.
-            0 if self.groups[m.group].wanted + every < now => every * IDLE_PROBES,
             0 => every,
             n => every * 2u32.pow(n.min(3)),
         };
@@ -589,7 +573,7 @@
             m.probe_due <= now && !m.probe_out && !m.stopped
         });
         if let Some(i) = due {
-            (self.members[i].probe_out, self.members[i].probe_sent) = (true, now);
+            self.members[i].probe_out = true;
             host.probe(i);
         }
         due.is_some()
@@ -661,14 +645,6 @@
             let m = &self.members[w];
             (m.in_hand.len() as f64) < m.room * READS_AT_WRITER
         });
-        // Exception: a read with no proven reader waits for probes that are out, if those are quick.
-        let asked = |&m: &usize| {
-            let m = &self.members[m];
-            m.probe_out && now < m.probe_sent + PROBE_PATIENCE
-        };
-        if inside.is_empty() && !known && self.groups[group].members.iter().any(asked) {
-            return None;
-        }
         let reader = match inside.len() {
             0 if known => None,
             // Once: a member that turned the read away is as far behind a moment later.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -29,9 +29,6 @@
     pub hinted: bool,
     pub probe_out: bool,
     pub probe_due: Duration,
-    pub probe_sent: Duration,
-    /// When a probe, ours or a sibling's, was last answered.
-    pub heard: Duration,
     pub probe_failures: u32,
     /// Txns with a submission out to it.
     pub in_hand: Vec<usize>,
@@ -71,8 +68,6 @@
             hinted: false,
             probe_out: false,
             probe_due: now,
-            probe_sent: Duration::ZERO,
-            heard: Duration::ZERO,
             probe_failures: 0,
             in_hand: Vec::new(),
             last_answer: Duration::ZERO,
@@ -94,8 +89,6 @@
     pub members: Vec<usize>,
     pub held: Vec<usize>,
     pub writer: Option<usize>,
-    /// When a txn last came for it.
-    pub wanted: Duration,
     pub touched: bool,
 }
 
