--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// Share of the tightest bound between two probes of a member (the design's start value).
-const PROBES_PER_BOUND: u32 = 4;
+const PROBES_PER_BOUND: u32 = 3;
 /// Probe interval where no txn type bounds its data.
 const IDLE_PROBE: Duration = Duration::from_millis(250);
 /// A member that fails is left alone this long at first, then twice as long each time, up to the longest.
