--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -12,8 +12,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Share of the tightest bound between two probes of a member (the design's start value).
-const PROBES_PER_BOUND: u32 = 3;
+/// Probes of a member within the tightest bound: measured from the design's start value of 4 downwards.
+const PROBES_PER_BOUND: u32 = 2;
 /// Probe interval where no txn type bounds its data.
 const IDLE_PROBE: Duration = Duration::from_millis(250);
 /// A member that fails is left alone this long at first, then twice as long each time, up to the longest.
