--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -22,9 +22,11 @@
 /// Further submissions stay under this share of the first ones, counted over `RESEND_SPAN`.
 const RESEND_SHARE: f64 = 0.1;
 const RESEND_SPAN: Duration = Duration::from_secs(5);
-/// Submissions a member may hold from this front at first; answers in good time raise it.
+/// Submissions a member may hold from this front at first, and at least; answers in good time raise it. Where many
+/// fronts share a member, each takes its part, down to one.
 const ROOM_FIRST: f64 = 4.0;
 const ROOM_LEAST: f64 = 2.0;
+const ROOM_FRONTS: f64 = 5.0;
 const ROOM_MOST: f64 = 64.0;
 /// A member whose answers take more than this share of the SLA time gets less room.
 const STRAIN: f64 = 0.25;
@@ -102,7 +104,7 @@
             self.groups.push(Group::default());
         }
         while self.members.len() <= member {
-            self.members.push(Member::new(now, ROOM_FIRST, self.cold.window));
+            self.members.push(Member::new(now, self.part(ROOM_FIRST), self.cold.window));
         }
         let m = &mut self.members[member];
         (m.group, m.zone, m.mark) = (group, zone, mark);
@@ -362,12 +364,13 @@
             *usual += 0.02 * (secs - *usual);
         }
         let usual = Duration::from_secs_f64(*usual);
+        let least = self.part(ROOM_LEAST);
         let m = &mut self.members[member];
         if matches!(ending, Ending::Committed | Ending::TimedOut | Ending::Cancelled) {
             m.slow += 0.2 * (secs / work - m.slow);
             if m.slow * work > STRAIN * sla {
                 if now > m.last_cut + usual {
-                    m.room = (m.room * 0.9).max(ROOM_LEAST);
+                    m.room = (m.room * 0.9).max(least);
                     m.last_cut = now;
                 }
             } else if ending == Ending::Committed {
@@ -385,7 +388,7 @@
             }
             // Turned away at once, it looks fast and idle: left alone for longer each time, also as the writer.
             Ending::Full => {
-                m.room = (m.room * 0.7).max(ROOM_LEAST);
+                m.room = (m.room * 0.7).max(least);
                 m.fulls = (m.fulls + 1).min(8);
                 m.shunned = m.shunned.max(now + SHUN_FIRST / 8 * 2u32.pow(m.fulls.min(4)));
             }
@@ -411,6 +414,10 @@
         }
     }
 
+    fn part(&self, room: f64) -> f64 {
+        (room * (ROOM_FRONTS / self.standing.fronts.max(1) as f64).min(1.0)).max(1.0)
+    }
+
     /// Empties the writer slot if this member holds it, and starts a probe round.
     fn doubt(&mut self, now: Duration, member: usize) {
         let group = self.members[member].group;
@@ -529,8 +536,9 @@
                 continue;
             }
             fired = true;
+            let least = self.part(ROOM_LEAST);
             let m = &mut self.members[member];
-            (m.hushed, m.failures, m.room) = (now, m.failures + 1, ROOM_LEAST);
+            (m.hushed, m.failures, m.room) = (now, m.failures + 1, least);
             m.shunned = now + shun_for(m.failures);
             self.doubt(now, member);
             for &txn in &self.members[member].in_hand {
@@ -555,9 +563,10 @@
         let changed = self.groups[group].writer != writer;
         if changed {
             self.groups[group].writer = writer;
+            let first = self.part(ROOM_FIRST);
             if let Some(w) = writer {
                 // What was held goes out by degrees: room grows with each answer.
-                self.members[w].room = self.members[w].room.min(ROOM_FIRST);
+                self.members[w].room = self.members[w].room.min(first);
                 self.members[w].shunned = Duration::ZERO;
             }
         }
