--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -7,7 +7,7 @@
 use crate::host::{ColdStart, Effect, Ending, Host, Level, Listed, Report, Role, Scope, Standing, TxnType};
 use crate::ring::Ring;
 pub use crate::state::Router;
-use crate::state::{Group, Member, Submission, Txn};
+use crate::state::{Member, Submission, Txn};
 use oorandom::Rand64;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -35,6 +35,8 @@
 /// A member is silent when it has held work this many mean answer times without answering anything; with two
 /// or more in hand half of that says as much.
 const SILENCE: f64 = 5.0;
+/// A submission out for this many mean answer times, while its member answers others, is lost.
+const LOST: f64 = 8.0;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
 const WRITER_DEARER: f64 = 2.0;
 /// Kept free of a cold member's budget, for probes and handshakes.
@@ -100,9 +102,7 @@
         primary: bool,
         up_for: Option<Duration>,
     ) {
-        while self.groups.len() <= group {
-            self.groups.push(Group::default());
-        }
+        self.make_place(group, 0);
         while self.members.len() <= member {
             self.members.push(Member::new(now, self.part(ROOM_FIRST), self.cold.window));
         }
@@ -134,19 +134,14 @@
         self.touch(group);
     }
 
-    /// A full list has been handed over; members that it does not name are gone.
-    pub fn list_complete(&mut self, named: &[usize]) {
+    /// All entries are in; of a full list, members that it does not name are gone.
+    pub fn list_ended(&mut self, now: Duration, named: Option<&[usize]>, host: &mut impl Host) {
         for m in 0..self.members.len() {
-            if !named.contains(&m) {
-                let binds = !self.gone_is_advice || self.members[m].drains;
-                self.members[m].stopped |= binds;
+            if named.is_some_and(|named| !named.contains(&m)) {
+                self.members[m].stopped |= !self.gone_is_advice || self.members[m].drains;
                 self.touch(self.members[m].group);
             }
         }
-    }
-
-    /// All changes of one list are in.
-    pub fn list_settled(&mut self, now: Duration, host: &mut impl Host) {
         self.settle(now, host);
     }
 
@@ -162,12 +157,7 @@
         wrote_ago: Option<Duration>,
         host: &mut impl Host,
     ) {
-        while self.groups.len() <= group {
-            self.groups.push(Group::default());
-        }
-        while self.txns.len() <= txn {
-            self.txns.push(None);
-        }
+        self.make_place(group, txn);
         let must_see = match self.types[kind].level {
             Level::Fresh => Some(now),
             Level::Session => match (wrote_ago, session) {
@@ -195,7 +185,7 @@
         self.first.add(now, 1.0);
         self.touch(group);
         self.settle(now, host);
-        self.remind_held(txn, txn as u64 * 2 + 1, host);
+        self.remind_held(txn, host);
     }
 
     /// A submission has ended. `over`: the client has its final answer.
@@ -221,7 +211,10 @@
         {
             t.may_have_run = Some((out.at, self.members[out.member].zone));
         }
-        self.members[member].in_hand.retain(|&held| held != txn);
+        let m = &mut self.members[member];
+        let counted = m.in_hand.len();
+        m.in_hand.retain(|&held| held != txn);
+        let lost = m.in_hand.len() == counted;
         if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Ending::Moot | Ending::Unreachable) {
             self.members[member].last_answer = now;
         }
@@ -234,7 +227,9 @@
             let newest = self.sessions.entry(key).or_insert(at);
             *newest = at.max(*newest);
         }
-        self.judge(now, member, kind, ending, took);
+        if !lost || ending == Ending::Committed {
+            self.judge(now, member, kind, ending, took);
+        }
         self.touch(group);
         if self.txn(txn).over {
             self.txns[txn] = None;
@@ -282,20 +277,18 @@
         let at = (handle / 2) as usize;
         if handle.is_multiple_of(2) {
             self.touch(self.members[at].group);
+            self.settle(now, host);
         } else if let Some(Some(t)) = self.txns.get(at) {
             self.touch(t.group);
+            self.settle(now, host);
+            // Hope may have moved on since the reminder was set.
+            self.remind_held(at, host);
         }
-        self.settle(now, host);
-        // Hope may have moved on since the reminder was set.
-        self.remind_held(at, handle, host);
     }
 
-    fn remind_held(&self, txn: usize, handle: u64, host: &mut impl Host) {
-        if let Some(Some(t)) = self.txns.get(txn)
-            && t.held
-            && handle == txn as u64 * 2 + 1
-        {
-            host.remind(self.hope(t), handle);
+    fn remind_held(&self, txn: usize, host: &mut impl Host) {
+        if let Some(Some(t)) = self.txns.get(txn).filter(|t| t.as_ref().is_some_and(|t| t.held)) {
+            host.remind(self.hope(t), txn as u64 * 2 + 1);
         }
     }
 
@@ -445,7 +438,7 @@
             let group = self.txn(txn).group;
             self.txn_mut(txn).held = true;
             self.groups[group].held.push(txn);
-            host.remind(self.hope(self.txn(txn)), txn as u64 * 2 + 1);
+            self.remind_held(txn, host);
         }
     }
 
@@ -533,6 +526,7 @@
             let slowest = m.in_hand.iter().map(usual).fold(0.0, f64::max) / m.in_hand.len().min(2) as f64;
             let since = now.saturating_sub(sent.max(m.last_answer).max(m.hushed)).as_secs_f64();
             if since <= SILENCE * slowest {
+                fired |= self.strike_lost(now, member, host);
                 continue;
             }
             fired = true;
@@ -551,6 +545,26 @@
         fired
     }
 
+    /// A submission out far longer than its like, at a member that answers others, is lost: it takes no more room,
+    /// and is called off if it may run again. Meets links and members that swallow a share of what they get; harms
+    /// when answer times spread wider than LOST allows for, by a further submission within the budget.
+    fn strike_lost(&mut self, now: Duration, member: usize, host: &mut impl Host) -> bool {
+        let mut in_hand = std::mem::take(&mut self.members[member].in_hand);
+        let before = in_hand.len();
+        in_hand.retain(|&txn| {
+            let t = self.txn(txn);
+            let sent = t.out.as_ref().map_or(now, |o| o.at);
+            let lost = (now - sent).as_secs_f64() > LOST * self.usual[t.kind];
+            if lost && self.may_cancel && self.types[t.kind].effect == Effect::Repeatable && !t.over {
+                host.cancel(txn, t.submissions - 1);
+            }
+            !lost
+        });
+        let fired = in_hand.len() < before;
+        self.members[member].in_hand = in_hand;
+        fired
+    }
+
     /// The newest dated claim takes the writer slot; ties go to the highest index. No claim empties it.
     fn fill_slot(&mut self, group: usize) -> bool {
         let claims = self.groups[group].members.iter().filter_map(|&i| {
@@ -634,18 +648,18 @@
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
             return writer;
         }
-        let mut inside: Vec<usize> = Vec::new();
-        let mut known = false;
+        let (mut inside, mut known, mut least_behind) = (Vec::new(), false, None);
         for i in 0..self.groups[group].members.len() {
             let m = self.groups[group].members[i];
             let reader = self.groups[group].writer != Some(m) && self.members[m].shunned <= now;
             // Where members check reads the gate lets all pass; the design still wants them inside the bound.
             let fits = reader && self.gate(now, txn, m);
+            let room = self.members[m].has_room();
             if fits && (!self.members_check || self.proven(now, txn, m)) {
                 known = true;
-                if self.members[m].has_room() {
-                    inside.push(m);
-                }
+                inside.extend(room.then_some(m));
+            } else if fits && room {
+                least_behind = least_behind.max(Some((self.members[m].position, m)));
             }
         }
         // Exception: reads spill to the writer while the reader drawn costs twice as much, or none has room left;
@@ -657,7 +671,7 @@
         let reader = match inside.len() {
             0 if known => None,
             // Once: a member that turned the read away is as far behind a moment later.
-            0 if self.members_check && self.txn(txn).submissions == 0 => self.least_behind(now, txn),
+            0 if self.txn(txn).submissions == 0 => least_behind.map(|(_, m)| m),
             0 => None,
             n => {
                 // Two drawn at random, the one with less in hand for its answer time is taken.
@@ -679,16 +693,6 @@
         (m.in_hand.len() + 1) as f64 * m.slow * afar
     }
 
-    /// Where members check reads themselves, the reader that is least behind may be tried.
-    fn least_behind(&self, now: Duration, txn: usize) -> Option<usize> {
-        let group = &self.groups[self.txn(txn).group];
-        let fit = group.members.iter().copied().filter(|&i| {
-            let m = &self.members[i];
-            group.writer != Some(i) && !m.stopped && m.shunned <= now && m.has_room()
-        });
-        fit.max_by_key(|&i| (self.members[i].position, i))
-    }
-
     /// Whether the member's data is proven recent enough for the read.
     fn proven(&self, now: Duration, txn: usize, member: usize) -> bool {
         let t = self.txn(txn);
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -182,6 +182,11 @@
         self.gone_is_advice = true;
     }
 
+    pub(crate) fn make_place(&mut self, group: usize, txn: usize) {
+        self.groups.resize_with(self.groups.len().max(group + 1), Group::default);
+        self.txns.resize_with(self.txns.len().max(txn + 1), || None);
+    }
+
     pub(crate) fn touch(&mut self, group: usize) {
         if !self.groups[group].touched {
             self.groups[group].touched = true;
--- a/crates/router/tests/fake/mod.rs
+++ b/crates/router/tests/fake/mod.rs
@@ -97,7 +97,7 @@
 
     pub fn list(&mut self, member: usize, state: Listed, up_for: Option<Duration>) {
         self.router.listed(self.now, member, 100 + member as u32, 0, 0, state, false, up_for);
-        self.router.list_settled(self.now, &mut self.host);
+        self.router.list_ended(self.now, None, &mut self.host);
     }
 
     pub fn report(&mut self, member: usize, role: Role, position: Duration) {
--- a/crates/simhost/src/world.rs
+++ b/crates/simhost/src/world.rs
@@ -268,10 +268,7 @@
                 router.listed(now, member, mark(&row.store), group, row.zone, row.state, row.primary, up_for);
                 named.push(member);
             }
-            if complete {
-                router.list_complete(&named);
-            }
-            router.list_settled(now, host);
+            router.list_ended(now, complete.then_some(&named), host);
         });
         self.lists[list] = rows;
         done
