Send long loose reads to the reader furthest behind

A long read can stall log apply where it runs; spread over all readers they kept every one of a group out of the bound. Could hurt where one reader alone cannot carry them; room sends the rest on.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -39,6 +39,8 @@
 const LOST: f64 = 8.0;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
 const WRITER_DEARER: f64 = 2.0;
+/// A txn type is long if its typical answer time is this multiple of the shortest.
+const LONG: f64 = 4.0;
 /// Kept free of a cold member's budget, for probes and handshakes.
 const COLD_SLACK: f64 = 0.3;
 
@@ -673,6 +675,10 @@
             // Once: a member that turned the read away is as far behind a moment later.
             0 if self.txn(txn).submissions == 0 => least_behind.map(|(_, m)| m),
             0 => None,
+            // A long loose read goes where a bounded read is least at home: it may stall log apply there.
+            _ if self.types[kind].level == Level::Loose && self.typical[kind] > LONG * self.shortest() => {
+                inside.iter().copied().min_by_key(|&m| (self.members[m].position, m))
+            }
             n => {
                 // Two drawn at random, the one with less in hand for its answer time is taken.
                 let a = inside[self.rng.rand_range(0..n as u64) as usize];
@@ -686,6 +692,10 @@
         }
     }
 
+    fn shortest(&self) -> f64 {
+        self.typical.iter().copied().fold(f64::MAX, f64::min)
+    }
+
     /// What a further submission to the member would wait for, on a scale of this front's own.
     fn cost(&self, member: usize) -> f64 {
         let m = &self.members[member];
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -313,3 +313,21 @@
     assert!(more.iter().all(|&txn| s.sends(txn) == [0]));
     assert!(s.did(&Act::Cancelled(swallowed[3], 0)) && !s.did(&Act::Cancelled(swallowed[0], 0)));
 }
+
+#[test]
+fn long_loose_reads_keep_to_the_reader_furthest_behind() {
+    let mut s = Story::running();
+    for _ in 0..60 {
+        let read = s.arrive(LOOSE, 9000);
+        let at = s.sends(read)[0];
+        s.end(read, at, Ending::Committed, 4000);
+    }
+    s.now += ms(500);
+    s.report(0, Role::Primary, s.now);
+    s.report(1, Role::Replica, s.now - ms(50));
+    s.report(2, Role::Replica, s.now - ms(90));
+    for _ in 0..2 {
+        let read = s.arrive(LOOSE, 9000);
+        assert_eq!(s.sends(read), [2]);
+    }
+}
