Forget slowness by and by where nothing is sent

Found by a story: a member once slow was passed over for good, since only its own answers could clear it.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -39,6 +39,8 @@
 const LOST: f64 = 8.0;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
 const WRITER_DEARER: f64 = 2.0;
+/// Half of a member's slowness is forgotten in this time without answers.
+const SLOW_FORGOTTEN: Duration = Duration::from_secs(1);
 /// A txn type is long if its typical answer time is this multiple of the shortest.
 const LONG: f64 = 4.0;
 /// Kept free of a cold member's budget, for probes and handshakes.
@@ -683,11 +685,11 @@
                 // Two drawn at random, the one with less in hand for its answer time is taken.
                 let a = inside[self.rng.rand_range(0..n as u64) as usize];
                 let b = inside[self.rng.rand_range(0..n as u64) as usize];
-                Some(if self.cost(b) < self.cost(a) { b } else { a })
+                Some(if self.cost(now, b) < self.cost(now, a) { b } else { a })
             }
         };
         match (reader, spare) {
-            (Some(r), Some(w)) if WRITER_DEARER * self.cost(w) < self.cost(r) => Some(w),
+            (Some(r), Some(w)) if WRITER_DEARER * self.cost(now, w) < self.cost(now, r) => Some(w),
             (r, w) => r.or(w),
         }
     }
@@ -696,11 +698,14 @@
         self.typical.iter().copied().fold(f64::MAX, f64::min)
     }
 
-    /// What a further submission to the member would wait for, on a scale of this front's own.
-    fn cost(&self, member: usize) -> f64 {
+    /// What a further submission to the member would wait for, on a scale of this front's own. Slowness is
+    /// forgotten by and by where nothing is sent, so that a member passed over gets its trial.
+    fn cost(&self, now: Duration, member: usize) -> f64 {
         let m = &self.members[member];
+        let age = now.saturating_sub(m.last_answer).as_secs_f64();
+        let slow = 1.0 + (m.slow - 1.0) / (1.0 + age / SLOW_FORGOTTEN.as_secs_f64());
         let afar = if m.zone == self.standing.zone { 1.0 } else { 1.1 };
-        (m.in_hand.len() + 1) as f64 * m.slow * afar
+        (m.in_hand.len() + 1) as f64 * slow * afar
     }
 
     /// Whether the member's data is proven recent enough for the read.
