--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -612,7 +612,9 @@
         let before = held.len();
         held.retain(|&txn| {
             let t = self.txn(txn);
-            let keep = self.open(now, t) && self.may_run_again(now, t) && now < self.hope(t);
+            // At arrival all may be placed: answer times of a bad time are unlearnt only by sending.
+            let hopeful = now < self.hope(t) || now == t.arrived;
+            let keep = self.open(now, t) && self.may_run_again(now, t) && hopeful;
             if t.over {
                 self.forget(txn, host);
             } else if !keep {
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -329,3 +329,20 @@
     let read = s.arrive(LOOSE, 9000);
     assert_eq!(s.sends(read), [2], "and its slow start is forgotten by now");
 }
+
+#[test]
+fn a_bad_time_does_not_make_every_later_txn_hopeless() {
+    let mut s = Story::running();
+    for _ in 0..400 {
+        let read = s.arrive(LOOSE, 900);
+        if let Some(&at) = s.sends(read).first() {
+            s.end(read, at, Ending::TimedOut, 5000);
+        }
+        s.now += ms(10);
+        s.report_all(0);
+    }
+    s.now += ms(5000);
+    s.report_all(0);
+    let read = s.arrive(LOOSE, 900);
+    assert!(!s.sends(read).is_empty());
+}
