--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -41,6 +41,8 @@
 const WRITER_DEARER: f64 = 2.0;
 /// Half of a member's slowness is forgotten in this time without answers.
 const SLOW_FORGOTTEN: Duration = Duration::from_secs(1);
+/// Reminder handles: this one, even ones for members, odd ones for txns.
+const ASK_FOR_LIST: u64 = 0;
 /// A txn type is long if its typical answer time is this multiple of the shortest.
 const LONG: f64 = 4.0;
 /// Kept free of a cold member's budget, for probes and handshakes.
@@ -81,16 +83,9 @@
 
     // ---- inputs ----
 
-    /// The instance has started; the list follows.
-    pub fn started(&mut self, list_on_request: bool, host: &mut impl Host) {
-        if list_on_request {
-            host.listen();
-        }
-    }
-
-    /// The list could not be had, or the subscription dropped.
-    pub fn list_failed(&mut self, host: &mut impl Host) {
-        host.listen();
+    /// The list has to be asked for: at the start, or as a subscription failed. Not at once, lest all ask together.
+    pub fn list_lost(&mut self, now: Duration, host: &mut impl Host) {
+        host.remind(now + SHUN_FIRST.mul_f64(self.rng.rand_float()), ASK_FOR_LIST);
     }
 
     /// One entry of the list; `mark` stands for the member at every front, `up_for` is the time since its latest
@@ -279,8 +274,10 @@
 
     pub fn reminder_due(&mut self, now: Duration, handle: u64, host: &mut impl Host) {
         let at = (handle / 2) as usize;
-        if handle.is_multiple_of(2) {
-            self.touch(self.members[at].group);
+        if handle == ASK_FOR_LIST {
+            host.listen();
+        } else if handle.is_multiple_of(2) {
+            self.touch(self.members[at - 1].group);
             self.settle(now, host);
         } else if let Some(Some(t)) = self.txns.get(at) {
             self.touch(t.group);
@@ -363,8 +360,11 @@
         let usual = Duration::from_secs_f64(*usual);
         let least = self.part(ROOM_LEAST);
         let m = &mut self.members[member];
-        if matches!(ending, Ending::Committed | Ending::TimedOut | Ending::Cancelled) {
-            m.slow += 0.2 * (secs / work - m.slow);
+        // A quick error must not look like low load: it counts as an answer at the SLA time.
+        let errored = matches!(ending, Ending::Errored | Ending::Dropped);
+        let counted = if errored { secs.max(sla) } else { secs };
+        if errored || matches!(ending, Ending::Committed | Ending::TimedOut | Ending::Cancelled) {
+            m.slow += 0.2 * (counted / work - m.slow);
             if m.slow * work > STRAIN * sla {
                 if now > m.last_cut + usual {
                     m.room = (m.room * 0.9).max(least);
@@ -498,7 +498,7 @@
         };
         let pause = pause * (1 + turn as u32);
         self.members[member].probe_due = now + pause;
-        host.remind(now + pause, member as u64 * 2);
+        host.remind(now + pause, member as u64 * 2 + 2);
     }
 
     // ---- rules ----
--- a/crates/router/tests/fake/mod.rs
+++ b/crates/router/tests/fake/mod.rs
@@ -128,7 +128,7 @@
     /// Lets time pass; a reminder touches the group and the txn.
     pub fn wait(&mut self, span: u64, txn: usize) {
         self.now += ms(span);
-        self.router.reminder_due(self.now, 0, &mut self.host);
+        self.router.reminder_due(self.now, 2, &mut self.host);
         self.router.reminder_due(self.now, txn as u64 * 2 + 1, &mut self.host);
     }
 
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -206,6 +206,30 @@
     }
 }
 
+#[test]
+fn errors_now_and_then_weigh_as_late_answers() {
+    let mut s = Story::running();
+    let mut to = [0; 3];
+    for i in 0..200 {
+        let read = s.arrive(LOOSE, 1000);
+        let member = s.sends(read)[0];
+        to[member] += 1;
+        s.now += ms(50);
+        let bad = member == 1 && i % 2 == 0;
+        s.end(read, member, if bad { Ending::Errored } else { Ending::Committed }, if bad { 1 } else { 50 });
+        s.report_all(0);
+    }
+    assert!(to[1] * 2 < to[2], "{to:?}");
+}
+
+#[test]
+fn a_lost_list_is_asked_for_again() {
+    let mut s = Story::new();
+    s.router.list_lost(s.now, &mut s.host);
+    s.router.reminder_due(s.now + ms(250), 0, &mut s.host);
+    assert!(s.did(&Act::Listened));
+}
+
 #[test]
 fn a_full_writer_is_left_alone_for_a_while() {
     let mut s = Story::running();
--- a/crates/simhost/src/world.rs
+++ b/crates/simhost/src/world.rs
@@ -214,7 +214,9 @@
                 let asks = line.text("Discovery") == Some("on_request");
                 let front = instance.ids.front;
                 self.instances.insert(front, instance);
-                self.call(front, |router, _, host| router.started(asks, host))?;
+                if asks {
+                    self.call(front, |router, now, host| router.list_lost(now, host))?;
+                }
             }
             "RETIRE" => {
                 let front: u64 = line.need("Front")?;
@@ -252,7 +254,7 @@
         let complete = match line.text("How") {
             Some("Partial") => false,
             Some("Complete" | "Persisted") => true,
-            Some("Error") => return self.call(front, |router, _, host| router.list_failed(host)),
+            Some("Error") => return self.call(front, |router, now, host| router.list_lost(now, host)),
             other => return Err(format!("UPDATE: expected a known How, found {other:?}")),
         };
         let list: usize = line.need("List")?;
