--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -44,12 +44,12 @@
 fn an_answer_as_a_replica_beats_an_earlier_claim() {
     let mut s = Story::running();
     let txn = s.arrive(MARKED, 2000);
-    s.now += ms(10);
-    let (now, behind) = (s.now, Some(s.now - ms(300)));
+    s.now += ms(350);
+    let (now, behind) = (s.now, Some(s.now - ms(310)));
     let replica = Some(Role::Replica);
     s.router.submission_ended(now, txn, false, 0, Ending::Errored, replica, behind, ms(10), &mut s.host);
     let next = s.arrive(READ, 1000);
-    assert!(!s.sends(next).contains(&0), "no read may count on it as the primary");
+    assert!(s.sends(next).is_empty(), "no read may count on it as the primary");
 }
 
 #[test]
