Let a write call at an unheard reader while reports are late

Their reports came 4 to 7 s late (the writer's own position in reports was that old, which told it from lag); only answers proved positions, and a reader once without reads proved nothing ever after.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -22,12 +22,11 @@
 /// Further submissions stay under this share of the first ones, counted over `RESEND_SPAN`.
 const RESEND_SHARE: f64 = 0.1;
 const RESEND_SPAN: Duration = Duration::from_secs(5);
-/// Submissions a member may hold from this front at first, and at least; answers in good time raise it. Where many
-/// fronts share a member, each takes its part, down to one.
+/// Submissions a member may hold from this front at first, and at least; good answers raise it. Beyond so
+/// many fronts each takes its part, down to one.
 const ROOM_FIRST: f64 = 4.0;
 const ROOM_LEAST: f64 = 2.0;
 const ROOM_FRONTS: f64 = 5.0;
-const ROOM_MOST: f64 = 64.0;
 /// A member whose answers take more than this share of the SLA time gets less room.
 const STRAIN: f64 = 0.25;
 /// Share of the writer's room that reads may use when no reader will do.
@@ -58,7 +57,7 @@
             rng: Rand64::new(seed as u128),
             probe_every: Some(tightest.min().unwrap_or(IDLE_PROBE)),
             standing,
-            // Guesses until answers tell: fast answers come first, so a start from those would be far too low.
+            // Guesses until answers tell: the fastest come first, a start from those would be far too low.
             typical: types.iter().map(|t| t.sla.as_secs_f64() / 4.0).collect(),
             usual: types.iter().map(|t| t.sla.as_secs_f64() / 2.0).collect(),
             types,
@@ -76,6 +75,7 @@
             touched: Vec::new(),
             sessions: HashMap::new(),
             warm_work: 0.0,
+            told_positions: false,
             first: Ring::new(RESEND_SPAN, 10),
             again: Ring::new(RESEND_SPAN, 10),
         }
@@ -83,13 +83,13 @@
 
     // ---- inputs ----
 
-    /// The list has to be asked for: at the start, or as a subscription failed. Not at once, lest all ask together.
+    /// The list has to be asked for, at the start or again; not at once, lest all ask together.
     pub fn list_lost(&mut self, now: Duration, host: &mut impl Host) {
         host.remind(now + SHUN_FIRST.mul_f64(self.rng.rand_float()), ASK_FOR_LIST);
     }
 
-    /// One entry of the list; `mark` stands for the member at every front, `up_for` is the time since its latest
-    /// start.
+    /// One entry of the list; `mark` stands for the member at every front, `up_for` is the time since its
+    /// latest start.
     pub fn listed(
         &mut self,
         now: Duration,
@@ -217,7 +217,8 @@
         if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Ending::Moot | Ending::Unreachable) {
             self.members[member].last_answer = now;
         }
-        self.heard_role(now, member, role, position, true);
+        self.heard(now, member, role, position, true);
+        self.told_positions |= role == Some(Role::Replica) && position.is_some();
         if ending == Ending::Committed
             && self.types[kind].level == Level::Write
             && let (Some(key), Some(at)) = (session, position)
@@ -248,22 +249,19 @@
         self.settle(now, host);
     }
 
-    pub fn probe_answered(
-        &mut self,
-        now: Duration,
-        member: usize,
-        ending: Ending,
-        report: Report,
-        host: &mut impl Host,
-    ) {
+    pub fn probed(&mut self, now: Duration, member: usize, end: Ending, told: Report, host: &mut impl Host) {
         let m = &mut self.members[member];
         m.probe_out = false;
-        if ending == Ending::Committed {
+        if end == Ending::Committed {
             m.probe_failures = 0;
             let hint = Some(Role::Primary).filter(|_| m.hinted && m.primary_at.is_none());
-            self.heard_role(now, member, report.role.or(hint), report.position, false);
-            self.tell_siblings(member, report, host);
-        } else if ending != Ending::Full {
+            self.heard(now, member, told.role.or(hint), told.position, false);
+            self.tell_siblings(member, told, host);
+            if let (Some(Role::Primary), Some(at)) = (told.role, told.position) {
+                let group = self.members[member].group;
+                self.groups[group].reported = self.groups[group].reported.max(at);
+            }
+        } else if end != Ending::Full {
             // A full probe desk says that the member is busy, not that it is gone.
             m.probe_failures += 1;
         }
@@ -293,21 +291,19 @@
         }
     }
 
-    /// A sibling's message: a mark, a role and a position, which are true whoever heard them. Whatever has another
-    /// form is passed over.
+    /// A sibling's message: a mark, a role and a position, which are true whoever heard them. Whatever has
+    /// another form is passed over.
     pub fn peer_said(&mut self, now: Duration, bytes: &[u8], host: &mut impl Host) {
-        let (Some(zero), [a, b, c, d, role, micros @ ..]) = (self.shared_zero, bytes) else { return };
+        let (Some(zero), [a, b, c, d, role @ (1 | 2), micros @ ..]) = (self.shared_zero, bytes) else {
+            return;
+        };
         let Some(&member) = self.marks.get(&u32::from_be_bytes([*a, *b, *c, *d])) else { return };
         let Ok(micros) = <[u8; 8]>::try_from(micros) else { return };
         let at = Duration::from_micros(u64::from_be_bytes(micros));
-        let role = match role {
-            1 => Role::Primary,
-            2 => Role::Replica,
-            _ => return,
-        };
+        let role = if *role == 1 { Role::Primary } else { Role::Replica };
         // A position before this front's start, or from the future, says nothing here.
         let Some(position) = at.checked_sub(zero).filter(|&p| p <= now) else { return };
-        self.heard_role(now, member, Some(role), Some(position), false);
+        self.heard(now, member, Some(role), Some(position), false);
         self.plan_probe(now, member, host);
         self.touch(self.members[member].group);
         self.settle(now, host);
@@ -315,10 +311,8 @@
 
     /// Tells siblings what a probe found, so that one probe serves all fronts.
     fn tell_siblings(&self, member: usize, report: Report, host: &mut impl Host) {
-        let (Some(zero), Some(role), Some(position)) = (self.shared_zero, report.role, report.position)
-        else {
-            return;
-        };
+        let told = (self.shared_zero, report.role, report.position);
+        let (Some(zero), Some(role), Some(position)) = told else { return };
         let mut bytes = self.members[member].mark.to_be_bytes().to_vec();
         bytes.push(if role == Role::Primary { 1 } else { 2 });
         bytes.extend(((zero + position).as_micros() as u64).to_be_bytes());
@@ -327,19 +321,12 @@
 
     // ---- facts ----
 
-    /// Records a claim of role. A primary stands at the present, so its position dates its claim; an answer is
-    /// as new as now. A replica's report is at least as new as its position.
-    fn heard_role(
-        &mut self,
-        now: Duration,
-        member: usize,
-        role: Option<Role>,
-        position: Option<Duration>,
-        answer: bool,
-    ) {
-        let m = &mut self.members[member];
-        m.position = m.position.max(position);
-        let date = position.filter(|_| !answer).or(Some(now));
+    /// Records a claim of role. A primary stands at the present, so its position dates its claim; an answer
+    /// is as new as now. A replica's report is at least as new as its position.
+    fn heard(&mut self, now: Duration, m: usize, role: Option<Role>, at: Option<Duration>, answer: bool) {
+        let m = &mut self.members[m];
+        m.position = m.position.max(at);
+        let date = at.filter(|_| !answer).or(Some(now));
         match role {
             Some(Role::Primary) => m.primary_at = m.primary_at.max(date),
             Some(Role::Replica) => m.replica_at = m.replica_at.max(date),
@@ -371,7 +358,7 @@
                     m.last_cut = now;
                 }
             } else if ending == Ending::Committed {
-                m.room = (m.room + 1.0 / m.room).min(ROOM_MOST);
+                m.room += 1.0 / m.room;
             }
         }
         match ending {
@@ -383,7 +370,7 @@
                 // Falls fast and rises slowly: what an answer takes where nothing waits.
                 *typical += if secs < *typical { 0.05 } else { 0.01 } * (secs - *typical);
             }
-            // Turned away at once, it looks fast and idle: left alone for longer each time, also as the writer.
+            // Turned away at once, it looks idle: left alone for longer each time, also as the writer.
             Ending::Full => {
                 m.room = (m.room * 0.7).max(least);
                 m.fulls = (m.fulls + 1).min(8);
@@ -420,8 +407,7 @@
         let group = self.members[member].group;
         if self.groups[group].writer == Some(member) {
             self.members[member].doubted = Some(now);
-            for i in 0..self.groups[group].members.len() {
-                let m = self.groups[group].members[i];
+            for &m in &self.groups[group].members {
                 self.members[m].probe_due = self.members[m].probe_due.min(now);
             }
         }
@@ -489,8 +475,8 @@
             0 => every,
             n => every * 2u32.pow(n.min(3)),
         };
-        // Where siblings tell what they hear, each member has one front that probes it first; the others stand in
-        // by turns if they hear nothing.
+        // Where siblings tell what they hear, each member has one front that probes it first; the others
+        // stand in by turns if they hear nothing.
         let fronts = self.standing.fronts.max(1);
         let turn = match self.shared_zero {
             Some(_) => (m.mark as usize % fronts + fronts - self.standing.me % fronts) % fronts,
@@ -516,9 +502,10 @@
         }
     }
 
-    /// A member that holds submissions and has answered none for some answer times is silent: it is shunned and
-    /// what may run again is called off, to be sent elsewhere. Meets hangs, cut links and stalled machines alike;
-    /// harms when a member answers in bursts far apart, and then costs a further submission within the budget.
+    /// A member that holds submissions and has answered none for some answer times is silent: it is shunned
+    /// and what may run again is called off, to be sent elsewhere. Meets hangs, cut links and stalled
+    /// machines alike; harms when a member answers in bursts far apart, and then costs a further submission
+    /// within the budget.
     fn hush(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let mut fired = false;
         for i in 0..self.groups[group].members.len() {
@@ -549,9 +536,10 @@
         fired
     }
 
-    /// A submission out far longer than its like, at a member that answers others, is lost: it takes no more room,
-    /// and is called off if it may run again. Meets links and members that swallow a share of what they get; harms
-    /// when answer times spread wider than LOST allows for, by a further submission within the budget.
+    /// A submission out far longer than its like, at a member that answers others, is lost: it takes no more
+    /// room, and is called off if it may run again. Meets links and members that swallow a share of what they
+    /// get; harms when answer times spread wider than LOST allows for, by a further submission within the
+    /// budget.
     fn strike_lost(&mut self, now: Duration, member: usize, host: &mut impl Host) -> bool {
         let mut in_hand = std::mem::take(&mut self.members[member].in_hand);
         let before = in_hand.len();
@@ -592,12 +580,9 @@
     }
 
     fn probe_due(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
-        if self.probe_every.is_none() {
-            return false;
-        }
         let due = self.groups[group].members.iter().copied().find(|&i| {
             let m = &self.members[i];
-            m.probe_due <= now && !m.probe_out && !m.stopped
+            self.probe_every.is_some() && m.probe_due <= now && !m.probe_out && !m.stopped
         });
         if let Some(i) = due {
             self.members[i].probe_out = true;
@@ -627,7 +612,7 @@
         fired
     }
 
-    /// Places what can be placed, dearest first, then newest first: under overload the oldest would all be late.
+    /// Places what can be placed, dearest first, then newest first: the oldest would all be late.
     fn place(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let mut held = std::mem::take(&mut self.groups[group].held);
         held.sort_by(|&a, &b| {
@@ -652,7 +637,8 @@
         let fit = |w: &usize| self.members[*w].has_room() && self.members[*w].shunned <= now;
         let writer = self.groups[group].writer.filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
-            return writer;
+            let write = self.types[kind].level == Level::Write && self.txn(txn).submissions == 0;
+            return self.unheard(now, group).filter(|_| write && writer.is_some()).or(writer);
         }
         let (mut inside, mut known, mut least_behind) = (Vec::new(), false, None);
         for i in 0..self.groups[group].members.len() {
@@ -668,19 +654,20 @@
                 least_behind = least_behind.max(Some((self.members[m].position, m)));
             }
         }
-        // Exception: reads spill to the writer while the reader drawn costs twice as much, or none has room left;
-        // half of the writer's room stays with the writes.
+        // Exception: reads spill to the writer while the reader drawn costs twice as much, or none has room
+        // left; half of the writer's room stays with the writes.
         let spare = writer.filter(|&w| {
             let m = &self.members[w];
             (m.in_hand.len() as f64) < m.room * READS_AT_WRITER
         });
+        let shortest = self.typical.iter().copied().fold(f64::MAX, f64::min);
         let reader = match inside.len() {
             0 if known => None,
             // Once: a member that turned the read away is as far behind a moment later.
             0 if self.txn(txn).submissions == 0 => least_behind.map(|(_, m)| m),
             0 => None,
             // A long loose read goes where a bounded read is least at home: it may stall log apply there.
-            _ if self.types[kind].level == Level::Loose && self.typical[kind] > LONG * self.shortest() => {
+            _ if self.types[kind].level == Level::Loose && self.typical[kind] > LONG * shortest => {
                 inside.iter().copied().min_by_key(|&m| (self.members[m].position, m))
             }
             n => {
@@ -696,8 +683,19 @@
         }
     }
 
-    fn shortest(&self) -> f64 {
-        self.typical.iter().copied().fold(f64::MAX, f64::min)
+    /// Exception: where answers tell positions and reports come too late to prove any (the writer's own is
+    /// outside the tightest bound), a write calls first at a reader that nothing was heard of for that long.
+    /// A reader turns it away untouched and tells its position. Without it a reader that lost its proof never
+    /// regains it.
+    fn unheard(&self, now: Duration, group: usize) -> Option<usize> {
+        let bound = self.probe_every.unwrap_or_default() * PROBES_PER_BOUND;
+        let g = &self.groups[group];
+        let late = self.told_positions && g.reported + bound < now;
+        g.members.iter().copied().filter(|_| late).find(|&i| {
+            let m = &self.members[i];
+            let silent = m.in_hand.is_empty() && m.last_answer + bound < now && m.shunned <= now;
+            silent && g.writer != Some(i) && !m.stopped && m.probe_failures == 0
+        })
     }
 
     /// What a further submission to the member would wait for, on a scale of this front's own. Slowness is
@@ -757,8 +755,8 @@
         self.open(now, t) && once && stays && current && self.within_cold_budget(now, member, t.kind)
     }
 
-    /// Rule 4. Each front sends a cold member at most the multiple of its present share of what the same front
-    /// gets done on a warm member: summed over all fronts that is no more than a warm member can do.
+    /// Rule 4. Each front sends a cold member at most the multiple of its present share of what the same
+    /// front gets done on a warm member: summed over all fronts that is no more than a warm member can do.
     fn within_cold_budget(&mut self, now: Duration, member: usize, kind: usize) -> bool {
         let left = self.members[member].warm_at.saturating_sub(now);
         if left.is_zero() {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -89,6 +89,8 @@
     pub members: Vec<usize>,
     pub held: Vec<usize>,
     pub writer: Option<usize>,
+    /// Date of the newest report of a primary.
+    pub reported: Duration,
     pub touched: bool,
 }
 
@@ -144,6 +146,8 @@
     pub(crate) usual: Vec<f64>,
     /// Work done per warm member in the cold window.
     pub(crate) warm_work: f64,
+    /// Answers of replicas tell positions here.
+    pub(crate) told_positions: bool,
     pub(crate) first: Ring,
     pub(crate) again: Ring,
 }
@@ -167,7 +171,8 @@
         self.come_back_most = Some(longest);
     }
 
-    /// Siblings can be told things; positions are told as spans since a zero that lies this far before the start.
+    /// Siblings can be told things; positions are told as spans since a zero that lies this far before the
+    /// start.
     pub fn allow_telling(&mut self, zero: Duration) {
         self.shared_zero = Some(zero).filter(|_| self.standing.fronts > 1);
     }
--- a/crates/router/tests/fake/mod.rs
+++ b/crates/router/tests/fake/mod.rs
@@ -102,7 +102,7 @@
 
     pub fn report(&mut self, member: usize, role: Role, position: Duration) {
         let report = Report { position: Some(position), role: Some(role), ..Report::default() };
-        self.router.probe_answered(self.now, member, Ending::Committed, report, &mut self.host);
+        self.router.probed(self.now, member, Ending::Committed, report, &mut self.host);
     }
 
     pub fn report_all(&mut self, writer: usize) {
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -370,3 +370,31 @@
     let read = s.arrive(LOOSE, 900);
     assert!(!s.sends(read).is_empty());
 }
+
+#[test]
+fn a_write_calls_at_a_reader_unheard_of_while_reports_are_late() {
+    let mut s = Story::running();
+    let read = s.arrive(LOOSE, 900);
+    let (at, seen, replica) = (s.sends(read)[0], Some(s.now), Some(Role::Replica));
+    s.router.submission_ended(s.now, read, true, at, Ending::Committed, replica, seen, ms(5), &mut s.host);
+    let early = s.arrive(ONCE, 900);
+    assert_eq!(s.sends(early), [0], "reports are fresh: straight to the writer");
+    s.now += ms(1000);
+    let write = s.arrive(ONCE, 900);
+    assert_eq!(s.sends(write), [1], "the newest report is a second old");
+    let position = Some(s.now - ms(40));
+    s.router.submission_ended(
+        s.now,
+        write,
+        false,
+        1,
+        Ending::Misplaced,
+        replica,
+        position,
+        ms(2),
+        &mut s.host,
+    );
+    assert_eq!(s.sends(write), [1, 0]);
+    let read = s.arrive(READ, 900);
+    assert_eq!(s.sends(read), [1]);
+}
--- a/crates/simhost/src/world.rs
+++ b/crates/simhost/src/world.rs
@@ -324,7 +324,7 @@
                 let member = ids.known_store(line.text("Store").unwrap_or_default())?;
                 let report = report(line, ids)?;
                 self.call(front, |router, now, host| {
-                    router.probe_answered(now, member, ending, report, host);
+                    router.probed(now, member, ending, report, host);
                 })
             }
             "MEMO" => {
