--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -152,6 +152,7 @@
         kind: usize,
         group: usize,
         left: Duration,
+        retried: bool,
         session: Option<u64>,
         wrote_ago: Option<Duration>,
         host: &mut impl Host,
@@ -171,6 +172,7 @@
             kind,
             group,
             arrived: now,
+            retried,
             expiry: now + left,
             must_see,
             session,
@@ -612,13 +614,14 @@
         fired
     }
 
-    /// Places what can be placed, dearest first, then newest first: the oldest would all be late.
+    /// Places what can be placed, dearest first, then newest first: the oldest would all be late, and so would most
+    /// that a client tries again.
     fn place(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let mut held = std::mem::take(&mut self.groups[group].held);
         held.sort_by(|&a, &b| {
             let (a, b) = (self.txn(a), self.txn(b));
-            let value = |t: &Txn| self.types[t.kind].value;
-            value(b).total_cmp(&value(a)).then(b.arrived.cmp(&a.arrived))
+            let by_value = self.types[b.kind].value.total_cmp(&self.types[a.kind].value);
+            by_value.then(a.retried.cmp(&b.retried)).then(b.arrived.cmp(&a.arrived))
         });
         let before = held.len();
         held.retain(|&txn| match self.choose(now, txn) {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -105,6 +105,8 @@
     pub kind: usize,
     pub group: usize,
     pub arrived: Duration,
+    /// The client has tried before.
+    pub retried: bool,
     pub expiry: Duration,
     /// Commits up to here must be seen (fresh and session reads).
     pub must_see: Option<Duration>,
--- a/crates/router/tests/fake/mod.rs
+++ b/crates/router/tests/fake/mod.rs
@@ -113,9 +113,13 @@
     }
 
     pub fn arrive(&mut self, kind: usize, left: u64) -> usize {
+        self.arrive_again(kind, left, false)
+    }
+
+    pub fn arrive_again(&mut self, kind: usize, left: u64, retried: bool) -> usize {
         self.next += 1;
         let (now, txn) = (self.now, self.next);
-        self.router.txn_arrived(now, txn, kind, 0, ms(left), None, None, &mut self.host);
+        self.router.txn_arrived(now, txn, kind, 0, ms(left), retried, None, None, &mut self.host);
         txn
     }
 
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -398,3 +398,13 @@
     let read = s.arrive(READ, 900);
     assert_eq!(s.sends(read), [1]);
 }
+
+#[test]
+fn first_tries_go_before_later_tries_of_like_value() {
+    let mut s = Story::new();
+    let first: Vec<usize> = (0..4).map(|_| s.arrive(ONCE, 3000)).collect();
+    s.now += ms(10);
+    let later = s.arrive_again(ONCE, 2000, true);
+    s.report_all(0);
+    assert!(first.iter().all(|&txn| s.sends(txn) == [0]) && s.sends(later).is_empty());
+}
--- a/crates/simhost/src/world.rs
+++ b/crates/simhost/src/world.rs
@@ -288,11 +288,12 @@
             "JOB_IN" => {
                 let (kind, cell): (usize, u64) = (line.need("Class")?, line.need("Shard")?);
                 let left = line.span("Left")?.ok_or("JOB_IN: expected a field Left")?;
+                let retried = line.flag("IsRetry")?;
                 let (session, wrote) = (line.opt("ClientKey")?, line.span("WroteMsAgo")?);
                 let txn = ids.new_txn(line.need("Corr")?)?;
                 let group = ids.cell(cell);
                 self.call(front, |router, now, host| {
-                    router.txn_arrived(now, txn, kind, group, left, session, wrote, host);
+                    router.txn_arrived(now, txn, kind, group, left, retried, session, wrote, host);
                 })
             }
             "ATTEMPT_END" => {
