--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -614,8 +614,7 @@
         fired
     }
 
-    /// Places what can be placed, dearest first, then newest first: the oldest would all be late, and so would most
-    /// that a client tries again.
+    /// Places what can be placed, dearest first, then first tries, then newest first: the rest is mostly late.
     fn place(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let mut held = std::mem::take(&mut self.groups[group].held);
         held.sort_by(|&a, &b| {
