--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -29,8 +29,8 @@
 const ROOM_FRONTS: f64 = 5.0;
 /// A member whose answers take more than this share of the SLA time gets less room.
 const STRAIN: f64 = 0.25;
-/// Share of the writer's room that reads may use when no reader will do.
-const READS_AT_WRITER: f64 = 0.5;
+/// Share of a member's room for what must leave the rest free: reads at the writer, tries late already.
+const HALF: f64 = 0.5;
 /// A member is silent when it has held work this many mean answer times without answering anything; with two
 /// or more in hand half of that says as much.
 const SILENCE: f64 = 5.0;
@@ -614,7 +614,7 @@
         fired
     }
 
-    /// Places what can be placed, dearest first, then first tries, then newest first: the rest is mostly late.
+    /// Places what can be placed: dearest first, then first tries, then newest; the rest is mostly late.
     fn place(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let mut held = std::mem::take(&mut self.groups[group].held);
         held.sort_by(|&a, &b| {
@@ -636,19 +636,22 @@
     fn choose(&mut self, now: Duration, txn: usize) -> Option<usize> {
         let t = self.txn(txn);
         let (group, kind) = (t.group, t.kind);
-        let fit = |w: &usize| self.members[*w].has_room() && self.members[*w].shunned <= now;
+        let fit = |w: &usize| self.members[*w].has_room(1.0) && self.members[*w].shunned <= now;
         let writer = self.groups[group].writer.filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
             let write = self.types[kind].level == Level::Write && self.txn(txn).submissions == 0;
             return self.unheard(now, group).filter(|_| write && writer.is_some()).or(writer);
         }
+        // A later try that is worth nothing late leaves half of the room to first tries still to come.
+        let spent = self.txn(txn).retried && self.types[kind].late_value == 0.0;
+        let share = if spent { HALF } else { 1.0 };
         let (mut inside, mut known, mut least_behind) = (Vec::new(), false, None);
         for i in 0..self.groups[group].members.len() {
             let m = self.groups[group].members[i];
             let reader = self.groups[group].writer != Some(m) && self.members[m].shunned <= now;
             // Where members check reads the gate lets all pass; the design still wants them inside the bound.
             let fits = reader && self.gate(now, txn, m);
-            let room = self.members[m].has_room();
+            let room = self.members[m].has_room(share);
             if fits && (!self.members_check || self.proven(now, txn, m)) {
                 known = true;
                 inside.extend(room.then_some(m));
@@ -658,10 +661,7 @@
         }
         // Exception: reads spill to the writer while the reader drawn costs twice as much, or none has room
         // left; half of the writer's room stays with the writes.
-        let spare = writer.filter(|&w| {
-            let m = &self.members[w];
-            (m.in_hand.len() as f64) < m.room * READS_AT_WRITER
-        });
+        let spare = writer.filter(|&w| self.members[w].has_room(HALF));
         let shortest = self.typical.iter().copied().fold(f64::MAX, f64::min);
         let reader = match inside.len() {
             0 if known => None,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -47,8 +47,9 @@
 }
 
 impl Member {
-    pub fn has_room(&self) -> bool {
-        self.in_hand.len() < self.room as usize
+    /// Whether a part of its room has a place free.
+    pub fn has_room(&self, share: f64) -> bool {
+        (self.in_hand.len() as f64) < self.room.floor() * share
     }
 
     /// A member of which nothing is known yet.
--- a/crates/router/tests/fake/mod.rs
+++ b/crates/router/tests/fake/mod.rs
@@ -68,7 +68,10 @@
     }
 
     pub fn of(standing: Standing) -> Self {
-        let kind = |effect, level| TxnType { sla: ms(400), value: 1.0, late_value: 0.5, effect, level };
+        let kind = |effect, level| {
+            let late_value = if level == Level::Loose { 0.0 } else { 0.5 };
+            TxnType { sla: ms(400), value: 1.0, late_value, effect, level }
+        };
         let marked = Effect::Referenced { window: ms(2000), scope: Scope::Group };
         let types = vec![
             kind(Effect::Repeatable, Level::Bounded(ms(300))),
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -408,3 +408,17 @@
     s.report_all(0);
     assert!(first.iter().all(|&txn| s.sends(txn) == [0]) && s.sends(later).is_empty());
 }
+
+#[test]
+fn a_later_try_that_is_worth_nothing_late_uses_half_of_the_room() {
+    let at_readers = |retried| {
+        let mut s = Story::running();
+        s.list(2, Listed::Draining, None);
+        let sent = |s: &mut Story| {
+            let read = s.arrive_again(LOOSE, 900, retried);
+            s.sends(read) == [1]
+        };
+        (0..8).filter(|_| sent(&mut s)).count()
+    };
+    assert!(at_readers(true) < at_readers(false));
+}
