--- a/crates/router/tests/fake/mod.rs
+++ b/crates/router/tests/fake/mod.rs
@@ -69,7 +69,7 @@
 
     pub fn of(standing: Standing) -> Self {
         let kind = |effect, level| {
-            let late_value = if level == Level::Loose { 0.0 } else { 0.5 };
+            let late_value = if matches!(level, Level::Bounded(_)) { 0.0 } else { 0.5 };
             TxnType { sla: ms(400), value: 1.0, late_value, effect, level }
         };
         let marked = Effect::Referenced { window: ms(2000), scope: Scope::Group };
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -415,7 +415,7 @@
         let mut s = Story::running();
         s.list(2, Listed::Draining, None);
         let sent = |s: &mut Story| {
-            let read = s.arrive_again(LOOSE, 900, retried);
+            let read = s.arrive_again(READ, 900, retried);
             s.sends(read) == [1]
         };
         (0..8).filter(|_| sent(&mut s)).count()
