--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -355,9 +355,9 @@
     for member in 0..3 {
         s.list(member, Listed::Draining, None);
     }
-    let long = s.arrive(LOOSE, 9000);
-    s.now += ms(10);
     let short = s.arrive(READ, 900);
+    s.now += ms(10);
+    let long = s.arrive(LOOSE, 9000);
     s.report(1, Role::Replica, s.now);
     s.host.0.clear();
     s.list(1, Listed::Up, None);
--- /dev/null
+++ b/crates/simhost/tests/wire.rs
@@ -0,0 +1,66 @@
+//! The adapter as its caller sees it: batches in, replies out, plain words on bad input.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const BORN: &str = "BORN Front=3 Entropy=7 Balancers=1 Bounds.MayProbe=true Bounds.TryLimit=4 \
+    Guarantees.WarmUp=1000.0 LoadInfo.Via=on_probe New.Setting=1 Services.count=1 Services.0.Effect=side_effect \
+    Services.0.Objective=300.0 Specifics.ReadLevel=update Specifics.Zero=500.0";
+const LISTED: &str = "ROSTER List=0 Hosts=1\n\
+    ROW Cell=9 IsPrimary=1 Store=10.0.0.1:80 RegionPart=0 Units=1 Health=up\n\
+    UPDATE Revision=1 How=Persisted Front=3 List=0";
+
+fn play(input: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_juniperdock-simhost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    child.stdin.take().expect("a pipe").write_all(input.as_bytes()).expect("the adapter reads");
+    child.wait_with_output().expect("the adapter ends")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn a_write_is_held_then_placed_with_its_id_unchanged() {
+    let output = play(&format!(
+        "ROUND Time=1000.0 turn=1\n{BORN}\n{LISTED}\n\
+         JOB_IN Shard=9 Left=900.0 Class=0 Corr=4503599627370495 Front=3\nCOMMIT\n\
+         ROUND turn=2 Time=1010.0\n\
+         HEALTH_RESULT Front=3 Verdict=OK Store=10.0.0.1:80 CostTime=1 Stats=x1:1,zz:4,x0:0.505\nCOMMIT\n"
+    ));
+    let replies = text(&output.stdout);
+    let (first, second) = replies.split_once("READY turn=1\n").expect("a reply for each batch");
+    assert!(first.contains("PROBE Front=3 Store=10.0.0.1:80") && !first.contains("PLACE"));
+    assert!(second.contains("PLACE Front=3 Corr=4503599627370495 Store=10.0.0.1:80 GiveUpAfter=0\n"));
+    assert!(second.ends_with("READY turn=2\n") && output.status.success());
+}
+
+#[test]
+fn a_killed_instance_may_be_born_again_in_the_same_batch() {
+    let output =
+        play(&format!("ROUND Time=1.0 turn=1\n{BORN}\n{LISTED}\nRETIRE Front=3\n{BORN}\n{LISTED}\nCOMMIT\n"));
+    assert!(output.status.success(), "{}", text(&output.stderr));
+}
+
+#[test]
+fn bad_input_is_named_by_line_and_gets_no_partial_reply() {
+    let start = format!("ROUND Time=1.0 turn=1\n{BORN}\n");
+    for (rest, said) in [
+        ("NEWS Front=3\n", "line 3: expected a known message"),
+        ("TICK_DUE Front=8 Handle=1\n", "line 3: expected an instance that was born"),
+        ("TICK_DUE Front=3 Handle=x\n", "line 3: TICK_DUE: expected a value of another form in Handle"),
+        ("JOB_IN Front=3 Corr=1 Class=0 Shard=9\n", "line 3: JOB_IN: expected a field Left"),
+        ("ROSTER List=0 Hosts=2\nCOMMIT\n", "line 4: expected 2 more ROW"),
+        ("", "line 2: the input ended inside a batch"),
+    ] {
+        let output = play(&format!("{start}{rest}"));
+        let stderr = text(&output.stderr);
+        assert!(stderr.contains(said), "{stderr}");
+        assert!(output.stdout.is_empty() && !output.status.success());
+    }
+}
