--- a/crates/simhost/src/world.rs
+++ b/crates/simhost/src/world.rs
@@ -27,6 +27,8 @@
     /// The clock, in microseconds, at the instance's start, and where positions count from.
     start: i64,
     zero: i64,
+    /// How many txn types there are.
+    kinds: usize,
     stores: HashMap<String, usize>,
     store_names: Vec<String>,
     cells: HashMap<u64, usize>,
@@ -287,6 +289,9 @@
         match line.name {
             "JOB_IN" => {
                 let (kind, cell): (usize, u64) = (line.need("Class")?, line.need("Shard")?);
+                if kind >= ids.kinds {
+                    return Err(format!("JOB_IN: expected a Class below {}, found {kind}", ids.kinds));
+                }
                 let left = line.span("Left")?.ok_or("JOB_IN: expected a field Left")?;
                 let retried = line.flag("IsRetry")?;
                 let (session, wrote) = (line.opt("ClientKey")?, line.span("WroteMsAgo")?);
@@ -479,6 +484,6 @@
     {
         router.allow_telling(Duration::from_micros(age));
     }
-    let ids = Ids { front: line.need("Front")?, start: clock, zero, ..Ids::default() };
+    let ids = Ids { front: line.need("Front")?, start: clock, zero, kinds: count, ..Ids::default() };
     Ok(Instance { router, ids })
 }
--- a/crates/simhost/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -55,6 +55,7 @@
         ("TICK_DUE Front=8 Handle=1\n", "line 3: expected an instance that was born"),
         ("TICK_DUE Front=3 Handle=x\n", "line 3: TICK_DUE: expected a value of another form in Handle"),
         ("JOB_IN Front=3 Corr=1 Class=0 Shard=9\n", "line 3: JOB_IN: expected a field Left"),
+        ("JOB_IN Front=3 Corr=1 Class=1 Shard=9 Left=9\n", "line 3: JOB_IN: expected a Class below 1"),
         ("ROSTER List=0 Hosts=2\nCOMMIT\n", "line 4: expected 2 more ROW"),
         ("", "line 2: the input ended inside a batch"),
     ] {
