--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -380,13 +380,11 @@
             }
             // A time-out is the client's end of patience; whether the member is at fault, `hush` tells.
             Ending::Misplaced | Ending::Cancelled | Ending::Moot | Ending::TimedOut => {}
-            Ending::Errored | Ending::Unreachable | Ending::Dropped => {
-                // One error or one slow answer is bad luck; a broken connection, or a row, is not.
+            // Errors weigh as late answers; only a refused or broken connection shuns.
+            Ending::Errored => {}
+            Ending::Unreachable | Ending::Dropped => {
                 m.failures += 1;
-                let certain = matches!(ending, Ending::Unreachable | Ending::Dropped);
-                if certain || m.failures >= 3 {
-                    m.shunned = now + shun_for(m.failures - if certain { 1 } else { 3 });
-                }
+                m.shunned = now + shun_for(m.failures - 1);
             }
         }
         // A failed submission to the writer empties the slot; only a claim made after this fills it again.
