--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -672,8 +672,9 @@
             }
             n => {
                 // Two drawn at random, the one with less in hand for its answer time is taken.
-                let a = inside[self.rng.rand_range(0..n as u64) as usize];
-                let b = inside[self.rng.rand_range(0..n as u64) as usize];
+                let a = self.rng.rand_range(0..n as u64) as usize;
+                let b = (a + 1 + self.rng.rand_range(0..n.max(2) as u64 - 1) as usize) % n;
+                let (a, b) = (inside[a], inside[b]);
                 Some(if self.cost(now, b) < self.cost(now, a) { b } else { a })
             }
         };
