Let a drain outlast a wrong list

Cause: the next entry, gone, cleared the mark, and gone alone does not bind there. Now only a later start ends a drain; this also holds against an old list that comes again. It could harm where a drain is called off without a restart: that member stays unused.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -113,15 +113,11 @@
             m.probe_due = now;
             self.groups[group].members.push(member);
         }
-        m.drains = state == Listed::Draining;
-        m.stopped = match state {
-            Listed::Up => false,
-            Listed::Draining => true,
-            Listed::Removed => m.stopped && m.drains || !self.gone_is_advice,
-        };
-        if let Some(up_for) = up_for {
-            m.warm_at = (now + self.cold.warm_up).saturating_sub(up_for);
-        }
+        let warm_at = up_for.map_or(m.warm_at, |up| (now + self.cold.warm_up).saturating_sub(up));
+        // Only a later start ends a drain: a list may be wrong, or an old one may come again.
+        m.drains = state == Listed::Draining || m.drains && warm_at <= m.warm_at;
+        m.stopped = m.drains || state == Listed::Removed && !self.gone_is_advice;
+        m.warm_at = warm_at;
         m.hinted = primary && !m.stopped;
         if m.hinted {
             // A hint only: whoever it names is asked at once, and believed only where members tell no roles.
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -104,6 +104,29 @@
     assert!(s.sends(write).is_empty());
 }
 
+#[test]
+fn a_drain_outlasts_a_wrong_list() {
+    let mut s = Story::running();
+    s.router.gone_is_advice();
+    let read = |s: &mut Story| {
+        let read = s.arrive(READ, 1000);
+        let at = s.sends(read)[0];
+        s.end(read, at, Ending::Committed, 50);
+        at
+    };
+    for state in [Listed::Draining, Listed::Removed, Listed::Up] {
+        s.list(1, state, None);
+        assert_eq!([read(&mut s), read(&mut s)], [2, 2]);
+    }
+    s.list(2, Listed::Removed, None);
+    assert_eq!(read(&mut s), 2, "gone alone does not bind");
+    s.list(1, Listed::Up, Some(ms(0)));
+    s.now += ms(20_000);
+    s.report_all(0);
+    s.list(2, Listed::Draining, None);
+    assert_eq!(read(&mut s), 1, "it has started anew since");
+}
+
 #[test]
 fn a_cold_member_gets_its_share_of_what_a_warm_one_does() {
     let mut s = Story::running();
@@ -353,7 +376,7 @@
 fn the_least_value_per_work_waits() {
     let mut s = with_long_loose_reads();
     for member in 0..3 {
-        s.list(member, Listed::Draining, None);
+        s.list(member, Listed::Removed, None);
     }
     let short = s.arrive(READ, 900);
     s.now += ms(10);
