--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -9,7 +9,6 @@
 pub use crate::state::Router;
 use crate::state::{Member, Submission, Txn};
 use oorandom::Rand64;
-use std::collections::HashMap;
 use std::time::Duration;
 
 /// Probes of a member within the tightest bound: measured from the design's start value of 4 downwards.
@@ -53,32 +52,14 @@
             Level::Bounded(bound) => Some(bound / PROBES_PER_BOUND),
             _ => None,
         });
-        Router {
-            rng: Rand64::new(seed as u128),
-            probe_every: Some(tightest.min().unwrap_or(IDLE_PROBE)),
-            standing,
-            // Guesses until answers tell: the fastest come first, a start from those would be far too low.
-            typical: types.iter().map(|t| t.sla.as_secs_f64() / 4.0).collect(),
-            usual: types.iter().map(|t| t.sla.as_secs_f64() / 2.0).collect(),
-            types,
-            cold,
-            max_submissions: 1,
-            may_cancel: false,
-            members_check: false,
-            gone_is_advice: false,
-            come_back_most: None,
-            shared_zero: None,
-            marks: HashMap::new(),
-            members: Vec::new(),
-            groups: Vec::new(),
-            txns: Vec::new(),
-            touched: Vec::new(),
-            sessions: HashMap::new(),
-            warm_work: 0.0,
-            told_positions: false,
-            first: Ring::new(RESEND_SPAN, 10),
-            again: Ring::new(RESEND_SPAN, 10),
-        }
+        let every = tightest.min().unwrap_or(IDLE_PROBE);
+        let mut router = Router::blank(Rand64::new(seed as u128), standing, types, cold);
+        router.probe_every = Some(every);
+        // Guesses until answers tell: the fastest come first, a start from those would be far too low.
+        router.typical = router.types.iter().map(|t| t.sla.as_secs_f64() / 4.0).collect();
+        router.usual = router.types.iter().map(|t| t.sla.as_secs_f64() / 2.0).collect();
+        (router.first, router.again) = (Ring::new(RESEND_SPAN, 10), Ring::new(RESEND_SPAN, 10));
+        router
     }
 
     // ---- inputs ----
@@ -107,7 +88,6 @@
         }
         let m = &mut self.members[member];
         (m.group, m.zone, m.mark) = (group, zone, mark);
-        self.marks.insert(mark, member);
         if !m.listed {
             m.listed = true;
             m.probe_due = now;
@@ -164,20 +144,7 @@
             },
             _ => None,
         };
-        self.txns[txn] = Some(Txn {
-            kind,
-            group,
-            arrived: now,
-            retried,
-            expiry: now + left,
-            must_see,
-            session,
-            out: None,
-            submissions: 0,
-            may_have_run: None,
-            over: false,
-            held: true,
-        });
+        self.txns[txn] = Some(Txn::new(kind, group, now, retried, now + left, must_see, session));
         self.groups[group].held.push(txn);
         self.first.add(now, 1.0);
         self.touch(group);
@@ -254,7 +221,10 @@
             m.probe_failures = 0;
             let hint = Some(Role::Primary).filter(|_| m.hinted && m.primary_at.is_none());
             self.heard(now, member, told.role.or(hint), told.position, false);
-            self.tell_siblings(member, told, host);
+            // One probe serves all fronts.
+            if self.siblings > 1 && told.role.is_some() && told.position.is_some() {
+                host.tell(member, told);
+            }
             if let (Some(Role::Primary), Some(at)) = (told.role, told.position) {
                 let group = self.members[member].group;
                 self.groups[group].reported = self.groups[group].reported.max(at);
@@ -289,32 +259,15 @@
         }
     }
 
-    /// A sibling's message: a mark, a role and a position, which are true whoever heard them. Whatever has
-    /// another form is passed over.
-    pub fn peer_said(&mut self, now: Duration, bytes: &[u8], host: &mut impl Host) {
-        let (Some(zero), [a, b, c, d, role @ (1 | 2), micros @ ..]) = (self.shared_zero, bytes) else {
-            return;
-        };
-        let Some(&member) = self.marks.get(&u32::from_be_bytes([*a, *b, *c, *d])) else { return };
-        let Ok(micros) = <[u8; 8]>::try_from(micros) else { return };
-        let at = Duration::from_micros(u64::from_be_bytes(micros));
-        let role = if *role == 1 { Role::Primary } else { Role::Replica };
-        // A position before this front's start, or from the future, says nothing here.
-        let Some(position) = at.checked_sub(zero).filter(|&p| p <= now) else { return };
-        self.heard(now, member, Some(role), Some(position), false);
-        self.plan_probe(now, member, host);
-        self.touch(self.members[member].group);
-        self.settle(now, host);
-    }
-
-    /// Tells siblings what a probe found, so that one probe serves all fronts.
-    fn tell_siblings(&self, member: usize, report: Report, host: &mut impl Host) {
-        let told = (self.shared_zero, report.role, report.position);
-        let (Some(zero), Some(role), Some(position)) = told else { return };
-        let mut bytes = self.members[member].mark.to_be_bytes().to_vec();
-        bytes.push(if role == Role::Primary { 1 } else { 2 });
-        bytes.extend(((zero + position).as_micros() as u64).to_be_bytes());
-        host.tell(&bytes);
+    /// What a sibling's probe found: a role and a position are true whoever heard them. A position from the
+    /// future says nothing here.
+    pub fn sibling_told(&mut self, now: Duration, member: usize, told: Report, host: &mut impl Host) {
+        if told.position.is_some_and(|at| at <= now) {
+            self.heard(now, member, told.role, told.position, false);
+            self.plan_probe(now, member, host);
+            self.touch(self.members[member].group);
+            self.settle(now, host);
+        }
     }
 
     // ---- facts ----
@@ -473,11 +426,8 @@
         };
         // Where siblings tell what they hear, each member has one front that probes it first; the others
         // stand in by turns if they hear nothing.
-        let fronts = self.standing.fronts.max(1);
-        let turn = match self.shared_zero {
-            Some(_) => (m.mark as usize % fronts + fronts - self.standing.me % fronts) % fronts,
-            None => 0,
-        };
+        let turn = (m.mark as usize % self.siblings + self.siblings - self.standing.me % self.siblings)
+            % self.siblings;
         let pause = pause * (1 + turn as u32);
         self.members[member].probe_due = now + pause;
         host.remind(now + pause, member as u64 * 2 + 2);
@@ -630,7 +580,7 @@
     fn choose(&mut self, now: Duration, txn: usize) -> Option<usize> {
         let t = self.txn(txn);
         let (group, kind) = (t.group, t.kind);
-        let fit = |w: &usize| self.members[*w].has_room(1.0) && self.members[*w].shunned <= now;
+        let fit = |w: &usize| self.has_room(*w, 1.0) && self.members[*w].shunned <= now;
         let writer = self.groups[group].writer.filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
             let write = self.types[kind].level == Level::Write && self.txn(txn).submissions == 0;
@@ -645,7 +595,7 @@
             let reader = self.groups[group].writer != Some(m) && self.members[m].shunned <= now;
             // Where members check reads the gate lets all pass; the design still wants them inside the bound.
             let fits = reader && self.gate(now, txn, m);
-            let room = self.members[m].has_room(share);
+            let room = self.has_room(m, share);
             if fits && (!self.members_check || self.proven(now, txn, m)) {
                 known = true;
                 inside.extend(room.then_some(m));
@@ -655,7 +605,7 @@
         }
         // Exception: reads spill to the writer while the reader drawn costs twice as much, or none has room
         // left; half of the writer's room stays with the writes.
-        let spare = writer.filter(|&w| self.members[w].has_room(HALF));
+        let spare = writer.filter(|&w| self.has_room(w, HALF));
         let shortest = self.typical.iter().copied().fold(f64::MAX, f64::min);
         let reader = match inside.len() {
             0 if known => None,
@@ -695,6 +645,12 @@
         })
     }
 
+    /// Whether a share of the member's room has a place free.
+    fn has_room(&self, member: usize, share: f64) -> bool {
+        let m = &self.members[member];
+        (m.in_hand.len() as f64) < m.room.floor() * share
+    }
+
     /// What a further submission to the member would wait for, on a scale of this front's own. Slowness is
     /// forgotten by and by where nothing is sent, so that a member passed over gets its trial.
     fn cost(&self, now: Duration, member: usize) -> f64 {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -47,11 +47,6 @@
 }
 
 impl Member {
-    /// Whether a part of its room has a place free.
-    pub fn has_room(&self, share: f64) -> bool {
-        (self.in_hand.len() as f64) < self.room.floor() * share
-    }
-
     /// A member of which nothing is known yet.
     pub fn new(now: Duration, room: f64, window: Duration) -> Self {
         Member {
@@ -120,6 +115,34 @@
     pub held: bool,
 }
 
+impl Txn {
+    /// A txn that has just arrived and is held.
+    pub fn new(
+        kind: usize,
+        group: usize,
+        arrived: Duration,
+        retried: bool,
+        expiry: Duration,
+        must_see: Option<Duration>,
+        session: Option<u64>,
+    ) -> Self {
+        Txn {
+            kind,
+            group,
+            arrived,
+            retried,
+            expiry,
+            must_see,
+            session,
+            out: None,
+            submissions: 0,
+            may_have_run: None,
+            over: false,
+            held: true,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub struct Router {
     pub(crate) rng: Rand64,
@@ -133,9 +156,8 @@
     /// A member that is gone but was never seen draining may still be used.
     pub(crate) gone_is_advice: bool,
     pub(crate) come_back_most: Option<Duration>,
-    /// Age of the positions' common zero at this instance's start, where siblings can be told of positions.
-    pub(crate) shared_zero: Option<Duration>,
-    pub(crate) marks: HashMap<u32, usize>,
+    /// How many fronts tell each other what their probes find, this one among them.
+    pub(crate) siblings: usize,
     pub(crate) probe_every: Option<Duration>,
     pub(crate) members: Vec<Member>,
     pub(crate) groups: Vec<Group>,
@@ -156,6 +178,35 @@
 }
 
 impl Router {
+    /// A router that remembers nothing and was allowed nothing yet.
+    pub(crate) fn blank(rng: Rand64, standing: Standing, types: Vec<TxnType>, cold: ColdStart) -> Self {
+        let none = Ring::new(Duration::ZERO, 1);
+        Router {
+            rng,
+            standing,
+            types,
+            cold,
+            max_submissions: 1,
+            may_cancel: false,
+            members_check: false,
+            gone_is_advice: false,
+            come_back_most: None,
+            siblings: 1,
+            probe_every: None,
+            members: Vec::new(),
+            groups: Vec::new(),
+            txns: Vec::new(),
+            touched: Vec::new(),
+            sessions: HashMap::new(),
+            typical: Vec::new(),
+            usual: Vec::new(),
+            warm_work: 0.0,
+            told_positions: false,
+            first: none.clone(),
+            again: none,
+        }
+    }
+
     /// How many submissions a txn may have in all.
     pub fn allow_submissions(&mut self, most: u32) {
         self.max_submissions = most;
@@ -174,10 +225,9 @@
         self.come_back_most = Some(longest);
     }
 
-    /// Siblings can be told things; positions are told as spans since a zero that lies this far before the
-    /// start.
-    pub fn allow_telling(&mut self, zero: Duration) {
-        self.shared_zero = Some(zero).filter(|_| self.standing.fronts > 1);
+    /// Fronts can tell each other things.
+    pub fn allow_telling(&mut self) {
+        self.siblings = self.standing.fronts.max(1);
     }
 
     /// Members hold or turn away reads that they are too far behind for.
--- a/crates/simhost/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -65,3 +65,11 @@
         assert!(output.stdout.is_empty() && !output.status.success());
     }
 }
+
+#[test]
+fn a_siblings_message_of_another_form_is_passed_over() {
+    let memo = |payload: &str| format!("MEMO Front=3 From=1 Payload={payload}\n");
+    let odd = ["-", "00", &"ff".repeat(9), &"00".repeat(9), &"09".repeat(40)].map(memo).concat();
+    let output = play(&format!("ROUND Time=1.0 turn=1\n{BORN}\n{LISTED}\n{odd}COMMIT\n"));
+    assert!(output.status.success() && !text(&output.stdout).contains("BROKEN"), "{}", text(&output.stderr));
+}
