Poll within the count of txns and ask for what a held read needs

Now polls stay under half of the first submissions of those fronts that learn from them, and readers are asked, two at a time, when a held read has no proof; a member whose reports prove nothing is asked ever less often. Guards against any ratio of fronts to traffic; could harm by some ms of waiting where a bound is tight and nobody tells.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -15,6 +15,10 @@
 const PROBES_PER_BOUND: u32 = 2;
 /// Probe interval where no txn type bounds its data.
 const IDLE_PROBE: Duration = Duration::from_millis(250);
+/// Polls stay under this share of a front's first submissions; what it needs to know beyond that it asks for.
+const POLLS_PER_TXN: f64 = 0.5;
+/// A read waits so long for a report that may prove a reader.
+const REPORT_AWAITED: Duration = Duration::from_millis(40);
 /// A member that fails is left alone this long at first, then twice as long each time, up to the longest.
 const SHUN_FIRST: Duration = Duration::from_millis(250);
 const SHUN_LONGEST: Duration = Duration::from_secs(4);
@@ -89,8 +93,8 @@
         let m = &mut self.members[member];
         (m.group, m.zone, m.mark) = (group, zone, mark);
         if !m.listed {
-            m.listed = true;
-            m.probe_due = now;
+            m.listed = true; // and not asked by all fronts at once, where many start together
+            m.probe_due = now + SHUN_FIRST.mul_f64(self.rng.rand_float());
             self.groups[group].members.push(member);
         }
         let warm_at = up_for.map_or(m.warm_at, |up| (now + self.cold.warm_up).saturating_sub(up));
@@ -219,6 +223,8 @@
         m.probe_out = false;
         if end == Ending::Committed {
             m.probe_failures = 0;
+            let slack = self.probe_every.unwrap_or_default() * PROBES_PER_BOUND;
+            m.barren = if told.position.is_some_and(|p| p + slack > now) { 0 } else { m.barren + 1 };
             let hint = Some(Role::Primary).filter(|_| m.hinted && m.primary_at.is_none());
             self.heard(now, member, told.role.or(hint), told.position, false);
             // One probe serves all fronts.
@@ -417,20 +423,24 @@
 
     fn plan_probe(&mut self, now: Duration, member: usize, host: &mut impl Host) {
         let Some(every) = self.probe_every else { return };
+        // Polls stay under a share of the txns of those who learn from them; `ask` does the rest.
+        let txns = self.first.sum(now) * self.siblings as f64 / now.min(RESEND_SPAN).as_secs_f64().max(1e-3);
+        let fair = self.members.len() as f64 / (POLLS_PER_TXN * txns.max(1.0));
+        let poll = every.max(Duration::from_secs_f64(fair));
         let m = &self.members[member];
-        let empty = self.groups[m.group].writer.is_none();
+        let g = &self.groups[m.group];
         let pause = match m.probe_failures {
-            0 if empty => every / 2,
-            0 => every,
-            n => every * 2u32.pow(n.min(3)),
+            0 if g.writer.is_none() && !g.held.is_empty() => every / 2,
+            0 => poll,
+            n => poll.max(every * 2u32.pow(n.min(3))),
         };
         // Where siblings tell what they hear, each member has one front that probes it first; the others
         // stand in by turns if they hear nothing.
         let turn = (m.mark as usize % self.siblings + self.siblings - self.standing.me % self.siblings)
             % self.siblings;
-        let pause = pause * (1 + turn as u32);
-        self.members[member].probe_due = now + pause;
-        host.remind(now + pause, member as u64 * 2 + 2);
+        let due = now + pause * (1 + turn as u32);
+        self.members[member].probe_due = due;
+        host.remind(due, member as u64 * 2 + 2);
     }
 
     // ---- rules ----
@@ -441,6 +451,7 @@
             self.groups[group].touched = false;
             while self.hush(now, group, host)
                 || self.fill_slot(group)
+                || self.ask(now, group)
                 || self.probe_due(now, group, host)
                 || self.give_up(now, group, host)
                 || self.place(now, group, host)
@@ -525,6 +536,46 @@
         changed
     }
 
+    /// Exception: members are asked out of turn for what a held txn waits for: a role while the slot is empty, a
+    /// proof while no reader has one, of two readers at a time. Keeps probes near the count of txns where many
+    /// fronts see few each; a member whose reports prove nothing is asked ever less often.
+    fn ask(&mut self, now: Duration, group: usize) -> bool {
+        let (Some(every), g) = (self.probe_every, &self.groups[group]) else { return false };
+        let empty = g.writer.is_none();
+        let unproven = |&t: &usize| {
+            let bounded = matches!(self.types[self.txn(t).kind].level, Level::Bounded(_));
+            bounded && !g.members.iter().any(|&m| self.reads(now, m) && self.proven(now, t, m))
+        };
+        let needs = empty && !g.held.is_empty() || g.held.iter().any(unproven) && !self.awaits(now, group);
+        let asks = |&i: &usize| {
+            let m = &self.members[i];
+            let rest = every / 2 * 2u32.pow(m.barren.min(5));
+            let due = !m.stopped && !m.probe_out && m.probe_due > now;
+            needs && due && m.asked.is_none_or(|at| at + rest <= now) && (empty || self.reads(now, i))
+        };
+        let mut asked: Vec<usize> = g.members.iter().copied().filter(asks).collect();
+        while !empty && asked.len() > 2 {
+            asked.swap_remove(self.rng.rand_range(0..asked.len() as u64) as usize);
+        }
+        asked.iter().for_each(|&m| self.members[m].probe_due = now);
+        !asked.is_empty()
+    }
+
+    /// Whether it is a reader in good standing.
+    fn reads(&self, now: Duration, member: usize) -> bool {
+        let m = &self.members[member];
+        self.groups[m.group].writer != Some(member) && m.shunned <= now && !m.stopped
+    }
+
+    /// Whether a reader's report is about to come.
+    fn awaits(&self, now: Duration, group: usize) -> bool {
+        self.groups[group]
+            .members
+            .iter()
+            .map(|&i| &self.members[i])
+            .any(|m| m.probe_out && m.asked.is_some_and(|at| now < at + REPORT_AWAITED))
+    }
+
     fn probe_due(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let due = self.groups[group].members.iter().copied().find(|&i| {
             let m = &self.members[i];
@@ -532,7 +583,9 @@
         });
         if let Some(i) = due {
             self.members[i].probe_out = true;
+            self.members[i].asked = Some(now);
             host.probe(i);
+            host.remind(now + REPORT_AWAITED, i as u64 * 2 + 2);
         }
         due.is_some()
     }
@@ -592,9 +645,8 @@
         let (mut inside, mut known, mut least_behind) = (Vec::new(), false, None);
         for i in 0..self.groups[group].members.len() {
             let m = self.groups[group].members[i];
-            let reader = self.groups[group].writer != Some(m) && self.members[m].shunned <= now;
             // Where members check reads the gate lets all pass; the design still wants them inside the bound.
-            let fits = reader && self.gate(now, txn, m);
+            let fits = self.reads(now, m) && self.gate(now, txn, m);
             let room = self.has_room(m, share);
             if fits && (!self.members_check || self.proven(now, txn, m)) {
                 known = true;
@@ -607,8 +659,10 @@
         // left; half of the writer's room stays with the writes.
         let spare = writer.filter(|&w| self.has_room(w, HALF));
         let shortest = self.typical.iter().copied().fold(f64::MAX, f64::min);
+        let bounded = matches!(self.types[kind].level, Level::Bounded(_));
         let reader = match inside.len() {
             0 if known => None,
+            0 if bounded && self.awaits(now, group) => return None,
             // Once: a member that turned the read away is as far behind a moment later.
             0 if self.txn(txn).submissions == 0 => least_behind.map(|(_, m)| m),
             0 => None,
@@ -645,7 +699,6 @@
         })
     }
 
-    /// Whether a share of the member's room has a place free.
     fn has_room(&self, member: usize, share: f64) -> bool {
         let m = &self.members[member];
         (m.in_hand.len() as f64) < m.room.floor() * share
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -30,6 +30,10 @@
     pub probe_out: bool,
     pub probe_due: Duration,
     pub probe_failures: u32,
+    /// When the newest probe went out.
+    pub asked: Option<Duration>,
+    /// Reports in a row that proved nothing when they came.
+    pub barren: u32,
     /// Txns with a submission out to it.
     pub in_hand: Vec<usize>,
     pub last_answer: Duration,
@@ -65,6 +69,8 @@
             probe_out: false,
             probe_due: now,
             probe_failures: 0,
+            asked: None,
+            barren: 0,
             in_hand: Vec::new(),
             last_answer: Duration::ZERO,
             hushed: Duration::ZERO,
