--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -9,13 +9,16 @@
 pub use crate::state::Router;
 use crate::state::{Member, Submission, Txn};
 use oorandom::Rand64;
-use std::collections::HashMap;
 use std::time::Duration;
 
 /// Probes of a member within the tightest bound: measured from the design's start value of 4 downwards.
 const PROBES_PER_BOUND: u32 = 2;
 /// Probe interval where no txn type bounds its data.
 const IDLE_PROBE: Duration = Duration::from_millis(250);
+/// Polls stay under this share of a front's first submissions; what it needs to know beyond that it asks for.
+const POLLS_PER_TXN: f64 = 0.5;
+/// A read waits so long for a report that may prove a reader.
+const REPORT_AWAITED: Duration = Duration::from_millis(40);
 /// A member that fails is left alone this long at first, then twice as long each time, up to the longest.
 const SHUN_FIRST: Duration = Duration::from_millis(250);
 const SHUN_LONGEST: Duration = Duration::from_secs(4);
@@ -53,32 +56,14 @@
             Level::Bounded(bound) => Some(bound / PROBES_PER_BOUND),
             _ => None,
         });
-        Router {
-            rng: Rand64::new(seed as u128),
-            probe_every: Some(tightest.min().unwrap_or(IDLE_PROBE)),
-            standing,
-            // Guesses until answers tell: the fastest come first, a start from those would be far too low.
-            typical: types.iter().map(|t| t.sla.as_secs_f64() / 4.0).collect(),
-            usual: types.iter().map(|t| t.sla.as_secs_f64() / 2.0).collect(),
-            types,
-            cold,
-            max_submissions: 1,
-            may_cancel: false,
-            members_check: false,
-            gone_is_advice: false,
-            come_back_most: None,
-            shared_zero: None,
-            marks: HashMap::new(),
-            members: Vec::new(),
-            groups: Vec::new(),
-            txns: Vec::new(),
-            touched: Vec::new(),
-            sessions: HashMap::new(),
-            warm_work: 0.0,
-            told_positions: false,
-            first: Ring::new(RESEND_SPAN, 10),
-            again: Ring::new(RESEND_SPAN, 10),
-        }
+        let every = tightest.min().unwrap_or(IDLE_PROBE);
+        let mut router = Router::blank(Rand64::new(seed as u128), standing, types, cold);
+        router.probe_every = Some(every);
+        // Guesses until answers tell: the fastest come first, a start from those would be far too low.
+        router.typical = router.types.iter().map(|t| t.sla.as_secs_f64() / 4.0).collect();
+        router.usual = router.types.iter().map(|t| t.sla.as_secs_f64() / 2.0).collect();
+        (router.first, router.again) = (Ring::new(RESEND_SPAN, 10), Ring::new(RESEND_SPAN, 10));
+        router
     }
 
     // ---- inputs ----
@@ -107,21 +92,16 @@
         }
         let m = &mut self.members[member];
         (m.group, m.zone, m.mark) = (group, zone, mark);
-        self.marks.insert(mark, member);
         if !m.listed {
-            m.listed = true;
-            m.probe_due = now;
+            m.listed = true; // and not asked by all fronts at once, where many start together
+            m.probe_due = now + SHUN_FIRST.mul_f64(self.rng.rand_float());
             self.groups[group].members.push(member);
         }
-        m.drains = state == Listed::Draining;
-        m.stopped = match state {
-            Listed::Up => false,
-            Listed::Draining => true,
-            Listed::Removed => m.stopped && m.drains || !self.gone_is_advice,
-        };
-        if let Some(up_for) = up_for {
-            m.warm_at = (now + self.cold.warm_up).saturating_sub(up_for);
-        }
+        let warm_at = up_for.map_or(m.warm_at, |up| (now + self.cold.warm_up).saturating_sub(up));
+        // Only a later start ends a drain: a list may be wrong, or an old one may come again.
+        m.drains = state == Listed::Draining || m.drains && warm_at <= m.warm_at;
+        m.stopped = m.drains || state == Listed::Removed && !self.gone_is_advice;
+        m.warm_at = warm_at;
         m.hinted = primary && !m.stopped;
         if m.hinted {
             // A hint only: whoever it names is asked at once, and believed only where members tell no roles.
@@ -168,20 +148,7 @@
             },
             _ => None,
         };
-        self.txns[txn] = Some(Txn {
-            kind,
-            group,
-            arrived: now,
-            retried,
-            expiry: now + left,
-            must_see,
-            session,
-            out: None,
-            submissions: 0,
-            may_have_run: None,
-            over: false,
-            held: true,
-        });
+        self.txns[txn] = Some(Txn::new(kind, group, now, retried, now + left, must_see, session));
         self.groups[group].held.push(txn);
         self.first.add(now, 1.0);
         self.touch(group);
@@ -256,9 +223,14 @@
         m.probe_out = false;
         if end == Ending::Committed {
             m.probe_failures = 0;
+            let slack = self.probe_every.unwrap_or_default() * PROBES_PER_BOUND;
+            m.barren = if told.position.is_some_and(|p| p + slack > now) { 0 } else { m.barren + 1 };
             let hint = Some(Role::Primary).filter(|_| m.hinted && m.primary_at.is_none());
             self.heard(now, member, told.role.or(hint), told.position, false);
-            self.tell_siblings(member, told, host);
+            // One probe serves all fronts.
+            if self.siblings > 1 && told.role.is_some() && told.position.is_some() {
+                host.tell(member, told);
+            }
             if let (Some(Role::Primary), Some(at)) = (told.role, told.position) {
                 let group = self.members[member].group;
                 self.groups[group].reported = self.groups[group].reported.max(at);
@@ -293,32 +265,15 @@
         }
     }
 
-    /// A sibling's message: a mark, a role and a position, which are true whoever heard them. Whatever has
-    /// another form is passed over.
-    pub fn peer_said(&mut self, now: Duration, bytes: &[u8], host: &mut impl Host) {
-        let (Some(zero), [a, b, c, d, role @ (1 | 2), micros @ ..]) = (self.shared_zero, bytes) else {
-            return;
-        };
-        let Some(&member) = self.marks.get(&u32::from_be_bytes([*a, *b, *c, *d])) else { return };
-        let Ok(micros) = <[u8; 8]>::try_from(micros) else { return };
-        let at = Duration::from_micros(u64::from_be_bytes(micros));
-        let role = if *role == 1 { Role::Primary } else { Role::Replica };
-        // A position before this front's start, or from the future, says nothing here.
-        let Some(position) = at.checked_sub(zero).filter(|&p| p <= now) else { return };
-        self.heard(now, member, Some(role), Some(position), false);
-        self.plan_probe(now, member, host);
-        self.touch(self.members[member].group);
-        self.settle(now, host);
-    }
-
-    /// Tells siblings what a probe found, so that one probe serves all fronts.
-    fn tell_siblings(&self, member: usize, report: Report, host: &mut impl Host) {
-        let told = (self.shared_zero, report.role, report.position);
-        let (Some(zero), Some(role), Some(position)) = told else { return };
-        let mut bytes = self.members[member].mark.to_be_bytes().to_vec();
-        bytes.push(if role == Role::Primary { 1 } else { 2 });
-        bytes.extend(((zero + position).as_micros() as u64).to_be_bytes());
-        host.tell(&bytes);
+    /// What a sibling's probe found: a role and a position are true whoever heard them. A position from the
+    /// future says nothing here.
+    pub fn sibling_told(&mut self, now: Duration, member: usize, told: Report, host: &mut impl Host) {
+        if told.position.is_some_and(|at| at <= now) {
+            self.heard(now, member, told.role, told.position, false);
+            self.plan_probe(now, member, host);
+            self.touch(self.members[member].group);
+            self.settle(now, host);
+        }
     }
 
     // ---- facts ----
@@ -468,23 +423,24 @@
 
     fn plan_probe(&mut self, now: Duration, member: usize, host: &mut impl Host) {
         let Some(every) = self.probe_every else { return };
+        // Polls stay under a share of the txns of those who learn from them; `ask` does the rest.
+        let txns = self.first.sum(now) * self.siblings as f64 / now.min(RESEND_SPAN).as_secs_f64().max(1e-3);
+        let fair = self.members.len() as f64 / (POLLS_PER_TXN * txns.max(1.0));
+        let poll = every.max(Duration::from_secs_f64(fair));
         let m = &self.members[member];
-        let empty = self.groups[m.group].writer.is_none();
+        let g = &self.groups[m.group];
         let pause = match m.probe_failures {
-            0 if empty => every / 2,
-            0 => every,
-            n => every * 2u32.pow(n.min(3)),
+            0 if g.writer.is_none() && !g.held.is_empty() => every / 2,
+            0 => poll,
+            n => poll.max(every * 2u32.pow(n.min(3))),
         };
         // Where siblings tell what they hear, each member has one front that probes it first; the others
         // stand in by turns if they hear nothing.
-        let fronts = self.standing.fronts.max(1);
-        let turn = match self.shared_zero {
-            Some(_) => (m.mark as usize % fronts + fronts - self.standing.me % fronts) % fronts,
-            None => 0,
-        };
-        let pause = pause * (1 + turn as u32);
-        self.members[member].probe_due = now + pause;
-        host.remind(now + pause, member as u64 * 2 + 2);
+        let turn = (m.mark as usize % self.siblings + self.siblings - self.standing.me % self.siblings)
+            % self.siblings;
+        let due = now + pause * (1 + turn as u32);
+        self.members[member].probe_due = due;
+        host.remind(due, member as u64 * 2 + 2);
     }
 
     // ---- rules ----
@@ -495,6 +451,7 @@
             self.groups[group].touched = false;
             while self.hush(now, group, host)
                 || self.fill_slot(group)
+                || self.ask(now, group)
                 || self.probe_due(now, group, host)
                 || self.give_up(now, group, host)
                 || self.place(now, group, host)
@@ -579,6 +536,46 @@
         changed
     }
 
+    /// Exception: members are asked out of turn for what a held txn waits for: a role while the slot is empty, a
+    /// proof while no reader has one, of two readers at a time. Keeps probes near the count of txns where many
+    /// fronts see few each; a member whose reports prove nothing is asked ever less often.
+    fn ask(&mut self, now: Duration, group: usize) -> bool {
+        let (Some(every), g) = (self.probe_every, &self.groups[group]) else { return false };
+        let empty = g.writer.is_none();
+        let unproven = |&t: &usize| {
+            let bounded = matches!(self.types[self.txn(t).kind].level, Level::Bounded(_));
+            bounded && !g.members.iter().any(|&m| self.reads(now, m) && self.proven(now, t, m))
+        };
+        let needs = empty && !g.held.is_empty() || g.held.iter().any(unproven) && !self.awaits(now, group);
+        let asks = |&i: &usize| {
+            let m = &self.members[i];
+            let rest = every / 2 * 2u32.pow(m.barren.min(5));
+            let due = !m.stopped && !m.probe_out && m.probe_due > now;
+            needs && due && m.asked.is_none_or(|at| at + rest <= now) && (empty || self.reads(now, i))
+        };
+        let mut asked: Vec<usize> = g.members.iter().copied().filter(asks).collect();
+        while !empty && asked.len() > 2 {
+            asked.swap_remove(self.rng.rand_range(0..asked.len() as u64) as usize);
+        }
+        asked.iter().for_each(|&m| self.members[m].probe_due = now);
+        !asked.is_empty()
+    }
+
+    /// Whether it is a reader in good standing.
+    fn reads(&self, now: Duration, member: usize) -> bool {
+        let m = &self.members[member];
+        self.groups[m.group].writer != Some(member) && m.shunned <= now && !m.stopped
+    }
+
+    /// Whether a reader's report is about to come.
+    fn awaits(&self, now: Duration, group: usize) -> bool {
+        self.groups[group]
+            .members
+            .iter()
+            .map(|&i| &self.members[i])
+            .any(|m| m.probe_out && m.asked.is_some_and(|at| now < at + REPORT_AWAITED))
+    }
+
     fn probe_due(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let due = self.groups[group].members.iter().copied().find(|&i| {
             let m = &self.members[i];
@@ -586,7 +583,9 @@
         });
         if let Some(i) = due {
             self.members[i].probe_out = true;
+            self.members[i].asked = Some(now);
             host.probe(i);
+            host.remind(now + REPORT_AWAITED, i as u64 * 2 + 2);
         }
         due.is_some()
     }
@@ -634,7 +633,7 @@
     fn choose(&mut self, now: Duration, txn: usize) -> Option<usize> {
         let t = self.txn(txn);
         let (group, kind) = (t.group, t.kind);
-        let fit = |w: &usize| self.members[*w].has_room(1.0) && self.members[*w].shunned <= now;
+        let fit = |w: &usize| self.has_room(*w, 1.0) && self.members[*w].shunned <= now;
         let writer = self.groups[group].writer.filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
             let write = self.types[kind].level == Level::Write && self.txn(txn).submissions == 0;
@@ -646,10 +645,9 @@
         let (mut inside, mut known, mut least_behind) = (Vec::new(), false, None);
         for i in 0..self.groups[group].members.len() {
             let m = self.groups[group].members[i];
-            let reader = self.groups[group].writer != Some(m) && self.members[m].shunned <= now;
             // Where members check reads the gate lets all pass; the design still wants them inside the bound.
-            let fits = reader && self.gate(now, txn, m);
-            let room = self.members[m].has_room(share);
+            let fits = self.reads(now, m) && self.gate(now, txn, m);
+            let room = self.has_room(m, share);
             if fits && (!self.members_check || self.proven(now, txn, m)) {
                 known = true;
                 inside.extend(room.then_some(m));
@@ -659,10 +657,12 @@
         }
         // Exception: reads spill to the writer while the reader drawn costs twice as much, or none has room
         // left; half of the writer's room stays with the writes.
-        let spare = writer.filter(|&w| self.members[w].has_room(HALF));
+        let spare = writer.filter(|&w| self.has_room(w, HALF));
         let shortest = self.typical.iter().copied().fold(f64::MAX, f64::min);
+        let bounded = matches!(self.types[kind].level, Level::Bounded(_));
         let reader = match inside.len() {
             0 if known => None,
+            0 if bounded && self.awaits(now, group) => return None,
             // Once: a member that turned the read away is as far behind a moment later.
             0 if self.txn(txn).submissions == 0 => least_behind.map(|(_, m)| m),
             0 => None,
@@ -699,6 +699,11 @@
         })
     }
 
+    fn has_room(&self, member: usize, share: f64) -> bool {
+        let m = &self.members[member];
+        (m.in_hand.len() as f64) < m.room.floor() * share
+    }
+
     /// What a further submission to the member would wait for, on a scale of this front's own. Slowness is
     /// forgotten by and by where nothing is sent, so that a member passed over gets its trial.
     fn cost(&self, now: Duration, member: usize) -> f64 {
