Throttle first submissions by what is answered in time

At full size a member gets a txn from a front every few seconds: room per member and front (least one) limits nothing, and retry storms and reads spilled to writers jam the members for good. A front sees enough in its own answers if it pools them by txn type: what it lets through stays under 1 to 2 times what was in time of late (the factor grows with value per work). Also holds against shared slowdowns and bursts; harms where a share of the members is lost for good while the rest has room.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -32,13 +32,15 @@
 const ROOM_FRONTS: f64 = 5.0;
 /// A member whose answers take more than this share of the SLA time gets less room.
 const STRAIN: f64 = 0.25;
-/// Share of a member's room for what must leave the rest free: reads at the writer, tries late already.
+/// Share of the writer's room that reads may use.
 const HALF: f64 = 0.5;
 /// A member is silent when it has held work this many mean answer times without answering anything; with two
 /// or more in hand half of that says as much.
 const SILENCE: f64 = 5.0;
 /// A submission out for this many mean answer times, while its member answers others, is lost.
 const LOST: f64 = 8.0;
+/// So many late answers mean nothing yet.
+const THROTTLE_SLACK: f64 = 2.0;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
 const WRITER_DEARER: f64 = 2.0;
 /// Half of a member's slowness is forgotten in this time without answers.
@@ -63,6 +65,8 @@
         router.typical = router.types.iter().map(|t| t.sla.as_secs_f64() / 4.0).collect();
         router.usual = router.types.iter().map(|t| t.sla.as_secs_f64() / 2.0).collect();
         (router.first, router.again) = (Ring::new(RESEND_SPAN, 10), Ring::new(RESEND_SPAN, 10));
+        router.ended = vec![router.first.clone(); router.types.len()];
+        router.in_time = router.ended.clone();
         router
     }
 
@@ -187,7 +191,6 @@
             self.members[member].last_answer = now;
         }
         self.heard(now, member, role, position, true);
-        self.told_positions |= role == Some(Role::Replica) && position.is_some();
         if ending == Ending::Committed
             && self.types[kind].level == Level::Write
             && let (Some(key), Some(at)) = (session, position)
@@ -231,10 +234,6 @@
             if self.siblings > 1 && told.role.is_some() && told.position.is_some() {
                 host.tell(member, told);
             }
-            if let (Some(Role::Primary), Some(at)) = (told.role, told.position) {
-                let group = self.members[member].group;
-                self.groups[group].reported = self.groups[group].reported.max(at);
-            }
         } else if end != Ending::Full {
             // A full probe desk says that the member is busy, not that it is gone.
             m.probe_failures += 1;
@@ -302,6 +301,10 @@
             *usual += 0.02 * (secs - *usual);
         }
         let usual = Duration::from_secs_f64(*usual);
+        self.in_time[kind].add(now, f64::from(ending == Ending::Committed && secs <= sla));
+        if !matches!(ending, Ending::Unreachable | Ending::Moot | Ending::Misplaced) {
+            self.ended[kind].add(now, 1.0);
+        }
         let least = self.part(ROOM_LEAST);
         let m = &mut self.members[member];
         // A quick error must not look like low load: it counts as an answer at the SLA time.
@@ -333,22 +336,16 @@
                 m.fulls = (m.fulls + 1).min(8);
                 m.shunned = m.shunned.max(now + SHUN_FIRST / 8 * 2u32.pow(m.fulls.min(4)));
             }
-            // A time-out is the client's end of patience; whether the member is at fault, `hush` tells.
-            Ending::Misplaced | Ending::Cancelled | Ending::Moot | Ending::TimedOut => {}
-            // Errors weigh as late answers; only a refused or broken connection shuns.
-            Ending::Errored => {}
             Ending::Unreachable | Ending::Dropped => {
                 m.failures += 1;
                 m.shunned = now + shun_for(m.failures - 1);
             }
+            // A time-out is the client's end of patience, an error weighs as a late answer: neither shuns.
+            _ => {}
         }
         // A failed submission to the writer empties the slot; only a claim made after this fills it again.
-        let lost = match ending {
-            Ending::Misplaced => self.types[kind].level == Level::Write,
-            Ending::Unreachable | Ending::Dropped => true,
-            _ => false,
-        };
-        if lost {
+        let astray = ending == Ending::Misplaced && self.types[kind].level == Level::Write;
+        if astray || matches!(ending, Ending::Unreachable | Ending::Dropped) {
             self.doubt(now, member);
         }
     }
@@ -451,6 +448,7 @@
             self.groups[group].touched = false;
             while self.hush(now, group, host)
                 || self.fill_slot(group)
+                || self.throttle(now, group, host)
                 || self.ask(now, group)
                 || self.probe_due(now, group, host)
                 || self.give_up(now, group, host)
@@ -590,6 +588,27 @@
         due.is_some()
     }
 
+    /// A txn is declined at random before it is ever sent while too few submissions of its type are answered in
+    /// time: what is let through stays under so many times what was in time of late, more for more value per work.
+    /// Meets overload, storms of later tries, reads that crowd the writers: whatever many fronts cannot see at
+    /// a member. Harms where a share of the members is lost for good and the rest has room.
+    fn throttle(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
+        let Some(&txn) = self.groups[group].held.iter().find(|&&t| !self.txn(t).weighed) else {
+            return false;
+        };
+        self.txn_mut(txn).weighed = true;
+        let kind = self.txn(txn).kind;
+        let dense: Vec<f64> = self.types.iter().zip(&self.typical).map(|(t, work)| t.value / work).collect();
+        let leeway = 1.0 + dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max);
+        let (ended, in_time) = (self.ended[kind].sum(now), self.in_time[kind].sum(now));
+        if self.rng.rand_float() < (ended - leeway * in_time - THROTTLE_SLACK) / (ended + 1.0) {
+            self.ended[kind].add(now, 1.0);
+            self.groups[group].held.retain(|&held| held != txn);
+            self.answer(txn, host);
+        }
+        true
+    }
+
     /// A held txn without hope is answered at once.
     fn give_up(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let mut held = std::mem::take(&mut self.groups[group].held);
@@ -636,18 +655,14 @@
         let fit = |w: &usize| self.has_room(*w, 1.0) && self.members[*w].shunned <= now;
         let writer = self.groups[group].writer.filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
-            let write = self.types[kind].level == Level::Write && self.txn(txn).submissions == 0;
-            return self.unheard(now, group).filter(|_| write && writer.is_some()).or(writer);
+            return writer;
         }
-        // A later try that is worth nothing late leaves half of the room to first tries still to come.
-        let spent = self.txn(txn).retried && self.types[kind].late_value == 0.0;
-        let share = if spent { HALF } else { 1.0 };
         let (mut inside, mut known, mut least_behind) = (Vec::new(), false, None);
         for i in 0..self.groups[group].members.len() {
             let m = self.groups[group].members[i];
             // Where members check reads the gate lets all pass; the design still wants them inside the bound.
             let fits = self.reads(now, m) && self.gate(now, txn, m);
-            let room = self.has_room(m, share);
+            let room = self.has_room(m, 1.0);
             if fits && (!self.members_check || self.proven(now, txn, m)) {
                 known = true;
                 inside.extend(room.then_some(m));
@@ -684,21 +699,6 @@
         }
     }
 
-    /// Exception: where answers tell positions and reports come too late to prove any (the writer's own is
-    /// outside the tightest bound), a write calls first at a reader that nothing was heard of for that long.
-    /// A reader turns it away untouched and tells its position. Without it a reader that lost its proof never
-    /// regains it.
-    fn unheard(&self, now: Duration, group: usize) -> Option<usize> {
-        let bound = self.probe_every.unwrap_or_default() * PROBES_PER_BOUND;
-        let g = &self.groups[group];
-        let late = self.told_positions && g.reported + bound < now;
-        g.members.iter().copied().filter(|_| late).find(|&i| {
-            let m = &self.members[i];
-            let silent = m.in_hand.is_empty() && m.last_answer + bound < now && m.shunned <= now;
-            silent && g.writer != Some(i) && !m.stopped && m.probe_failures == 0
-        })
-    }
-
     fn has_room(&self, member: usize, share: f64) -> bool {
         let m = &self.members[member];
         (m.in_hand.len() as f64) < m.room.floor() * share
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -91,8 +91,6 @@
     pub members: Vec<usize>,
     pub held: Vec<usize>,
     pub writer: Option<usize>,
-    /// Date of the newest report of a primary.
-    pub reported: Duration,
     pub touched: bool,
 }
 
@@ -119,6 +117,8 @@
     pub may_have_run: Option<(Duration, usize)>,
     pub over: bool,
     pub held: bool,
+    /// Was let through by the throttle.
+    pub weighed: bool,
 }
 
 impl Txn {
@@ -145,6 +145,7 @@
             may_have_run: None,
             over: false,
             held: true,
+            weighed: false,
         }
     }
 }
@@ -177,8 +178,9 @@
     pub(crate) usual: Vec<f64>,
     /// Work done per warm member in the cold window.
     pub(crate) warm_work: f64,
-    /// Answers of replicas tell positions here.
-    pub(crate) told_positions: bool,
+    /// Submissions ended of late, and those answered in time, by txn type.
+    pub(crate) ended: Vec<Ring>,
+    pub(crate) in_time: Vec<Ring>,
     pub(crate) first: Ring,
     pub(crate) again: Ring,
 }
@@ -207,7 +209,8 @@
             typical: Vec::new(),
             usual: Vec::new(),
             warm_work: 0.0,
-            told_positions: false,
+            ended: Vec::new(),
+            in_time: Vec::new(),
             first: none.clone(),
             again: none,
         }
