--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -13,8 +13,6 @@
 
 /// Probes of a member within the tightest bound: measured from the design's start value of 4 downwards.
 const PROBES_PER_BOUND: u32 = 2;
-/// Probe interval where no txn type bounds its data.
-const IDLE_PROBE: Duration = Duration::from_millis(250);
 /// Polls stay under this share of a front's first submissions; what it needs to know beyond that it asks for.
 const POLLS_PER_TXN: f64 = 0.5;
 /// A read waits so long for a report that may prove a reader.
@@ -25,8 +23,7 @@
 /// Further submissions stay under this share of the first ones, counted over `RESEND_SPAN`.
 const RESEND_SHARE: f64 = 0.1;
 const RESEND_SPAN: Duration = Duration::from_secs(5);
-/// Submissions a member may hold from this front at first, and at least; good answers raise it. Beyond so
-/// many fronts each takes its part, down to one.
+/// Submissions a member may hold from this front at first, and at least; parted beyond so many fronts.
 const ROOM_FIRST: f64 = 4.0;
 const ROOM_LEAST: f64 = 2.0;
 const ROOM_FRONTS: f64 = 5.0;
@@ -34,11 +31,12 @@
 const STRAIN: f64 = 0.25;
 /// Share of the writer's room that reads may use.
 const HALF: f64 = 0.5;
-/// A member is silent when it has held work this many mean answer times without answering anything; with two
-/// or more in hand half of that says as much.
+/// A member is silent that has held work for so many mean answer times, or half as long with two in hand.
 const SILENCE: f64 = 5.0;
 /// A submission out for this many mean answer times, while its member answers others, is lost.
 const LOST: f64 = 8.0;
+/// So many answers a member within `RESEND_SPAN` double what the throttle lets through.
+const HEARD: f64 = 5.0;
 /// So many late answers mean nothing yet.
 const THROTTLE_SLACK: f64 = 2.0;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
@@ -58,7 +56,7 @@
             Level::Bounded(bound) => Some(bound / PROBES_PER_BOUND),
             _ => None,
         });
-        let every = tightest.min().unwrap_or(IDLE_PROBE);
+        let every = tightest.min().unwrap_or(SHUN_FIRST);
         let mut router = Router::blank(Rand64::new(seed as u128), standing, types, cold);
         router.probe_every = Some(every);
         // Guesses until answers tell: the fastest come first, a start from those would be far too low.
@@ -369,9 +367,8 @@
     fn go_on(&mut self, now: Duration, txn: usize, ending: Ending, host: &mut impl Host) {
         let barred = !self.may_run_again(now, self.txn(txn));
         // Submissions that never ran cost the members little; the others stay within a budget.
-        let over_budget =
-            !ending.never_ran() && self.again.sum(now) >= 1.0 + RESEND_SHARE * self.first.sum(now);
-        if barred || over_budget || now >= self.hope(self.txn(txn)) {
+        let spent = self.again.sum(now) >= 1.0 + RESEND_SHARE * self.first.sum(now);
+        if barred || spent && !ending.never_ran() || now >= self.hope(self.txn(txn)) {
             self.answer(txn, host);
         } else {
             if !ending.never_ran() {
@@ -457,10 +454,9 @@
         }
     }
 
-    /// A member that holds submissions and has answered none for some answer times is silent: it is shunned
-    /// and what may run again is called off, to be sent elsewhere. Meets hangs, cut links and stalled
-    /// machines alike; harms when a member answers in bursts far apart, and then costs a further submission
-    /// within the budget.
+    /// A member that holds submissions and has answered none for some answer times is shunned, and what may run
+    /// again is called off, to be sent elsewhere. Meets hangs, cut links and stalled machines alike; harms when
+    /// a member answers in bursts far apart, by a further submission within the budget.
     fn hush(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let mut fired = false;
         for i in 0..self.groups[group].members.len() {
@@ -599,7 +595,10 @@
         self.txn_mut(txn).weighed = true;
         let kind = self.txn(txn).kind;
         let dense: Vec<f64> = self.types.iter().zip(&self.typical).map(|(t, work)| t.value / work).collect();
-        let leeway = 1.0 + dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max);
+        // Where this front hears of each member often, what it knows of the members serves better.
+        let heard = self.in_time.iter_mut().map(|e| e.sum(now)).sum::<f64>() / self.members.len() as f64;
+        let leeway = (0.8 + dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max))
+            * (1.0 + (heard / HEARD).powi(2));
         let (ended, in_time) = (self.ended[kind].sum(now), self.in_time[kind].sum(now));
         if self.rng.rand_float() < (ended - leeway * in_time - THROTTLE_SLACK) / (ended + 1.0) {
             self.ended[kind].add(now, 1.0);
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -454,3 +454,23 @@
     s.report_all(0);
     assert!(first.iter().all(|&txn| s.sends(txn) == [0]) && s.sends(later).is_empty());
 }
+
+#[test]
+fn a_type_that_is_seldom_answered_in_time_is_throttled_for_a_while() {
+    let mut s = Story::running();
+    let declined = |s: &mut Story, took| {
+        let read = s.arrive(LOOSE, 2000);
+        if let Some(&at) = s.sends(read).first() {
+            s.end(read, at, Ending::Committed, took);
+        }
+        s.sends(read).is_empty() && s.did(&Act::Declined(read))
+    };
+    let mut round = |took| {
+        s.now += ms(6000);
+        s.report_all(0);
+        (0..40).filter(|_| declined(&mut s, took)).count()
+    };
+    assert_eq!(round(100), 0);
+    assert!(round(900) > 20);
+    assert_eq!(round(100), 0);
+}
