Share reports only while messages are few beside the txns

The staging incident with 159 fronts and 131 members was cut off: each probe's report went to 158 siblings, 9 million messages by second 33. Telling grows with fronts x members, txns only with fronts.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -15,6 +15,8 @@
 const PROBES_PER_BOUND: u32 = 2;
 /// Polls stay under this share of a front's first submissions; what it needs to know beyond that it asks for.
 const POLLS_PER_TXN: f64 = 0.5;
+/// Fronts share reports while these are no more messages than so many for each txn.
+const TOLD_PER_TXN: f64 = 16.0;
 /// A read waits so long for a report that may prove a reader.
 const REPORT_AWAITED: Duration = Duration::from_millis(40);
 /// A member that fails is left alone this long at first, then twice as long each time, up to the longest.
@@ -229,7 +231,7 @@
             let hint = Some(Role::Primary).filter(|_| m.hinted && m.primary_at.is_none());
             self.heard(now, member, told.role.or(hint), told.position, false);
             // One probe serves all fronts.
-            if self.siblings > 1 && told.role.is_some() && told.position.is_some() {
+            if self.sharers(now) > 1 && told.role.is_some() && told.position.is_some() {
                 host.tell(member, told);
             }
         } else if end != Ending::Full {
@@ -418,8 +420,8 @@
     fn plan_probe(&mut self, now: Duration, member: usize, host: &mut impl Host) {
         let Some(every) = self.probe_every else { return };
         // Polls stay under a share of the txns of those who learn from them; `ask` does the rest.
-        let txns = self.first.sum(now) * self.siblings as f64 / now.min(RESEND_SPAN).as_secs_f64().max(1e-3);
-        let fair = self.members.len() as f64 / (POLLS_PER_TXN * txns.max(1.0));
+        let (rate, sharers) = (self.rate(now), self.sharers(now));
+        let fair = self.members.len() as f64 / (POLLS_PER_TXN * rate * sharers as f64);
         let poll = every.max(Duration::from_secs_f64(fair));
         let m = &self.members[member];
         let g = &self.groups[m.group];
@@ -430,13 +432,24 @@
         };
         // Where siblings tell what they hear, each member has one front that probes it first; the others
         // stand in by turns if they hear nothing.
-        let turn = (m.mark as usize % self.siblings + self.siblings - self.standing.me % self.siblings)
-            % self.siblings;
+        let turn = (m.mark as usize % sharers + sharers - self.standing.me % sharers) % sharers;
         let due = now + pause * (1 + turn as u32);
         self.members[member].probe_due = due;
         host.remind(due, member as u64 * 2 + 2);
     }
 
+    /// First submissions a second at this front, one at the least.
+    fn rate(&mut self, now: Duration) -> f64 {
+        (self.first.sum(now) / now.min(RESEND_SPAN).as_secs_f64().max(1e-3)).max(1.0)
+    }
+
+    /// How many fronts share what they find: all, while the messages that this takes are few beside the txns.
+    fn sharers(&mut self, now: Duration) -> usize {
+        let every = self.probe_every.unwrap_or_default().as_secs_f64();
+        let told = (self.siblings - 1) as f64 * self.members.len() as f64 / every;
+        if told <= TOLD_PER_TXN * self.rate(now) * self.siblings as f64 { self.siblings } else { 1 }
+    }
+
     // ---- rules ----
 
     /// Goes through the ordered rules for each group touched, until none fires.
