Take the sharing of reports out

Since members are asked when a held read needs a proof, telling siblings what probes found gains nothing that can be told from noise, and its messages grow with fronts x members.

--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -20,8 +20,6 @@
     fn probe(&mut self, member: usize);
     /// Asks for a call of `reminder_due` at that time.
     fn remind(&mut self, at: Duration, handle: u64);
-    /// Tells every sibling what a probe of a member found; there it is a call of `sibling_told`.
-    fn tell(&mut self, member: usize, report: Report);
     /// Subscribes to changes of the member list.
     fn listen(&mut self);
 }
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -15,8 +15,6 @@
 const PROBES_PER_BOUND: u32 = 2;
 /// Polls stay under this share of a front's first submissions; what it needs to know beyond that it asks for.
 const POLLS_PER_TXN: f64 = 0.5;
-/// Fronts share reports while these are no more messages than so many for each txn.
-const TOLD_PER_TXN: f64 = 16.0;
 /// A read waits so long for a report that may prove a reader.
 const REPORT_AWAITED: Duration = Duration::from_millis(40);
 /// A member that fails is left alone this long at first, then twice as long each time, up to the longest.
@@ -77,13 +75,11 @@
         host.remind(now + SHUN_FIRST.mul_f64(self.rng.rand_float()), ASK_FOR_LIST);
     }
 
-    /// One entry of the list; `mark` stands for the member at every front, `up_for` is the time since its
-    /// latest start.
+    /// One entry of the list; `up_for` is the time since its latest start.
     pub fn listed(
         &mut self,
         now: Duration,
         member: usize,
-        mark: u32,
         group: usize,
         zone: usize,
         state: Listed,
@@ -95,7 +91,7 @@
             self.members.push(Member::new(now, self.part(ROOM_FIRST), self.cold.window));
         }
         let m = &mut self.members[member];
-        (m.group, m.zone, m.mark) = (group, zone, mark);
+        (m.group, m.zone) = (group, zone);
         if !m.listed {
             m.listed = true; // and not asked by all fronts at once, where many start together
             m.probe_due = now + SHUN_FIRST.mul_f64(self.rng.rand_float());
@@ -230,10 +226,6 @@
             m.barren = if told.position.is_some_and(|p| p + slack > now) { 0 } else { m.barren + 1 };
             let hint = Some(Role::Primary).filter(|_| m.hinted && m.primary_at.is_none());
             self.heard(now, member, told.role.or(hint), told.position, false);
-            // One probe serves all fronts.
-            if self.sharers(now) > 1 && told.role.is_some() && told.position.is_some() {
-                host.tell(member, told);
-            }
         } else if end != Ending::Full {
             // A full probe desk says that the member is busy, not that it is gone.
             m.probe_failures += 1;
@@ -264,17 +256,6 @@
         }
     }
 
-    /// What a sibling's probe found: a role and a position are true whoever heard them. A position from the
-    /// future says nothing here.
-    pub fn sibling_told(&mut self, now: Duration, member: usize, told: Report, host: &mut impl Host) {
-        if told.position.is_some_and(|at| at <= now) {
-            self.heard(now, member, told.role, told.position, false);
-            self.plan_probe(now, member, host);
-            self.touch(self.members[member].group);
-            self.settle(now, host);
-        }
-    }
-
     // ---- facts ----
 
     /// Records a claim of role. A primary stands at the present, so its position dates its claim; an answer
@@ -419,35 +400,18 @@
 
     fn plan_probe(&mut self, now: Duration, member: usize, host: &mut impl Host) {
         let Some(every) = self.probe_every else { return };
-        // Polls stay under a share of the txns of those who learn from them; `ask` does the rest.
-        let (rate, sharers) = (self.rate(now), self.sharers(now));
-        let fair = self.members.len() as f64 / (POLLS_PER_TXN * rate * sharers as f64);
-        let poll = every.max(Duration::from_secs_f64(fair));
+        // Polls stay under a share of the txns; `ask` does the rest.
+        let rate = self.first.sum(now) / now.min(RESEND_SPAN).as_secs_f64().max(1e-3);
+        let poll = Duration::from_secs_f64(self.members.len() as f64 / (POLLS_PER_TXN * rate.max(1.0)));
         let m = &self.members[member];
         let g = &self.groups[m.group];
         let pause = match m.probe_failures {
             0 if g.writer.is_none() && !g.held.is_empty() => every / 2,
-            0 => poll,
+            0 => poll.max(every),
             n => poll.max(every * 2u32.pow(n.min(3))),
         };
-        // Where siblings tell what they hear, each member has one front that probes it first; the others
-        // stand in by turns if they hear nothing.
-        let turn = (m.mark as usize % sharers + sharers - self.standing.me % sharers) % sharers;
-        let due = now + pause * (1 + turn as u32);
-        self.members[member].probe_due = due;
-        host.remind(due, member as u64 * 2 + 2);
-    }
-
-    /// First submissions a second at this front, one at the least.
-    fn rate(&mut self, now: Duration) -> f64 {
-        (self.first.sum(now) / now.min(RESEND_SPAN).as_secs_f64().max(1e-3)).max(1.0)
-    }
-
-    /// How many fronts share what they find: all, while the messages that this takes are few beside the txns.
-    fn sharers(&mut self, now: Duration) -> usize {
-        let every = self.probe_every.unwrap_or_default().as_secs_f64();
-        let told = (self.siblings - 1) as f64 * self.members.len() as f64 / every;
-        if told <= TOLD_PER_TXN * self.rate(now) * self.siblings as f64 { self.siblings } else { 1 }
+        self.members[member].probe_due = now + pause;
+        host.remind(now + pause, member as u64 * 2 + 2);
     }
 
     // ---- rules ----
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -10,8 +10,6 @@
 pub(crate) struct Member {
     pub group: usize,
     pub zone: usize,
-    /// The same at every front.
-    pub mark: u32,
     pub listed: bool,
     /// The list told to send nothing new.
     pub stopped: bool,
@@ -56,7 +54,6 @@
         Member {
             group: 0,
             zone: 0,
-            mark: 0,
             listed: false,
             stopped: true,
             drains: false,
@@ -163,8 +160,6 @@
     /// A member that is gone but was never seen draining may still be used.
     pub(crate) gone_is_advice: bool,
     pub(crate) come_back_most: Option<Duration>,
-    /// How many fronts tell each other what their probes find, this one among them.
-    pub(crate) siblings: usize,
     pub(crate) probe_every: Option<Duration>,
     pub(crate) members: Vec<Member>,
     pub(crate) groups: Vec<Group>,
@@ -199,7 +194,6 @@
             members_check: false,
             gone_is_advice: false,
             come_back_most: None,
-            siblings: 1,
             probe_every: None,
             members: Vec::new(),
             groups: Vec::new(),
@@ -234,11 +228,6 @@
         self.come_back_most = Some(longest);
     }
 
-    /// Fronts can tell each other things.
-    pub fn allow_telling(&mut self) {
-        self.siblings = self.standing.fronts.max(1);
-    }
-
     /// Members hold or turn away reads that they are too far behind for.
     pub fn members_check_reads(&mut self) {
         self.members_check = true;
