Weigh each group's own answers in the throttle

Now a group's own share of answers in time, reads and writes apart, is shrunk to that of the type. In time means within 0.7 of the SLA time, so that queues end before it.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -37,8 +37,10 @@
 const LOST: f64 = 8.0;
 /// So many answers a member within `RESEND_SPAN` double what the throttle lets through.
 const HEARD: f64 = 5.0;
-/// So many late answers mean nothing yet.
-const THROTTLE_SLACK: f64 = 2.0;
+/// What the throttle takes as in time, as a share of the SLA time: queues are to end before it.
+const IN_TIME: f64 = 0.7;
+/// The throttle counts so many answers beforehand: of a type as in time, of a group as its type.
+const PRIOR: f64 = 3.0;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
 const WRITER_DEARER: f64 = 2.0;
 /// Half of a member's slowness is forgotten in this time without answers.
@@ -65,6 +67,7 @@
         (router.first, router.again) = (Ring::new(RESEND_SPAN, 10), Ring::new(RESEND_SPAN, 10));
         router.ended = vec![router.first.clone(); router.types.len()];
         router.in_time = router.ended.clone();
+        router.blank = Ring::new(2 * RESEND_SPAN, 10);
         router
     }
 
@@ -282,9 +285,12 @@
             *usual += 0.02 * (secs - *usual);
         }
         let usual = Duration::from_secs_f64(*usual);
-        self.in_time[kind].add(now, f64::from(ending == Ending::Committed && secs <= sla));
+        let g = &mut self.groups[self.members[member].group];
         if !matches!(ending, Ending::Unreachable | Ending::Moot | Ending::Misplaced) {
-            self.ended[kind].add(now, 1.0);
+            let in_time = f64::from(ending == Ending::Committed && secs <= IN_TIME * sla);
+            let write = usize::from(self.types[kind].level == Level::Write);
+            [&mut self.ended[kind], &mut g.ended[write]].into_iter().for_each(|r| r.add(now, 1.0));
+            [&mut self.in_time[kind], &mut g.in_time[write]].into_iter().for_each(|r| r.add(now, in_time));
         }
         let least = self.part(ROOM_LEAST);
         let m = &mut self.members[member];
@@ -561,10 +567,10 @@
         due.is_some()
     }
 
-    /// A txn is declined at random before it is ever sent while too few submissions of its type are answered in
-    /// time: what is let through stays under so many times what was in time of late, more for more value per work.
-    /// Meets overload, storms of later tries, reads that crowd the writers: whatever many fronts cannot see at
-    /// a member. Harms where a share of the members is lost for good and the rest has room.
+    /// A txn is declined at random before it is ever sent while too few submissions are answered in time, of its
+    /// type anywhere, then as far as known in its group: what is let through stays under so many times what was in
+    /// time of late, more for more value per work. Meets overload, storms of later tries, reads that crowd writers:
+    /// what many fronts cannot see at a member. Harms where members are lost for good and the rest has room.
     fn throttle(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let Some(&txn) = self.groups[group].held.iter().find(|&&t| !self.txn(t).weighed) else {
             return false;
@@ -574,11 +580,15 @@
         let dense: Vec<f64> = self.types.iter().zip(&self.typical).map(|(t, work)| t.value / work).collect();
         // Where this front hears of each member often, what it knows of the members serves better.
         let heard = self.in_time.iter_mut().map(|e| e.sum(now)).sum::<f64>() / self.members.len() as f64;
-        let leeway = (0.8 + dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max))
+        let leeway = (1.0 + dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max))
             * (1.0 + (heard / HEARD).powi(2));
         let (ended, in_time) = (self.ended[kind].sum(now), self.in_time[kind].sum(now));
-        if self.rng.rand_float() < (ended - leeway * in_time - THROTTLE_SLACK) / (ended + 1.0) {
+        let share = (in_time + PRIOR) / (ended + PRIOR);
+        let (g, write) = (&mut self.groups[group], usize::from(self.types[kind].level == Level::Write));
+        let share = (g.in_time[write].sum(now) + PRIOR * share) / (g.ended[write].sum(now) + PRIOR);
+        if self.rng.rand_float() >= leeway * share {
             self.ended[kind].add(now, 1.0);
+            self.groups[group].ended[write].add(now, 1.0);
             self.groups[group].held.retain(|&held| held != txn);
             self.answer(txn, host);
         }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -83,11 +83,14 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Group {
     pub members: Vec<usize>,
     pub held: Vec<usize>,
     pub writer: Option<usize>,
+    /// Submissions ended of late, and those answered in time: reads and writes.
+    pub ended: [Ring; 2],
+    pub in_time: [Ring; 2],
     pub touched: bool,
 }
 
@@ -176,6 +179,8 @@
     /// Submissions ended of late, and those answered in time, by txn type.
     pub(crate) ended: Vec<Ring>,
     pub(crate) in_time: Vec<Ring>,
+    /// What a new group counts in.
+    pub(crate) blank: Ring,
     pub(crate) first: Ring,
     pub(crate) again: Ring,
 }
@@ -205,6 +210,7 @@
             warm_work: 0.0,
             ended: Vec::new(),
             in_time: Vec::new(),
+            blank: none.clone(),
             first: none.clone(),
             again: none,
         }
@@ -239,7 +245,15 @@
     }
 
     pub(crate) fn make_place(&mut self, group: usize, txn: usize) {
-        self.groups.resize_with(self.groups.len().max(group + 1), Group::default);
+        let none = &self.blank;
+        self.groups.resize_with(self.groups.len().max(group + 1), || Group {
+            members: Vec::new(),
+            held: Vec::new(),
+            writer: None,
+            ended: [none.clone(), none.clone()],
+            in_time: [none.clone(), none.clone()],
+            touched: false,
+        });
         self.txns.resize_with(self.txns.len().max(txn + 1), || None);
     }
 
