--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -36,11 +36,11 @@
 /// A submission out for this many mean answer times, while its member answers others, is lost.
 const LOST: f64 = 8.0;
 /// So many answers a member within `RESEND_SPAN` double what the throttle lets through.
-const HEARD: f64 = 5.0;
+const HEARD: f64 = 2.5;
 /// What the throttle takes as in time, as a share of the SLA time: queues are to end before it.
 const IN_TIME: f64 = 0.7;
 /// The throttle counts so many answers beforehand: of a type as in time, of a group as its type.
-const PRIOR: f64 = 3.0;
+const PRIOR: f64 = 2.0;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
 const WRITER_DEARER: f64 = 2.0;
 /// Half of a member's slowness is forgotten in this time without answers.
@@ -65,9 +65,9 @@
         router.typical = router.types.iter().map(|t| t.sla.as_secs_f64() / 4.0).collect();
         router.usual = router.types.iter().map(|t| t.sla.as_secs_f64() / 2.0).collect();
         (router.first, router.again) = (Ring::new(RESEND_SPAN, 10), Ring::new(RESEND_SPAN, 10));
-        router.ended = vec![router.first.clone(); router.types.len()];
+        router.ended = vec![Ring::new(RESEND_SPAN / 2, 10); router.types.len()];
         router.in_time = router.ended.clone();
-        router.blank = Ring::new(2 * RESEND_SPAN, 10);
+        router.blank = Ring::new(RESEND_SPAN, 10);
         router
     }
 
