--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -580,7 +580,7 @@
         let dense: Vec<f64> = self.types.iter().zip(&self.typical).map(|(t, work)| t.value / work).collect();
         // Where this front hears of each member often, what it knows of the members serves better.
         let heard = self.in_time.iter_mut().map(|e| e.sum(now)).sum::<f64>() / self.members.len() as f64;
-        let leeway = (1.0 + dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max))
+        let leeway = (0.9 + dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max))
             * (1.0 + (heard / HEARD).powi(2));
         let (ended, in_time) = (self.ended[kind].sum(now), self.in_time[kind].sum(now));
         let share = (in_time + PRIOR) / (ended + PRIOR);
