--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -39,6 +39,8 @@
 const HEARD: f64 = 2.5;
 /// What the throttle takes as in time, as a share of the SLA time: queues are to end before it.
 const IN_TIME: f64 = 0.7;
+/// How many times what was in time is let through of the least valuable type; the most valuable has one more.
+const LEEWAY: f64 = 0.9;
 /// The throttle counts so many answers beforehand: of a type as in time, of a group as its type.
 const PRIOR: f64 = 2.0;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
@@ -580,8 +582,8 @@
         let dense: Vec<f64> = self.types.iter().zip(&self.typical).map(|(t, work)| t.value / work).collect();
         // Where this front hears of each member often, what it knows of the members serves better.
         let heard = self.in_time.iter_mut().map(|e| e.sum(now)).sum::<f64>() / self.members.len() as f64;
-        let leeway = (0.9 + dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max))
-            * (1.0 + (heard / HEARD).powi(2));
+        let dearer = dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max);
+        let leeway = (LEEWAY + dearer).max(1.0) * (1.0 + (heard / HEARD).powi(2));
         let (ended, in_time) = (self.ended[kind].sum(now), self.in_time[kind].sum(now));
         let share = (in_time + PRIOR) / (ended + PRIOR);
         let (g, write) = (&mut self.groups[group], usize::from(self.types[kind].level == Level::Write));
