Open the throttle once answers are in time, and count none for clients that left

They now count in full only while more than one answer in eight is late. An answer whose client had left is not in time: a storm of leaving clients looked well served.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -7,7 +7,7 @@
 use crate::host::{ColdStart, Effect, Ending, Host, Level, Listed, Report, Role, Scope, Standing, TxnType};
 use crate::ring::Ring;
 pub use crate::state::Router;
-use crate::state::{Member, Submission, Txn};
+use crate::state::{Member, Submission, Tally, Txn};
 use oorandom::Rand64;
 use std::time::Duration;
 
@@ -41,6 +41,8 @@
 const IN_TIME: f64 = 0.7;
 /// How many times what was in time is let through of the least valuable type; the most valuable has one more.
 const LEEWAY: f64 = 0.9;
+/// Declined txns count in full in the throttle when one in so many answers is late, else less.
+const SHUT: f64 = 8.0;
 /// The throttle counts so many answers beforehand: of a type as in time, of a group as its type.
 const PRIOR: f64 = 2.0;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
@@ -67,9 +69,8 @@
         router.typical = router.types.iter().map(|t| t.sla.as_secs_f64() / 4.0).collect();
         router.usual = router.types.iter().map(|t| t.sla.as_secs_f64() / 2.0).collect();
         (router.first, router.again) = (Ring::new(RESEND_SPAN, 10), Ring::new(RESEND_SPAN, 10));
-        router.ended = vec![Ring::new(RESEND_SPAN / 2, 10); router.types.len()];
-        router.in_time = router.ended.clone();
-        router.blank = Ring::new(RESEND_SPAN, 10);
+        router.tallies = vec![Tally::new(RESEND_SPAN / 2); router.types.len()];
+        router.blank = Tally::new(RESEND_SPAN);
         router
     }
 
@@ -176,6 +177,7 @@
     ) {
         let Some(Some(t)) = self.txns.get_mut(txn) else { return };
         let out = t.out.take();
+        let left = t.over;
         t.over |= over;
         let (kind, group, session) = (t.kind, t.group, t.session);
         if let Some(out) = out
@@ -203,6 +205,16 @@
         if !lost || ending == Ending::Committed {
             self.judge(now, member, kind, ending, took);
         }
+        if !matches!(ending, Ending::Unreachable | Ending::Moot | Ending::Misplaced) {
+            let TxnType { sla, level, .. } = self.types[kind];
+            // Of use only to a client that is still there.
+            let in_time = ending == Ending::Committed && !left && took <= sla.mul_f64(IN_TIME);
+            let write = usize::from(level == Level::Write);
+            for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[write]] {
+                tally.ended.add(now, 1.0);
+                tally.in_time.add(now, f64::from(in_time));
+            }
+        }
         self.touch(group);
         if self.txn(txn).over {
             self.txns[txn] = None;
@@ -287,13 +299,6 @@
             *usual += 0.02 * (secs - *usual);
         }
         let usual = Duration::from_secs_f64(*usual);
-        let g = &mut self.groups[self.members[member].group];
-        if !matches!(ending, Ending::Unreachable | Ending::Moot | Ending::Misplaced) {
-            let in_time = f64::from(ending == Ending::Committed && secs <= IN_TIME * sla);
-            let write = usize::from(self.types[kind].level == Level::Write);
-            [&mut self.ended[kind], &mut g.ended[write]].into_iter().for_each(|r| r.add(now, 1.0));
-            [&mut self.in_time[kind], &mut g.in_time[write]].into_iter().for_each(|r| r.add(now, in_time));
-        }
         let least = self.part(ROOM_LEAST);
         let m = &mut self.members[member];
         // A quick error must not look like low load: it counts as an answer at the SLA time.
@@ -581,16 +586,22 @@
         let kind = self.txn(txn).kind;
         let dense: Vec<f64> = self.types.iter().zip(&self.typical).map(|(t, work)| t.value / work).collect();
         // Where this front hears of each member often, what it knows of the members serves better.
-        let heard = self.in_time.iter_mut().map(|e| e.sum(now)).sum::<f64>() / self.members.len() as f64;
+        let heard =
+            self.tallies.iter_mut().map(|t| t.in_time.sum(now)).sum::<f64>() / self.members.len() as f64;
         let dearer = dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max);
         let leeway = (LEEWAY + dearer).max(1.0) * (1.0 + (heard / HEARD).powi(2));
-        let (ended, in_time) = (self.ended[kind].sum(now), self.in_time[kind].sum(now));
-        let share = (in_time + PRIOR) / (ended + PRIOR);
-        let (g, write) = (&mut self.groups[group], usize::from(self.types[kind].level == Level::Write));
-        let share = (g.in_time[write].sum(now) + PRIOR * share) / (g.ended[write].sum(now) + PRIOR);
+        let (mut sound, mut share) = (1.0, 1.0);
+        let write = usize::from(self.types[kind].level == Level::Write);
+        for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[write]] {
+            let (ended, in_time) = (tally.ended.sum(now) + PRIOR, tally.in_time.sum(now));
+            sound = (in_time + PRIOR * sound) / ended;
+            // What was declined counts while answers are late; once they are in time the throttle opens.
+            let shut = (SHUT * (1.0 - sound)).min(1.0);
+            share = (in_time + PRIOR * share) / (ended + shut * tally.declined.sum(now));
+        }
         if self.rng.rand_float() >= leeway * share {
-            self.ended[kind].add(now, 1.0);
-            self.groups[group].ended[write].add(now, 1.0);
+            self.tallies[kind].declined.add(now, 1.0);
+            self.groups[group].tallies[write].declined.add(now, 1.0);
             self.groups[group].held.retain(|&held| held != txn);
             self.answer(txn, host);
         }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -83,14 +83,28 @@
     }
 }
 
+/// Submissions ended of late, those answered in time, and txns declined instead.
+#[derive(Clone, Debug)]
+pub(crate) struct Tally {
+    pub ended: Ring,
+    pub in_time: Ring,
+    pub declined: Ring,
+}
+
+impl Tally {
+    pub fn new(span: Duration) -> Self {
+        let ring = Ring::new(span, 10);
+        Tally { ended: ring.clone(), in_time: ring.clone(), declined: ring }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Group {
     pub members: Vec<usize>,
     pub held: Vec<usize>,
     pub writer: Option<usize>,
-    /// Submissions ended of late, and those answered in time: reads and writes.
-    pub ended: [Ring; 2],
-    pub in_time: [Ring; 2],
+    /// Of reads and of writes.
+    pub tallies: [Tally; 2],
     pub touched: bool,
 }
 
@@ -176,11 +190,10 @@
     pub(crate) usual: Vec<f64>,
     /// Work done per warm member in the cold window.
     pub(crate) warm_work: f64,
-    /// Submissions ended of late, and those answered in time, by txn type.
-    pub(crate) ended: Vec<Ring>,
-    pub(crate) in_time: Vec<Ring>,
+    /// By txn type.
+    pub(crate) tallies: Vec<Tally>,
     /// What a new group counts in.
-    pub(crate) blank: Ring,
+    pub(crate) blank: Tally,
     pub(crate) first: Ring,
     pub(crate) again: Ring,
 }
@@ -208,9 +221,8 @@
             typical: Vec::new(),
             usual: Vec::new(),
             warm_work: 0.0,
-            ended: Vec::new(),
-            in_time: Vec::new(),
-            blank: none.clone(),
+            tallies: Vec::new(),
+            blank: Tally::new(Duration::ZERO),
             first: none.clone(),
             again: none,
         }
@@ -250,8 +262,7 @@
             members: Vec::new(),
             held: Vec::new(),
             writer: None,
-            ended: [none.clone(), none.clone()],
-            in_time: [none.clone(), none.clone()],
+            tallies: [none.clone(), none.clone()],
             touched: false,
         });
         self.txns.resize_with(self.txns.len().max(txn + 1), || None);
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -474,3 +474,28 @@
     }
     assert!(sent[0] * 2 < sent[1], "{sent:?}");
 }
+
+#[test]
+fn answers_after_their_clients_left_throttle_and_good_ones_open_again() {
+    let mut s = Story::running();
+    let mut round = |leave: bool| {
+        let mut sent = 0;
+        for _ in 0..60 {
+            s.now += ms(40);
+            s.report_all(0);
+            let read = s.arrive(LOOSE, 2000);
+            let Some(&at) = s.sends(read).first() else { continue };
+            sent += 1;
+            if leave {
+                s.router.client_left(s.now, read, &mut s.host);
+            }
+            s.end(read, at, Ending::Committed, 50);
+        }
+        sent
+    };
+    assert_eq!(round(false), 60);
+    (0..3).for_each(|_| _ = round(true));
+    assert!(round(true) < 30);
+    (0..3).for_each(|_| _ = round(false));
+    assert!(round(false) > 50);
+}
