Try a failed member by a probe before a txn

After a failure the member is probed at once and costs eight times more until it has answered. Also holds against hangs and crashes; harms where probes fail and txns would not.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -1,8 +1,8 @@
 //! All decisions of the router.
 //!
-//! The host (see [`crate::host`] for the interface) builds one [`Router`] per instance and calls one method
-//! per input; each records the facts, then the ordered rules in `settle` run over the groups it touched until
-//! none fires. Sends leave through `submit` alone, and only if `gate` lets them pass.
+//! The host ([`crate::host`] is the interface) builds one [`Router`] per instance and calls one method per input;
+//! each records the facts, then the ordered rules in `settle` run over the groups touched until none fires.
+//! Sends leave through `submit` alone, and only if `gate` lets them pass.
 
 use crate::host::{ColdStart, Effect, Ending, Host, Level, Listed, Report, Role, Scope, Standing, TxnType};
 use crate::ring::Ring;
@@ -47,6 +47,8 @@
 const PRIOR: f64 = 2.0;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
 const WRITER_DEARER: f64 = 2.0;
+/// A member that failed costs so many times more until it has answered a probe or a txn.
+const DOWN_DEARER: f64 = 8.0;
 /// Half of a member's slowness is forgotten in this time without answers.
 const SLOW_FORGOTTEN: Duration = Duration::from_secs(1);
 /// Reminder handles: this one, even ones for members, odd ones for txns.
@@ -74,8 +76,6 @@
         router
     }
 
-    // ---- inputs ----
-
     /// The list has to be asked for, at the start or again; not at once, lest all ask together.
     pub fn list_lost(&mut self, now: Duration, host: &mut impl Host) {
         host.remind(now + SHUN_FIRST.mul_f64(self.rng.rand_float()), ASK_FOR_LIST);
@@ -273,8 +273,6 @@
         }
     }
 
-    // ---- facts ----
-
     /// Records a claim of role. A primary stands at the present, so its position dates its claim; an answer
     /// is as new as now. A replica's report is at least as new as its position.
     fn heard(&mut self, now: Duration, m: usize, role: Option<Role>, at: Option<Duration>, answer: bool) {
@@ -294,7 +292,7 @@
         let work = self.typical[kind];
         let secs = took.as_secs_f64();
         let usual = &mut self.usual[kind];
-        // What was called off took at least this long: leaving it out would make patience ever shorter.
+        // What was called off took at least so long.
         if ending == Ending::Committed || !ending.never_ran() && secs > *usual {
             *usual += 0.02 * (secs - *usual);
         }
@@ -317,7 +315,7 @@
         }
         match ending {
             Ending::Committed => {
-                (m.failures, m.fulls) = (0, 0);
+                (m.failures, m.fulls, m.probe_failures) = (0, 0, 0);
                 m.shunned = Duration::ZERO;
                 m.done.add(now, work);
                 let typical = &mut self.typical[kind];
@@ -331,8 +329,9 @@
                 m.shunned = m.shunned.max(now + SHUN_FIRST / 8 * 2u32.pow(m.fulls.min(4)));
             }
             Ending::Unreachable | Ending::Dropped => {
+                m.shunned = now + shun_for(m.failures);
                 m.failures += 1;
-                m.shunned = now + shun_for(m.failures - 1);
+                (m.probe_failures, m.probe_due) = (m.probe_failures.max(1), now);
             }
             // A time-out is the client's end of patience, an error weighs as a late answer: neither shuns.
             _ => {}
@@ -421,7 +420,7 @@
         let pause = match m.probe_failures {
             0 if g.writer.is_none() && !g.held.is_empty() => every / 2,
             0 => poll.max(every),
-            n => poll.max(every * 2u32.pow(n.min(3))),
+            n => every * 2u32.pow(n.min(5)),
         };
         self.members[member].probe_due = now + pause;
         host.remind(now + pause, member as u64 * 2 + 2);
@@ -466,6 +465,7 @@
             let m = &mut self.members[member];
             (m.hushed, m.failures, m.room) = (now, m.failures + 1, least);
             m.shunned = now + shun_for(m.failures);
+            (m.probe_failures, m.probe_due) = (m.probe_failures.max(1), now);
             self.doubt(now, member);
             for &txn in &self.members[member].in_hand {
                 let t = self.txn(txn);
@@ -477,10 +477,9 @@
         fired
     }
 
-    /// A submission out far longer than its like, at a member that answers others, is lost: it takes no more
-    /// room, and is called off if it may run again. Meets links and members that swallow a share of what they
-    /// get; harms when answer times spread wider than LOST allows for, by a further submission within the
-    /// budget.
+    /// A submission out far longer than its like, at a member that answers others, is lost: it takes no room, and
+    /// is called off if it may run again. Meets links and members that swallow a share of what they get; harms
+    /// when answer times spread wider than LOST allows for, by a further submission within the budget.
     fn strike_lost(&mut self, now: Duration, member: usize, host: &mut impl Host) -> bool {
         let mut in_hand = std::mem::take(&mut self.members[member].in_hand);
         let before = in_hand.len();
@@ -545,7 +544,6 @@
         !asked.is_empty()
     }
 
-    /// Whether it is a reader in good standing.
     fn reads(&self, now: Duration, member: usize) -> bool {
         let m = &self.members[member];
         self.groups[m.group].writer != Some(member) && m.shunned <= now && !m.stopped
@@ -574,10 +572,10 @@
         due.is_some()
     }
 
-    /// A txn is declined at random before it is ever sent while too few submissions are answered in time, of its
-    /// type anywhere, then as far as known in its group: what is let through stays under so many times what was in
-    /// time of late, more for more value per work. Meets overload, storms of later tries, reads that crowd writers:
-    /// what many fronts cannot see at a member. Harms where members are lost for good and the rest has room.
+    /// A txn is declined at random before it is ever sent while too few are answered in time, of its type anywhere
+    /// and, as far as known, in its group: what is let through stays under so many times what was in time of late.
+    /// Meets overload, storms of later tries, reads that crowd writers: what many fronts cannot see at a member.
+    /// Harms where members are lost for good and the rest has room.
     fn throttle(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let Some(&txn) = self.groups[group].held.iter().find(|&&t| !self.txn(t).weighed) else {
             return false;
@@ -669,8 +667,7 @@
                 least_behind = least_behind.max(Some((self.members[m].position, m)));
             }
         }
-        // Exception: reads spill to the writer while the reader drawn costs twice as much, or none has room
-        // left; half of the writer's room stays with the writes.
+        // Exception: reads spill into half of the writer's room while the reader drawn costs twice as much.
         let spare = writer.filter(|&w| self.has_room(w, HALF));
         let shortest = self.typical.iter().copied().fold(f64::MAX, f64::min);
         let bounded = matches!(self.types[kind].level, Level::Bounded(_));
@@ -703,14 +700,15 @@
         (m.in_hand.len() as f64) < m.room.floor() * share
     }
 
-    /// What a further submission to the member would wait for, on a scale of this front's own. Slowness is
-    /// forgotten by and by where nothing is sent, so that a member passed over gets its trial.
+    /// What a further submission would wait for; slowness is forgotten by and by, so that all get their trial.
     fn cost(&self, now: Duration, member: usize) -> f64 {
         let m = &self.members[member];
         let age = now.saturating_sub(m.last_answer).as_secs_f64();
         let slow = 1.0 + (m.slow - 1.0) / (1.0 + age / SLOW_FORGOTTEN.as_secs_f64());
         let afar = if m.zone == self.standing.zone { 1.0 } else { 1.1 };
-        (m.in_hand.len() + 1) as f64 * slow * afar
+        // After a failure a probe is its trial, not a txn, while another member will do.
+        let down = if m.probe_failures > 0 { DOWN_DEARER } else { 1.0 };
+        (m.in_hand.len() + 1) as f64 * slow * afar * down
     }
 
     /// Whether the member's data is proven recent enough for the read.
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -499,3 +499,25 @@
     (0..3).for_each(|_| _ = round(false));
     assert!(round(false) > 50);
 }
+
+#[test]
+fn a_failed_member_is_tried_by_a_probe_before_a_txn() {
+    let mut s = Story::running();
+    let read = s.arrive(LOOSE, 3000);
+    let failed = s.sends(read)[0];
+    s.host.0.clear();
+    s.end(read, failed, Ending::Unreachable, 250);
+    assert!(s.did(&Act::Probed(failed)));
+    let other = 3 - failed;
+    for _ in 0..4 {
+        s.now += ms(4000);
+        s.report(0, Role::Primary, s.now);
+        let read = s.arrive(LOOSE, 3000);
+        assert_eq!(s.sends(read), [other], "its shunning is long over");
+        s.end(read, other, Ending::Committed, 50);
+    }
+    s.report_all(0);
+    s.list(other, Listed::Draining, None);
+    let read = s.arrive(LOOSE, 3000);
+    assert_eq!(s.sends(read), [failed]);
+}
