--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -509,6 +509,7 @@
     s.end(read, failed, Ending::Unreachable, 250);
     assert!(s.did(&Act::Probed(failed)));
     let other = 3 - failed;
+    s.end(read, other, Ending::Committed, 50);
     for _ in 0..4 {
         s.now += ms(4000);
         s.report(0, Role::Primary, s.now);
