--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -509,13 +509,13 @@
     s.end(read, failed, Ending::Unreachable, 250);
     assert!(s.did(&Act::Probed(failed)));
     let other = 3 - failed;
-    s.end(read, other, Ending::Committed, 50);
+    s.end(read, other, Ending::Committed, 150);
     for _ in 0..4 {
         s.now += ms(4000);
         s.report(0, Role::Primary, s.now);
         let read = s.arrive(LOOSE, 3000);
         assert_eq!(s.sends(read), [other], "its shunning is long over");
-        s.end(read, other, Ending::Committed, 50);
+        s.end(read, other, Ending::Committed, 150);
     }
     s.report_all(0);
     s.list(other, Listed::Draining, None);
