Remember slowness for as long as txns for one member are apart

A front that sends a member a txn every few seconds forgot its slowness in one, before it could act on it. Half of it is now forgotten in twice the time between txns for one member, a second at least.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -414,7 +414,8 @@
         let Some(every) = self.probe_every else { return };
         // Polls stay under a share of the txns; `ask` does the rest.
         let rate = self.first.sum(now) / now.min(RESEND_SPAN).as_secs_f64().max(1e-3);
-        let poll = Duration::from_secs_f64(self.members.len() as f64 / (POLLS_PER_TXN * rate.max(1.0)));
+        self.apart = Duration::from_secs_f64(self.members.len() as f64 / rate.max(1.0));
+        let poll = self.apart.div_f64(POLLS_PER_TXN);
         let m = &self.members[member];
         let g = &self.groups[m.group];
         let pause = match m.probe_failures {
@@ -549,7 +550,6 @@
         self.groups[m.group].writer != Some(member) && m.shunned <= now && !m.stopped
     }
 
-    /// Whether a reader's report is about to come.
     fn awaits(&self, now: Duration, group: usize) -> bool {
         self.groups[group]
             .members
@@ -704,7 +704,7 @@
     fn cost(&self, now: Duration, member: usize) -> f64 {
         let m = &self.members[member];
         let age = now.saturating_sub(m.last_answer).as_secs_f64();
-        let slow = 1.0 + (m.slow - 1.0) / (1.0 + age / SLOW_FORGOTTEN.as_secs_f64());
+        let slow = 1.0 + (m.slow - 1.0) / (1.0 + age / SLOW_FORGOTTEN.max(2 * self.apart).as_secs_f64());
         let afar = if m.zone == self.standing.zone { 1.0 } else { 1.1 };
         // After a failure a probe is its trial, not a txn, while another member will do.
         let down = if m.probe_failures > 0 { DOWN_DEARER } else { 1.0 };
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -178,6 +178,8 @@
     pub(crate) gone_is_advice: bool,
     pub(crate) come_back_most: Option<Duration>,
     pub(crate) probe_every: Option<Duration>,
+    /// Mean time between txns for one member.
+    pub(crate) apart: Duration,
     pub(crate) members: Vec<Member>,
     pub(crate) groups: Vec<Group>,
     pub(crate) txns: Vec<Option<Txn>>,
@@ -213,6 +215,7 @@
             gone_is_advice: false,
             come_back_most: None,
             probe_every: None,
+            apart: Duration::ZERO,
             members: Vec::new(),
             groups: Vec::new(),
             txns: Vec::new(),
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -522,3 +522,18 @@
     let read = s.arrive(LOOSE, 3000);
     assert_eq!(s.sends(read), [failed]);
 }
+
+#[test]
+fn a_front_with_little_traffic_remembers_slowness_between_its_txns() {
+    let mut s = Story::running();
+    let mut to = [0; 3];
+    for _ in 0..120 {
+        s.now += ms(6000);
+        s.report_all(0);
+        let read = s.arrive(LOOSE, 3000);
+        let at = s.sends(read)[0];
+        to[at] += 1;
+        s.end(read, at, Ending::Committed, if at == 1 { 300 } else { 80 });
+    }
+    assert!(to[1] * 3 < to[2], "{to:?}");
+}
