--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -40,7 +40,7 @@
 /// What the throttle takes as in time, as a share of the SLA time: queues are to end before it.
 const IN_TIME: f64 = 0.7;
 /// How many times what was in time is let through of the least valuable type; the most valuable has one more.
-const LEEWAY: f64 = 0.9;
+const LEEWAY: f64 = 0.8;
 /// Declined txns count in full in the throttle when one in so many answers is late, else less.
 const SHUT: f64 = 8.0;
 /// The throttle counts so many answers beforehand: of a type as in time, of a group as its type.
