--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -33,8 +33,6 @@
 const HALF: f64 = 0.5;
 /// A member is silent that has held work for so many mean answer times, or half as long with two in hand.
 const SILENCE: f64 = 5.0;
-/// A submission out for this many mean answer times, while its member answers others, is lost.
-const LOST: f64 = 8.0;
 /// So many answers a member within `RESEND_SPAN` double what the throttle lets through.
 const HEARD: f64 = 2.5;
 /// What the throttle takes as in time, as a share of the SLA time: queues are to end before it.
@@ -194,6 +192,7 @@
             self.members[member].last_answer = now;
         }
         self.heard(now, member, role, position, true);
+        self.told_positions |= role == Some(Role::Replica) && position.is_some();
         if ending == Ending::Committed
             && self.types[kind].level == Level::Write
             && let (Some(key), Some(at)) = (session, position)
@@ -458,7 +457,6 @@
             let slowest = m.in_hand.iter().map(usual).fold(0.0, f64::max) / m.in_hand.len().min(2) as f64;
             let since = now.saturating_sub(sent.max(m.last_answer).max(m.hushed)).as_secs_f64();
             if since <= SILENCE * slowest {
-                fired |= self.strike_lost(now, member, host);
                 continue;
             }
             fired = true;
@@ -478,26 +476,6 @@
         fired
     }
 
-    /// A submission out far longer than its like, at a member that answers others, is lost: it takes no room, and
-    /// is called off if it may run again. Meets links and members that swallow a share of what they get; harms
-    /// when answer times spread wider than LOST allows for, by a further submission within the budget.
-    fn strike_lost(&mut self, now: Duration, member: usize, host: &mut impl Host) -> bool {
-        let mut in_hand = std::mem::take(&mut self.members[member].in_hand);
-        let before = in_hand.len();
-        in_hand.retain(|&txn| {
-            let t = self.txn(txn);
-            let sent = t.out.as_ref().map_or(now, |o| o.at);
-            let lost = (now - sent).as_secs_f64() > LOST * self.usual[t.kind];
-            if lost && self.may_cancel && self.types[t.kind].effect == Effect::Repeatable && !t.over {
-                host.cancel(txn, t.submissions - 1);
-            }
-            !lost
-        });
-        let fired = in_hand.len() < before;
-        self.members[member].in_hand = in_hand;
-        fired
-    }
-
     /// The newest dated claim takes the writer slot; ties go to the highest index. No claim empties it.
     fn fill_slot(&mut self, group: usize) -> bool {
         let claims = self.groups[group].members.iter().filter_map(|&i| {
@@ -652,7 +630,19 @@
         let fit = |w: &usize| self.has_room(*w, 1.0) && self.members[*w].shunned <= now;
         let writer = self.groups[group].writer.filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
-            return writer;
+            // Exception: where answers tell positions and the writer's reports are older than the bound, a write calls
+            // first at a reader as long unheard of: it is turned away untouched, and the reader regains its proof.
+            let bound = self.probe_every.unwrap_or_default() * PROBES_PER_BOUND;
+            let late = writer.is_some_and(|w| self.members[w].barren > 0) && self.told_positions;
+            let calls = late && self.types[kind].level == Level::Write && self.txn(txn).submissions == 0;
+            let unheard = self.groups[group].members.iter().copied().filter(|_| calls).find(|&i| {
+                let m = &self.members[i];
+                m.in_hand.is_empty()
+                    && m.last_answer + bound < now
+                    && m.probe_failures == 0
+                    && self.reads(now, i)
+            });
+            return unheard.or(writer);
         }
         let (mut inside, mut known, mut least_behind) = (Vec::new(), false, None);
         for i in 0..self.groups[group].members.len() {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -192,6 +192,8 @@
     pub(crate) usual: Vec<f64>,
     /// Work done per warm member in the cold window.
     pub(crate) warm_work: f64,
+    /// Answers of replicas tell positions here.
+    pub(crate) told_positions: bool,
     /// By txn type.
     pub(crate) tallies: Vec<Tally>,
     /// What a new group counts in.
@@ -224,6 +226,7 @@
             typical: Vec::new(),
             usual: Vec::new(),
             warm_work: 0.0,
+            told_positions: false,
             tallies: Vec::new(),
             blank: Tally::new(Duration::ZERO),
             first: none.clone(),
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -261,6 +261,10 @@
 #[test]
 fn a_full_writer_is_left_alone_for_a_while() {
     let mut s = Story::running();
+    for _ in 0..8 {
+        let write = s.arrive(ONCE, 2000);
+        s.end(write, 0, Ending::Committed, 50);
+    }
     let first = s.arrive(ONCE, 2000);
     s.end(first, 0, Ending::Full, 1);
     let second = s.arrive(ONCE, 2000);
@@ -346,27 +350,6 @@
     assert!(s.sends(old).is_empty(), "the oldest waits for room");
 }
 
-#[test]
-fn submissions_lost_on_the_way_take_no_room() {
-    let mut s = Story::running();
-    let mut swallowed: Vec<usize> = (0..3).map(|_| s.arrive(ONCE, 9000)).collect();
-    swallowed.push(s.arrive(LOOSE, 9000));
-    let at = s.sends(swallowed[3])[0];
-    for _ in 0..60 {
-        for (kind, member) in [(ONCE, 0), (LOOSE, at)] {
-            let txn = s.arrive(kind, 3000);
-            s.now += ms(30);
-            if s.sends(txn) == [member] {
-                s.end(txn, member, Ending::Committed, 30);
-            }
-        }
-        s.report_all(0);
-    }
-    let more: Vec<usize> = (0..4).map(|_| s.arrive(ONCE, 3000)).collect();
-    assert!(more.iter().all(|&txn| s.sends(txn) == [0]));
-    assert!(s.did(&Act::Cancelled(swallowed[3], 0)) && !s.did(&Act::Cancelled(swallowed[0], 0)));
-}
-
 /// Teaches the story that loose reads take four seconds.
 fn with_long_loose_reads() -> Story {
     let mut s = Story::running();
@@ -537,3 +520,32 @@
     }
     assert!(to[1] * 3 < to[2], "{to:?}");
 }
+
+#[test]
+fn a_write_calls_at_a_reader_unheard_of_while_reports_are_late() {
+    let mut s = Story::running();
+    let read = s.arrive(LOOSE, 900);
+    let (at, seen, replica) = (s.sends(read)[0], Some(s.now), Some(Role::Replica));
+    s.router.submission_ended(s.now, read, true, at, Ending::Committed, replica, seen, ms(5), &mut s.host);
+    let early = s.arrive(ONCE, 900);
+    assert_eq!(s.sends(early), [0], "reports are fresh: straight to the writer");
+    s.now += ms(1000);
+    s.report(0, Role::Primary, s.now - ms(900));
+    let write = s.arrive(ONCE, 900);
+    assert_eq!(s.sends(write), [1], "the newest report is a second old");
+    let position = Some(s.now - ms(40));
+    s.router.submission_ended(
+        s.now,
+        write,
+        false,
+        1,
+        Ending::Misplaced,
+        replica,
+        position,
+        ms(2),
+        &mut s.host,
+    );
+    assert_eq!(s.sends(write), [1, 0]);
+    let read = s.arrive(READ, 900);
+    assert_eq!(s.sends(read), [1]);
+}
