Judge no member by time in which the front itself stood still

A stalled front found its answers and its silence at once and took the members for silent: it emptied writer slots and cut room. Harms where a hang coincides with a stall, by one more patience.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -173,8 +173,10 @@
         took: Duration,
         host: &mut impl Host,
     ) {
+        self.wake(now);
         let Some(Some(t)) = self.txns.get_mut(txn) else { return };
         let out = t.out.take();
+        let slept = out.as_ref().is_some_and(|out| out.at < self.awake);
         let left = t.over;
         t.over |= over;
         let (kind, group, session) = (t.kind, t.group, t.session);
@@ -185,9 +187,7 @@
             t.may_have_run = Some((out.at, self.members[out.member].zone));
         }
         let m = &mut self.members[member];
-        let counted = m.in_hand.len();
         m.in_hand.retain(|&held| held != txn);
-        let lost = m.in_hand.len() == counted;
         if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Ending::Moot | Ending::Unreachable) {
             self.members[member].last_answer = now;
         }
@@ -201,10 +201,10 @@
             let newest = self.sessions.entry(key).or_insert(at);
             *newest = at.max(*newest);
         }
-        if !lost || ending == Ending::Committed {
+        if !slept {
             self.judge(now, member, kind, ending, took);
         }
-        if !matches!(ending, Ending::Unreachable | Ending::Moot | Ending::Misplaced) {
+        if !slept && !matches!(ending, Ending::Unreachable | Ending::Moot | Ending::Misplaced) {
             let TxnType { sla, level, .. } = self.types[kind];
             // Of use only to a client that is still there.
             let in_time = ending == Ending::Committed && !left && took <= sla.mul_f64(IN_TIME);
@@ -266,6 +266,14 @@
         }
     }
 
+    /// A reminder long overdue shows that this front itself stood still: the silence was its own.
+    fn wake(&mut self, now: Duration) {
+        if self.due <= now {
+            self.awake = if now - self.due > SHUN_FIRST { now } else { self.awake };
+            self.due = Duration::MAX;
+        }
+    }
+
     fn remind_held(&self, txn: usize, host: &mut impl Host) {
         if let Some(Some(t)) = self.txns.get(txn).filter(|t| t.as_ref().is_some_and(|t| t.held)) {
             host.remind(self.hope(t), txn as u64 * 2 + 1);
@@ -423,6 +431,7 @@
             n => every * 2u32.pow(n.min(5)),
         };
         self.members[member].probe_due = now + pause;
+        self.due = self.due.min(now + pause);
         host.remind(now + pause, member as u64 * 2 + 2);
     }
 
@@ -430,6 +439,7 @@
 
     /// Goes through the ordered rules for each group touched, until none fires.
     fn settle(&mut self, now: Duration, host: &mut impl Host) {
+        self.wake(now);
         while let Some(group) = self.touched.pop() {
             self.groups[group].touched = false;
             while self.hush(now, group, host)
@@ -443,9 +453,8 @@
         }
     }
 
-    /// A member that holds submissions and has answered none for some answer times is shunned, and what may run
-    /// again is called off, to be sent elsewhere. Meets hangs, cut links and stalled machines alike; harms when
-    /// a member answers in bursts far apart, by a further submission within the budget.
+    /// A member that has answered nothing for some answer times is shunned, and what may run again called off.
+    /// Meets hangs and cut links; harms when one answers in bursts, by a further submission within the budget.
     fn hush(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let mut fired = false;
         for i in 0..self.groups[group].members.len() {
@@ -455,7 +464,8 @@
             let Some(sent) = sent else { continue };
             let usual = |&t: &usize| self.usual[self.txn(t).kind];
             let slowest = m.in_hand.iter().map(usual).fold(0.0, f64::max) / m.in_hand.len().min(2) as f64;
-            let since = now.saturating_sub(sent.max(m.last_answer).max(m.hushed)).as_secs_f64();
+            let since =
+                now.saturating_sub(sent.max(m.last_answer).max(m.hushed).max(self.awake)).as_secs_f64();
             if since <= SILENCE * slowest {
                 continue;
             }
@@ -498,9 +508,8 @@
         changed
     }
 
-    /// Exception: members are asked out of turn for what a held txn waits for: a role while the slot is empty, a
-    /// proof while no reader has one, of two readers at a time. Keeps probes near the count of txns where many
-    /// fronts see few each; a member whose reports prove nothing is asked ever less often.
+    /// Exception: members are asked out of turn for what a held txn waits for: a role while the slot is empty, or
+    /// proofs, of two readers at a time; ever less often where reports prove nothing. Meets fronts with few txns.
     fn ask(&mut self, now: Duration, group: usize) -> bool {
         let (Some(every), g) = (self.probe_every, &self.groups[group]) else { return false };
         let empty = g.writer.is_none();
@@ -545,6 +554,7 @@
             self.members[i].probe_out = true;
             self.members[i].asked = Some(now);
             host.probe(i);
+            self.due = self.due.min(now + REPORT_AWAITED);
             host.remind(now + REPORT_AWAITED, i as u64 * 2 + 2);
         }
         due.is_some()
@@ -701,7 +711,6 @@
         (m.in_hand.len() + 1) as f64 * slow * afar * down
     }
 
-    /// Whether the member's data is proven recent enough for the read.
     fn proven(&self, now: Duration, txn: usize, member: usize) -> bool {
         let t = self.txn(txn);
         let position = self.members[member].position;
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -194,6 +194,9 @@
     pub(crate) warm_work: f64,
     /// Answers of replicas tell positions here.
     pub(crate) told_positions: bool,
+    /// The next reminder, and when this front last found that it had stood still.
+    pub(crate) due: Duration,
+    pub(crate) awake: Duration,
     /// By txn type.
     pub(crate) tallies: Vec<Tally>,
     /// What a new group counts in.
@@ -227,6 +230,8 @@
             usual: Vec::new(),
             warm_work: 0.0,
             told_positions: false,
+            due: Duration::MAX,
+            awake: Duration::ZERO,
             tallies: Vec::new(),
             blank: Tally::new(Duration::ZERO),
             first: none.clone(),
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -549,3 +549,30 @@
     let read = s.arrive(READ, 900);
     assert_eq!(s.sends(read), [1]);
 }
+
+#[test]
+fn a_front_that_stood_still_does_not_call_its_members_silent() {
+    for stood_still in [true, false] {
+        let mut s = Story::running();
+        for _ in 0..60 {
+            s.now += ms(50);
+            let read = s.arrive(LOOSE, 900);
+            let at = s.sends(read)[0];
+            s.end(read, at, Ending::Committed, 50);
+        }
+        s.report_all(0);
+        let write = s.arrive(ONCE, 5000);
+        s.now += ms(1500);
+        if !stood_still {
+            // Its reminders came in time all the while.
+            s.now -= ms(1500);
+            for _ in 0..15 {
+                s.now += ms(100);
+                s.router.reminder_due(s.now, 2, &mut s.host);
+            }
+        }
+        let next = s.arrive(ONCE, 5000);
+        assert_eq!(s.sends(next).len(), usize::from(stood_still), "a silent writer loses its slot");
+        s.end(write, 0, Ending::Committed, 1500);
+    }
+}
