--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -573,7 +573,7 @@
         let heard =
             self.tallies.iter_mut().map(|t| t.in_time.sum(now)).sum::<f64>() / self.members.len() as f64;
         let dearer = dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max);
-        let leeway = (LEEWAY + dearer).max(1.0) * (1.0 + (heard / HEARD).powi(2));
+        let leeway = (LEEWAY + HALF * dearer).max(1.0) * (1.0 + (heard / HEARD).powi(2));
         let (mut sound, mut share) = (1.0, 1.0);
         let write = usize::from(self.types[kind].level == Level::Write);
         for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[write]] {
