--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -53,8 +53,8 @@
 const ASK_FOR_LIST: u64 = 0;
 /// A txn type is long if its typical answer time is this multiple of the shortest.
 const LONG: f64 = 4.0;
-/// Kept free of a cold member's budget, for probes and handshakes.
-const COLD_SLACK: f64 = 0.3;
+/// Part of a cold member's budget that is used; the rest is for chance, probes and handshakes.
+const COLD_PART: f64 = 0.4;
 
 impl Router {
     pub fn new(seed: u64, standing: Standing, types: Vec<TxnType>, cold: ColdStart) -> Self {
@@ -755,8 +755,8 @@
         self.open(now, t) && once && stays && current && self.within_cold_budget(now, member, t.kind)
     }
 
-    /// Rule 4. Each front sends a cold member at most the multiple of its present share of what the same
-    /// front gets done on a warm member: summed over all fronts that is no more than a warm member can do.
+    /// Rule 4. Each front sends a cold member on the mean a part of its present share of what the same front gets
+    /// done on a warm one: over all fronts, a part of what a warm one can do. Whole txns are drawn by lot.
     fn within_cold_budget(&mut self, now: Duration, member: usize, kind: usize) -> bool {
         let left = self.members[member].warm_at.saturating_sub(now);
         if left.is_zero() {
@@ -772,9 +772,12 @@
         }
         let missing = left.as_secs_f64() / self.cold.warm_up.as_secs_f64().max(1e-9);
         let share = 1.0 - (1.0 - self.cold.share) * missing.min(1.0);
-        let budget = self.cold.multiple * share * self.warm_work * (1.0 - COLD_SLACK);
-        let work = self.typical[kind];
-        self.members[member].sent.sum(now) + work <= budget
+        let budget = self.cold.multiple * COLD_PART * share * self.warm_work;
+        let m = &mut self.members[member];
+        if m.lot_until <= now {
+            (m.lot, m.lot_until) = (self.rng.rand_float(), now + self.cold.window);
+        }
+        m.sent.sum(now) + self.typical[kind] * m.lot <= budget
     }
 
     /// The only way to a member. False if the gate does not open.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -16,6 +16,9 @@
     /// Seen listed as draining.
     pub drains: bool,
     pub warm_at: Duration,
+    /// Where between none and one this window's budget is rounded up, while it is cold.
+    pub lot: f64,
+    pub lot_until: Duration,
     /// Has every commit up to here: proven, and true for ever.
     pub position: Option<Duration>,
     /// Dates of the newest claims to each role.
@@ -58,6 +61,8 @@
             stopped: true,
             drains: false,
             warm_at: Duration::ZERO,
+            lot: 1.0,
+            lot_until: Duration::ZERO,
             position: None,
             primary_at: None,
             replica_at: None,
--- a/crates/router/tests/fake/mod.rs
+++ b/crates/router/tests/fake/mod.rs
@@ -76,7 +76,7 @@
             kind(marked, Level::Write),
         ];
         let cold = ColdStart { share: 0.2, warm_up: ms(10_000), multiple: 2.5, window: ms(1500) };
-        let mut router = Router::new(7, standing, types, cold);
+        let mut router = Router::new(7 + standing.me as u64, standing, types, cold);
         router.allow_submissions(6);
         router.allow_cancelling();
         router.allow_come_back(ms(500));
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -164,6 +164,12 @@
     }
 }
 
+#[test]
+fn a_cold_budget_under_one_txn_is_drawn_by_lot() {
+    let (cold, warm) = to_cold_and_warm(120, 1000);
+    assert!(cold > 0 && cold * 2 < warm, "{cold} cold, {warm} warm");
+}
+
 #[test]
 fn a_read_goes_only_where_its_bound_is_proven() {
     let mut s = Story::running();
