--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -29,7 +29,7 @@
 const ROOM_FRONTS: f64 = 5.0;
 /// A member whose answers take more than this share of the SLA time gets less room.
 const STRAIN: f64 = 0.25;
-/// Share of the writer's room that reads may use.
+/// Share of a member's room for what must leave the rest free: reads at the writer, tries late already.
 const HALF: f64 = 0.5;
 /// A member is silent that has held work for so many mean answer times, or half as long with two in hand.
 const SILENCE: f64 = 5.0;
@@ -435,9 +435,6 @@
         host.remind(now + pause, member as u64 * 2 + 2);
     }
 
-    // ---- rules ----
-
-    /// Goes through the ordered rules for each group touched, until none fires.
     fn settle(&mut self, now: Duration, host: &mut impl Host) {
         self.wake(now);
         while let Some(group) = self.touched.pop() {
@@ -652,12 +649,14 @@
             });
             return unheard.or(writer);
         }
+        // A later try that is worth nothing late leaves half of the room to first tries still to come.
+        let share = if self.txn(txn).retried && self.types[kind].late_value == 0.0 { HALF } else { 1.0 };
         let (mut inside, mut known, mut least_behind) = (Vec::new(), false, None);
         for i in 0..self.groups[group].members.len() {
             let m = self.groups[group].members[i];
             // Where members check reads the gate lets all pass; the design still wants them inside the bound.
             let fits = self.reads(now, m) && self.gate(now, txn, m);
-            let room = self.has_room(m, 1.0);
+            let room = self.has_room(m, share);
             if fits && (!self.members_check || self.proven(now, txn, m)) {
                 known = true;
                 inside.extend(room.then_some(m));
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -603,3 +603,17 @@
         s.end(write, 0, Ending::Committed, 1500);
     }
 }
+
+#[test]
+fn a_later_try_that_is_worth_nothing_late_uses_half_of_the_room() {
+    let at_readers = |retried| {
+        let mut s = Story::running();
+        s.list(2, Listed::Draining, None);
+        let sent = |s: &mut Story| {
+            let read = s.arrive_again(READ, 900, retried);
+            s.sends(read) == [1]
+        };
+        (0..8).filter(|_| sent(&mut s)).count()
+    };
+    assert!(at_readers(true) < at_readers(false));
+}
