--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -1,6 +1,6 @@
 //! All decisions of the router.
 //!
-//! The host ([`crate::host`] is the interface) builds one [`Router`] per instance and calls one method per input;
+//! The host (interface: [`crate::host`]) builds one [`Router`] per instance and calls one method per input;
 //! each records the facts, then the ordered rules in `settle` run over the groups touched until none fires.
 //! Sends leave through `submit` alone, and only if `gate` lets them pass.
 
@@ -450,8 +450,8 @@
         }
     }
 
-    /// A member that has answered nothing for some answer times is shunned, and what may run again called off.
-    /// Meets hangs and cut links; harms when one answers in bursts, by a further submission within the budget.
+    /// A member that has answered nothing for some answer times is shunned, what may run again called off.
+    /// Meets hangs and cut links; harms when one answers in bursts, by a submission within the budget.
     fn hush(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let mut fired = false;
         for i in 0..self.groups[group].members.len() {
@@ -505,9 +505,9 @@
         changed
     }
 
-    /// Exception: members are asked out of turn for what a held txn waits for: a role while the slot is empty, or
+    /// Exception: members are asked out of turn for what a held txn waits for: a role for an empty slot, or
     /// proofs, of all readers, so that there is a choice; ever less often where reports prove nothing. Meets
-    /// fronts with few txns for each member, to whom polls cost more than the txns; harms tight bounds by a delay.
+    /// fronts to whom polls would cost more than their txns; harms tight bounds by a delay.
     fn ask(&mut self, now: Duration, group: usize) -> bool {
         let (Some(every), g) = (self.probe_every, &self.groups[group]) else { return false };
         let empty = g.writer.is_none();
@@ -555,9 +555,9 @@
         due.is_some()
     }
 
-    /// A txn is declined at random before it is ever sent while too few are answered in time, of its type anywhere
-    /// and, as far as known, in its group: what is let through stays under so many times what was in time of late.
-    /// Meets overload, storms of later tries, reads that crowd writers: what many fronts cannot see at a member.
+    /// A txn is declined at random before it is ever sent while too few are answered in time, of its type and,
+    /// as far as known, in its group: what is let through stays under so many times what was in time of late.
+    /// Meets overload, storms of later tries, reads that crowd writers: what many fronts see at no member.
     /// Harms where members are lost for good and the rest has room.
     fn throttle(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let Some(&txn) = self.groups[group].held.iter().find(|&&t| !self.txn(t).weighed) else {
@@ -635,8 +635,8 @@
         let fit = |w: &usize| self.has_room(*w, 1.0) && self.members[*w].shunned <= now;
         let writer = self.groups[group].writer.filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
-            // Exception: where answers tell positions and the writer's reports are older than the bound, a write calls
-            // first at a reader as long unheard of: it is turned away untouched, and the reader regains its proof.
+            // Exception: where answers tell positions and the writer's reports are older than the bound, a
+            // write calls first at a reader unheard of: turned away untouched, it brings the proof back.
             let bound = self.probe_every.unwrap_or_default() * PROBES_PER_BOUND;
             let late = writer.is_some_and(|w| self.members[w].barren > 0) && self.told_positions;
             let calls = late && self.types[kind].level == Level::Write && self.txn(txn).submissions == 0;
@@ -697,7 +697,7 @@
         (m.in_hand.len() as f64) < m.room.floor() * share
     }
 
-    /// What a further submission would wait for; slowness is forgotten by and by, so that all get their trial.
+    /// What a further submission would wait for; slowness is forgotten by and by: all get their trial.
     fn cost(&self, now: Duration, member: usize) -> f64 {
         let m = &self.members[member];
         let age = now.saturating_sub(m.last_answer).as_secs_f64();
@@ -754,8 +754,8 @@
         self.open(now, t) && once && stays && current && self.within_cold_budget(now, member, t.kind)
     }
 
-    /// Rule 4. Each front sends a cold member on the mean a part of its present share of what the same front gets
-    /// done on a warm one: over all fronts, a part of what a warm one can do. Whole txns are drawn by lot.
+    /// Rule 4. Each front sends a cold member on the mean a part of its present share of what the same front
+    /// gets done on a warm one: over all fronts, a part of what a warm one does. Txns are drawn by lot.
     fn within_cold_budget(&mut self, now: Duration, member: usize, kind: usize) -> bool {
         let left = self.members[member].warm_at.saturating_sub(now);
         if left.is_zero() {
