--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -556,7 +556,7 @@
     }
 
     /// A txn is declined at random before it is ever sent while too few are answered in time, of its type,
-    /// and, as far as known, its group: what is let through stays under so many times what was in time lately.
+    /// and, as far as known, its group: what is let through stays under so many times what was in time.
     /// Meets overload, storms of later tries, reads that crowd writers: what many fronts see at no member.
     /// Harms where members are lost for good and the rest has room.
     fn throttle(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
