--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -33,6 +33,8 @@
 const HALF: f64 = 0.5;
 /// A member is silent that has held work for so many mean answer times, or half as long with two in hand.
 const SILENCE: f64 = 5.0;
+/// A submission out for this many mean answer times, while its member answers others, is lost.
+const LOST: f64 = 8.0;
 /// So many answers a member within `RESEND_SPAN` double what the throttle lets through.
 const HEARD: f64 = 2.5;
 /// What the throttle takes as in time, as a share of the SLA time: queues are to end before it.
@@ -177,6 +179,7 @@
         let Some(Some(t)) = self.txns.get_mut(txn) else { return };
         let out = t.out.take();
         let slept = out.as_ref().is_some_and(|out| out.at < self.awake);
+        let answered_since = out.as_ref().is_some_and(|out| out.at < self.members[member].last_answer);
         let left = t.over;
         t.over |= over;
         let (kind, group, session) = (t.kind, t.group, t.session);
@@ -201,12 +204,12 @@
             let newest = self.sessions.entry(key).or_insert(at);
             *newest = at.max(*newest);
         }
-        if !slept {
+        let lost = ending != Ending::Committed && self.lost(took, kind) && answered_since;
+        if !slept && !lost {
             self.judge(now, member, kind, ending, took);
         }
         if !slept && !matches!(ending, Ending::Unreachable | Ending::Moot | Ending::Misplaced) {
             let TxnType { sla, level, .. } = self.types[kind];
-            // Of use only to a client that is still there.
             let in_time = ending == Ending::Committed && !left && took <= sla.mul_f64(IN_TIME);
             let write = usize::from(level == Level::Write);
             for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[write]] {
@@ -243,7 +246,6 @@
             let hint = Some(Role::Primary).filter(|_| m.hinted && m.primary_at.is_none());
             self.heard(now, member, told.role.or(hint), told.position, false);
         } else if end != Ending::Full {
-            // A full probe desk says that the member is busy, not that it is gone.
             m.probe_failures += 1;
         }
         self.plan_probe(now, member, host);
@@ -261,7 +263,6 @@
         } else if let Some(Some(t)) = self.txns.get(at) {
             self.touch(t.group);
             self.settle(now, host);
-            // Hope may have moved on since the reminder was set.
             self.remind_held(at, host);
         }
     }
@@ -293,13 +294,11 @@
         }
     }
 
-    /// Health, room and typical answer time, from this front's own traffic.
     fn judge(&mut self, now: Duration, member: usize, kind: usize, ending: Ending, took: Duration) {
         let sla = self.types[kind].sla.as_secs_f64();
         let work = self.typical[kind];
         let secs = took.as_secs_f64();
         let usual = &mut self.usual[kind];
-        // What was called off took at least so long.
         if ending == Ending::Committed || !ending.never_ran() && secs > *usual {
             *usual += 0.02 * (secs - *usual);
         }
@@ -365,10 +364,8 @@
         }
     }
 
-    /// What becomes of a txn whose submission ended without a final answer.
     fn go_on(&mut self, now: Duration, txn: usize, ending: Ending, host: &mut impl Host) {
         let barred = !self.may_run_again(now, self.txn(txn));
-        // Submissions that never ran cost the members little; the others stay within a budget.
         let spent = self.again.sum(now) >= 1.0 + RESEND_SHARE * self.first.sum(now);
         if barred || spent && !ending.never_ran() || now >= self.hope(self.txn(txn)) {
             self.answer(txn, host);
@@ -383,7 +380,6 @@
         }
     }
 
-    /// Until when there is hope of an answer that is worth something.
     fn hope(&self, t: &Txn) -> Duration {
         let kind = self.types[t.kind];
         let work = Duration::from_secs_f64(self.usual[t.kind]);
@@ -497,7 +493,6 @@
             self.groups[group].writer = writer;
             let first = self.part(ROOM_FIRST);
             if let Some(w) = writer {
-                // What was held goes out by degrees: room grows with each answer.
                 self.members[w].room = self.members[w].room.min(first);
                 self.members[w].shunned = Duration::ZERO;
             }
@@ -557,8 +552,7 @@
 
     /// A txn is declined at random before it is ever sent while too few are answered in time, of its type,
     /// and, as far as known, its group: what is let through stays under so many times what was in time.
-    /// Meets overload, storms of later tries, reads that crowd writers: what many fronts see at no member.
-    /// Harms where members are lost for good and the rest has room.
+    /// Meets overload, storms of later tries, reads crowding writers; harms where members are gone for good.
     fn throttle(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let Some(&txn) = self.groups[group].held.iter().find(|&&t| !self.txn(t).weighed) else {
             return false;
@@ -632,7 +626,7 @@
     fn choose(&mut self, now: Duration, txn: usize) -> Option<usize> {
         let t = self.txn(txn);
         let (group, kind) = (t.group, t.kind);
-        let fit = |w: &usize| self.has_room(*w, 1.0) && self.members[*w].shunned <= now;
+        let fit = |w: &usize| self.has_room(now, *w, 1.0) && self.members[*w].shunned <= now;
         let writer = self.groups[group].writer.filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
             // Exception: where answers tell positions and the writer's reports are older than the bound, a
@@ -656,7 +650,7 @@
             let m = self.groups[group].members[i];
             // Where members check reads the gate lets all pass; the design still wants them inside the bound.
             let fits = self.reads(now, m) && self.gate(now, txn, m);
-            let room = self.has_room(m, share);
+            let room = self.has_room(now, m, share);
             if fits && (!self.members_check || self.proven(now, txn, m)) {
                 known = true;
                 inside.extend(room.then_some(m));
@@ -665,7 +659,7 @@
             }
         }
         // Exception: reads spill into half of the writer's room while the reader drawn costs twice as much.
-        let spare = writer.filter(|&w| self.has_room(w, HALF));
+        let spare = writer.filter(|&w| self.has_room(now, w, HALF));
         let shortest = self.typical.iter().copied().fold(f64::MAX, f64::min);
         let bounded = matches!(self.types[kind].level, Level::Bounded(_));
         let reader = match inside.len() {
@@ -679,7 +673,6 @@
                 inside.iter().copied().min_by_key(|&m| (self.members[m].position, m))
             }
             n => {
-                // Two drawn at random, the one with less in hand for its answer time is taken.
                 let a = self.rng.rand_range(0..n as u64) as usize;
                 let b = (a + 1 + self.rng.rand_range(0..n.max(2) as u64 - 1) as usize) % n;
                 let (a, b) = (inside[a], inside[b]);
@@ -692,9 +685,19 @@
         }
     }
 
-    fn has_room(&self, member: usize, share: f64) -> bool {
-        let m = &self.members[member];
-        (m.in_hand.len() as f64) < m.room.floor() * share
+    /// Submissions at work there; lost ones take no room. Meets links that swallow a share of all.
+    fn at_work(&self, now: Duration, member: usize) -> usize {
+        let at_work =
+            |&&t: &&usize| self.txn(t).out.as_ref().is_none_or(|o| !self.lost(now - o.at, self.txn(t).kind));
+        self.members[member].in_hand.iter().filter(at_work).count()
+    }
+
+    fn lost(&self, out_for: Duration, kind: usize) -> bool {
+        out_for.as_secs_f64() > LOST * self.usual[kind]
+    }
+
+    fn has_room(&self, now: Duration, member: usize, share: f64) -> bool {
+        (self.at_work(now, member) as f64) < self.members[member].room.floor() * share
     }
 
     /// What a further submission would wait for; slowness is forgotten by and by: all get their trial.
@@ -705,7 +708,7 @@
         let afar = if m.zone == self.standing.zone { 1.0 } else { 1.1 };
         // After a failure a probe is its trial, not a txn, while another member will do.
         let down = if m.probe_failures > 0 { DOWN_DEARER } else { 1.0 };
-        (m.in_hand.len() + 1) as f64 * slow * afar * down
+        (self.at_work(now, member) + 1) as f64 * slow * afar * down
     }
 
     fn proven(&self, now: Duration, txn: usize, member: usize) -> bool {
@@ -779,7 +782,6 @@
         m.sent.sum(now) + self.typical[kind] * m.lot <= budget
     }
 
-    /// The only way to a member. False if the gate does not open.
     fn submit(&mut self, now: Duration, txn: usize, member: usize, host: &mut impl Host) -> bool {
         if !self.gate(now, txn, member) {
             return false;
