--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -617,3 +617,20 @@
     };
     assert!(at_readers(true) < at_readers(false));
 }
+
+#[test]
+fn submissions_lost_on_the_way_take_no_room() {
+    let room_after = |swallowed| {
+        let mut s = Story::running();
+        (0..swallowed).for_each(|_| _ = s.arrive(ONCE, 90_000));
+        for _ in 0..60 {
+            let txn = s.arrive(ONCE, 3000);
+            s.now += ms(30);
+            s.end(txn, 0, Ending::Committed, 30);
+            s.report_all(0);
+        }
+        let more: Vec<usize> = (0..40).map(|_| s.arrive(ONCE, 3000)).collect();
+        more.iter().filter(|&&txn| !s.sends(txn).is_empty()).count()
+    };
+    assert_eq!(room_after(3), room_after(0));
+}
