--- /dev/null
+++ b/crates/door/src/lib.rs
@@ -0,0 +1,214 @@
+//! What every host of the router shares: the terms handed at start become the router's types, and ids that
+//! come in become small indices. Only translated here; nothing is chosen.
+
+use juniperdock_router::host::{ColdStart, Effect, Level, Report, Role, Scope, Standing, TxnType};
+use juniperdock_router::routing::Router;
+use std::borrow::Borrow;
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// Ids in the order in which they were first met.
+///
+/// ```
+/// use juniperdock_door::Indices;
+///
+/// let mut members = Indices::default();
+/// assert_eq!(members.index("m-7".to_owned()), 0);
+/// assert_eq!(members.index("m-3".to_owned()), 1);
+/// assert_eq!(members.index("m-7".to_owned()), 0);
+/// assert_eq!(members.known("m-3"), Some(1));
+/// assert_eq!(members.id(0), "m-7");
+/// ```
+#[derive(Debug)]
+pub struct Indices<K> {
+    of: HashMap<K, usize>,
+    ids: Vec<K>,
+}
+
+impl<K> Default for Indices<K> {
+    fn default() -> Self {
+        Indices { of: HashMap::new(), ids: Vec::new() }
+    }
+}
+
+impl<K: Clone + Eq + Hash> Indices<K> {
+    pub fn index(&mut self, id: K) -> usize {
+        let next = self.ids.len();
+        let at = *self.of.entry(id.clone()).or_insert(next);
+        if at == next {
+            self.ids.push(id);
+        }
+        at
+    }
+
+    pub fn known<Q: Eq + Hash + ?Sized>(&self, id: &Q) -> Option<usize>
+    where
+        K: Borrow<Q>,
+    {
+        self.of.get(id).copied()
+    }
+
+    pub fn id(&self, index: usize) -> &K {
+        &self.ids[index]
+    }
+
+    pub fn len(&self) -> usize {
+        self.ids.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.ids.is_empty()
+    }
+}
+
+/// Where an instance's time starts and where positions count from, in microseconds of the host's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Origin {
+    pub start: i64,
+    pub zero: i64,
+}
+
+impl Origin {
+    pub fn since_start(&self, clock: i64) -> Duration {
+        span(clock - self.start)
+    }
+
+    /// A position from before the start proves nothing that this instance can use.
+    pub fn position(&self, micros: i64) -> Option<Duration> {
+        let since = self.zero.checked_add(micros)?.checked_sub(self.start)?;
+        u64::try_from(since).ok().map(Duration::from_micros)
+    }
+}
+
+pub fn span(micros: i64) -> Duration {
+    Duration::from_micros(micros.max(0) as u64)
+}
+
+/// Milliseconds to microseconds, where they can be told.
+pub fn micros(ms: f64) -> Option<i64> {
+    let us = (ms * 1000.0).round();
+    (us.is_finite() && us.abs() < 9e15).then_some(us as i64)
+}
+
+/// Reads a member's report of itself; fields that are not known are passed by.
+pub fn report<'a>(
+    fields: impl Iterator<Item = (&'a str, &'a str)>,
+    origin: &Origin,
+) -> Result<Report, String> {
+    let mut report = Report::default();
+    for (name, value) in fields {
+        let number = || value.parse::<f64>().ok().filter(|v| v.is_finite());
+        let value = number().ok_or_else(|| format!("expected a number in {name}, found {value:?}"))?;
+        match name {
+            // Rounded down: a position must never be claimed that was not reached.
+            "x0" => report.position = origin.position((value * 1e6 + 1e-3).floor() as i64),
+            "x1" => report.role = Some(if value > 0.5 { Role::Primary } else { Role::Replica }),
+            "q" => report.queue = Some(value),
+            "busy" => report.busy = Some(value),
+            _ => {}
+        }
+    }
+    Ok(report)
+}
+
+/// Looks terms up by path, such as `Services.0.Value`; a list of plain values is joined by commas, and the
+/// length of a list of records stands under `.count`.
+struct Terms<'a>(&'a dyn Fn(&str) -> Option<String>);
+
+impl Terms<'_> {
+    fn text(&self, path: &str) -> Option<String> {
+        (self.0)(path).filter(|text| !text.is_empty())
+    }
+
+    fn opt<T: FromStr>(&self, path: &str) -> Result<Option<T>, String> {
+        let parse =
+            |v: String| v.parse().map_err(|_| format!("expected another form in {path}, found {v:?}"));
+        self.text(path).map(parse).transpose()
+    }
+
+    fn span(&self, path: &str) -> Result<Option<Duration>, String> {
+        let micros = |ms| micros(ms).ok_or_else(|| format!("expected a time in {path}, found {ms}"));
+        Ok(self.opt::<f64>(path)?.map(micros).transpose()?.map(span))
+    }
+
+    fn flag(&self, path: &str) -> Result<bool, String> {
+        match self.text(path).as_deref() {
+            None | Some("0" | "false") => Ok(false),
+            Some("1" | "true") => Ok(true),
+            Some(v) => Err(format!("expected a yes or no in {path}, found {v:?}")),
+        }
+    }
+
+    fn txn_type(&self, i: usize) -> Result<TxnType, String> {
+        let path = |key: &str| format!("Services.{i}.{key}");
+        let effect = match self.text(&path("Effect")).as_deref() {
+            Some("pure") => Effect::Repeatable,
+            Some("token") => Effect::Referenced {
+                window: self.span(&path("Window"))?.unwrap_or_default(),
+                scope: match self.text(&path("DedupScope")).as_deref() {
+                    Some("all") => Scope::Everywhere,
+                    Some("zone") => Scope::Zone,
+                    _ => Scope::Group,
+                },
+            },
+            Some("side_effect") | None => Effect::OnceOnly,
+            Some(v) => return Err(format!("expected a known effect in {}, found {v:?}", path("Effect"))),
+        };
+        let nth = |path: &str| self.text(path).and_then(|all| all.split(',').nth(i).map(str::to_owned));
+        let level = match nth("Specifics.ReadLevel").as_deref().unwrap_or("loose") {
+            "update" => Level::Write,
+            "latest" => Level::Fresh,
+            "own_writes" => Level::Session,
+            "recent" => {
+                let age = nth("Specifics.MaxAge").and_then(|age| micros(age.parse().ok()?));
+                let age = age.ok_or_else(|| format!("expected a time for {i} in Specifics.MaxAge"))?;
+                Level::Bounded(span(age))
+            }
+            "loose" | "" => Level::Loose,
+            v => return Err(format!("expected a known read level, found {v:?}")),
+        };
+        Ok(TxnType {
+            sla: self.span(&path("Objective"))?.unwrap_or_default(),
+            value: self.opt(&path("Value"))?.unwrap_or(1.0),
+            late_value: self.opt(&path("LateWorth"))?.unwrap_or(0.0),
+            effect,
+            level,
+        })
+    }
+}
+
+/// Builds the router of one instance from the terms it is handed, and says how many txn types there are.
+pub fn open(seed: u64, term: &dyn Fn(&str) -> Option<String>) -> Result<(Router, usize), String> {
+    let terms = Terms(term);
+    let kinds: usize = terms.opt("Services.count")?.unwrap_or(0);
+    let types = (0..kinds).map(|i| terms.txn_type(i)).collect::<Result<Vec<_>, _>>()?;
+    let standing = Standing {
+        me: terms.opt("Me")?.unwrap_or(0),
+        fronts: terms.opt("Balancers")?.unwrap_or(1),
+        zone: terms.opt("Zone")?.unwrap_or(0),
+    };
+    let cold = ColdStart {
+        share: terms.opt("Guarantees.ColdFrom")?.unwrap_or(1.0),
+        warm_up: terms.span("Guarantees.WarmUp")?.unwrap_or_default(),
+        multiple: terms.opt("Guarantees.TipMultiple")?.unwrap_or(1.0),
+        window: terms.span("Guarantees.OverloadFor")?.unwrap_or(Duration::from_secs(1)),
+    };
+    let mut router = Router::new(seed, standing, types, cold);
+    router.allow_submissions(terms.opt("Bounds.TryLimit")?.unwrap_or(1));
+    if terms.flag("Bounds.Cancel")? {
+        router.allow_cancelling();
+    }
+    router.allow_probes(terms.flag("Bounds.MayProbe")?);
+    if terms.flag("Bounds.RetryAfter")? {
+        router.allow_come_back(terms.span("Bounds.MaxRetryAfter")?.unwrap_or_default());
+    }
+    if matches!(terms.text("Specifics.ServerChecks").as_deref(), Some("reject" | "hold")) {
+        router.members_check_reads();
+    }
+    if terms.flag("Guarantees.GoneIsAdvice")? {
+        router.gone_is_advice();
+    }
+    Ok((router, kinds))
+}
--- /dev/null
+++ b/crates/front/src/counters.rs
@@ -0,0 +1,46 @@
+//! What the front has taken in, sent and answered; printed on request and at exit.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+macro_rules! counters {
+    ($($name:ident),+ $(,)?) => {
+        #[derive(Debug, Default)]
+        pub struct Counters {
+            $(pub $name: Count,)+
+        }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+                $(write!(f, concat!(stringify!($name), "={} "), self.$name.read())?;)+
+                Ok(())
+            }
+        }
+    };
+}
+
+#[derive(Debug, Default)]
+pub struct Count(AtomicU64);
+
+impl Count {
+    pub fn add(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub fn at_least(&self, amount: u64) {
+        self.0.fetch_max(amount, Ordering::Relaxed);
+    }
+
+    pub fn read(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+counters! {
+    clients, clients_refused, bad_messages, txns, committed, declined, rolled_back, left, guard_acts,
+    submitted, ended_committed, ended_errored, ended_full, ended_timed_out, ended_unreachable,
+    ended_dropped, ended_cancelled, ended_moot, ended_misplaced,
+    connections_opened, connections_reused, connections_lost, connections_idle_closed,
+    probes, probes_failed, lists, lists_failed, reminders, reminders_late, panics,
+    held_up_most_us, connect_most_us,
+}
--- /dev/null
+++ b/crates/front/src/desk.rs
@@ -0,0 +1,312 @@
+//! The desk owns the router and its reminders. All inputs come through its mailbox, in order; what the router
+//! has done goes out to the actors' mailboxes. Nothing is chosen here.
+
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::mailbox::Mailbox;
+use crate::member::{self, Job, Submit, ToMember};
+use juniperdock_door::{Indices, span};
+use juniperdock_router::host::{Ending, Host, Listed, Report, Role};
+use juniperdock_router::routing::Router;
+use may::sync::mpsc::{Receiver, Sender};
+use serde_json::Value;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a client is told at the end of its txn.
+pub enum Answer {
+    /// A member's row, as it came.
+    Committed(Vec<u8>),
+    Declined(Option<Duration>),
+    RolledBack(&'static str),
+}
+
+/// A txn as its client's actor read it.
+pub struct Arrival {
+    pub ticket: u64,
+    pub at: Duration,
+    pub kind: usize,
+    pub cell: u64,
+    pub expiry: Duration,
+    pub retried: bool,
+    pub session: Option<u64>,
+    pub wrote_ago: Option<Duration>,
+    pub statement: Arc<str>,
+    /// Where the statement tells the time left.
+    pub left: Range<usize>,
+    pub client: Mailbox<(u64, Answer)>,
+}
+
+pub struct End {
+    pub ticket: u64,
+    pub member: usize,
+    pub ending: Ending,
+    pub role: Option<Role>,
+    pub position: Option<Duration>,
+    pub sent: Duration,
+    pub at: Duration,
+    pub row: Vec<u8>,
+}
+
+pub enum Mail {
+    Arrived(Box<Arrival>),
+    Left(u64),
+    Ended(Box<End>),
+    Probed { member: usize, ending: Ending, report: Report },
+    List(Value),
+    ListLost,
+    Due { handle: u64, at: Duration },
+}
+
+struct Held {
+    arrival: Box<Arrival>,
+    answered: bool,
+    member: usize,
+}
+
+/// Carries out what the router wants done.
+struct Hands {
+    txns: Vec<Option<Held>>,
+    tickets: HashMap<u64, usize>,
+    free: Vec<usize>,
+    members: Vec<Sender<ToMember>>,
+    clock: Clock,
+    desk: Sender<Mail>,
+    list: Sender<()>,
+    counters: Arc<Counters>,
+}
+
+impl Hands {
+    fn answer(&mut self, txn: usize, answer: Answer) {
+        let Some(held) = self.txns[txn].as_mut().filter(|held| !held.answered) else { return };
+        held.answered = true;
+        held.arrival.client.post((held.arrival.ticket, answer));
+    }
+
+    fn tell(&self, member: usize, mail: ToMember) {
+        // Members' actors last as long as the program.
+        let _ = self.members[member].send(mail);
+    }
+}
+
+impl Host for Hands {
+    fn send(&mut self, txn: usize, member: usize, time_out: Option<Duration>) {
+        let at = self.clock.now();
+        let Some(held) = self.txns[txn].as_mut() else { return };
+        held.member = member;
+        let a = &held.arrival;
+        let give_up = time_out.map_or(a.expiry, |limit| a.expiry.min(at + limit));
+        let (statement, left) = (a.statement.clone(), a.left.clone());
+        let submit = Submit { ticket: a.ticket, statement, left, give_up, at };
+        self.counters.submitted.add();
+        self.tell(member, ToMember::Job(Job::Submit(submit)));
+    }
+
+    fn cancel(&mut self, txn: usize, _submission: u32) {
+        // One submission of a txn is out at a time: the one last sent.
+        if let Some(held) = &self.txns[txn] {
+            self.tell(held.member, ToMember::Cancel(held.arrival.ticket));
+        }
+    }
+
+    fn decline(&mut self, txn: usize, come_back: Option<Duration>) {
+        self.answer(txn, Answer::Declined(come_back));
+    }
+
+    fn roll_back(&mut self, txn: usize) {
+        self.answer(txn, Answer::RolledBack("given up; it may have run"));
+    }
+
+    fn release(&mut self, txn: usize) {
+        if let Some(held) = self.txns[txn].take() {
+            self.tickets.remove(&held.arrival.ticket);
+            self.free.push(txn);
+        }
+    }
+
+    fn probe(&mut self, member: usize) {
+        self.counters.probes.add();
+        self.tell(member, ToMember::Job(Job::Probe { at: self.clock.now() }));
+    }
+
+    fn remind(&mut self, at: Duration, handle: u64) {
+        let desk = self.desk.clone();
+        self.counters.reminders.add();
+        self.clock.at(at, move || {
+            let _ = desk.send(Mail::Due { handle, at });
+        });
+    }
+
+    fn listen(&mut self) {
+        let _ = self.list.send(());
+    }
+}
+
+/// What the desk needs to start the actor of a member.
+pub type Hire =
+    Box<dyn Fn(usize, SocketAddr, Receiver<ToMember>, Sender<ToMember>) -> Result<(), String> + Send>;
+
+pub struct Desk {
+    router: Router,
+    hands: Hands,
+    ids: Indices<String>,
+    addresses: Vec<String>,
+    cells: Indices<u64>,
+    zones: Indices<String>,
+    hire: Hire,
+    log: slog::Logger,
+}
+
+impl Desk {
+    pub fn new(
+        router: Router,
+        zones: Vec<String>,
+        clock: Clock,
+        desk: Sender<Mail>,
+        list: Sender<()>,
+        hire: Hire,
+        counters: Arc<Counters>,
+        log: slog::Logger,
+    ) -> Desk {
+        let mut known = Indices::default();
+        zones.into_iter().for_each(|zone| {
+            known.index(zone);
+        });
+        let (txns, tickets, free, members) = (Vec::new(), HashMap::new(), Vec::new(), Vec::new());
+        let hands = Hands { txns, tickets, free, members, clock, desk, list, counters };
+        let (ids, cells) = (Indices::default(), Indices::default());
+        Desk { router, hands, ids, addresses: Vec::new(), cells, zones: known, hire, log }
+    }
+
+    pub fn run(mut self, mail: &Receiver<Mail>) {
+        while let Ok(mail) = mail.recv() {
+            self.take(mail);
+        }
+    }
+
+    fn take(&mut self, mail: Mail) {
+        let now = self.hands.clock.now();
+        match mail {
+            Mail::Arrived(arrival) => self.arrived(now, arrival),
+            Mail::Left(ticket) => {
+                if let Some(&txn) = self.hands.tickets.get(&ticket) {
+                    if let Some(held) = self.hands.txns[txn].as_mut() {
+                        held.answered = true;
+                    }
+                    self.router.client_left(now, txn, &mut self.hands);
+                }
+            }
+            Mail::Ended(end) => self.ended(now, *end),
+            Mail::Probed { member, ending, report } => {
+                if ending != Ending::Committed {
+                    self.hands.counters.probes_failed.add();
+                }
+                self.router.probed(now, member, ending, report, &mut self.hands);
+            }
+            Mail::List(list) => self.list(now, &list),
+            Mail::ListLost => {
+                self.hands.counters.lists_failed.add();
+                self.router.list_lost(now, &mut self.hands);
+            }
+            Mail::Due { handle, at } => {
+                let late = now.saturating_sub(at).as_micros() as u64;
+                self.hands.counters.held_up_most_us.at_least(late);
+                self.router.reminder_due(now, handle, &mut self.hands);
+            }
+        }
+    }
+
+    fn arrived(&mut self, now: Duration, a: Box<Arrival>) {
+        self.hands.counters.held_up_most_us.at_least((now - a.at).as_micros() as u64);
+        if self.cells.known(&a.cell).is_none() && !self.cells.is_empty() {
+            a.client.post((a.ticket, Answer::RolledBack("expected a cluster that the list names")));
+            return;
+        }
+        let group = self.cells.index(a.cell);
+        let txn = self.hands.free.pop().unwrap_or_else(|| {
+            self.hands.txns.push(None);
+            self.hands.txns.len() - 1
+        });
+        let (kind, left) = (a.kind, a.expiry.saturating_sub(now));
+        let (retried, session, wrote_ago) = (a.retried, a.session, a.wrote_ago);
+        self.hands.tickets.insert(a.ticket, txn);
+        self.hands.txns[txn] = Some(Held { arrival: a, answered: false, member: 0 });
+        let hands = &mut self.hands;
+        self.router.txn_arrived(now, txn, kind, group, left, retried, session, wrote_ago, hands);
+    }
+
+    fn ended(&mut self, now: Duration, end: End) {
+        let count = &self.hands.counters;
+        match end.ending {
+            Ending::Committed => count.ended_committed.add(),
+            Ending::Errored => count.ended_errored.add(),
+            Ending::Full => count.ended_full.add(),
+            Ending::TimedOut => count.ended_timed_out.add(),
+            Ending::Unreachable => count.ended_unreachable.add(),
+            Ending::Dropped => count.ended_dropped.add(),
+            Ending::Cancelled => count.ended_cancelled.add(),
+            Ending::Moot => count.ended_moot.add(),
+            Ending::Misplaced => count.ended_misplaced.add(),
+        }
+        let Some(&txn) = self.hands.tickets.get(&end.ticket) else { return };
+        let over = end.ending == Ending::Committed;
+        if over {
+            self.hands.answer(txn, Answer::Committed(end.row));
+        }
+        let (member, ending, took) = (end.member, end.ending, end.at.saturating_sub(end.sent));
+        let (role, position, hands) = (end.role, end.position, &mut self.hands);
+        self.router.submission_ended(now, txn, over, member, ending, role, position, took, hands);
+    }
+
+    /// A list that was found good when it came in.
+    pub fn list(&mut self, now: Duration, list: &Value) {
+        self.hands.counters.lists.add();
+        let unix = self.hands.clock.origin.start + now.as_micros() as i64;
+        let mut named = Vec::new();
+        for entry in list["servers"].as_array().into_iter().flatten() {
+            let id = entry["id"].as_str().unwrap_or_default();
+            let address = entry["addr"].as_str().unwrap_or_default();
+            let member = self.ids.index(id.to_owned());
+            if let Err(why) = self.reach(member, address) {
+                slog::error!(self.log, "a member can't be reached"; "id" => id, "why" => why);
+                continue;
+            }
+            let group = self.cells.index(entry["cell"].as_u64().unwrap_or_default());
+            let zone = self.zones.index(entry["zone"].as_str().unwrap_or_default().to_owned());
+            let state = match entry["state"].as_str() {
+                Some("draining") => Listed::Draining,
+                Some("removed") => Listed::Removed,
+                _ => Listed::Up,
+            };
+            let primary = entry["role"].as_str() == Some("leader");
+            let started = entry["started_ms"].as_i64().filter(|&at| at != 0);
+            let up_for = started.map(|at| span(unix - at.saturating_mul(1000)));
+            self.router.listed(now, member, group, zone, state, primary, up_for);
+            named.push(member);
+        }
+        let full = list["full"].as_bool() == Some(true);
+        self.router.list_ended(now, full.then_some(&named), &mut self.hands);
+    }
+
+    /// Sees to it that the member has an actor that knows its address.
+    fn reach(&mut self, member: usize, address: &str) -> Result<(), String> {
+        if self.addresses.get(member).is_some_and(|known| known == address) {
+            return Ok(());
+        }
+        let to: SocketAddr =
+            address.parse().map_err(|_| format!("expected an address, found {address:?}"))?;
+        if member < self.addresses.len() {
+            self.addresses[member] = address.to_owned();
+            self.hands.tell(member, ToMember::Address(to));
+            return Ok(());
+        }
+        let (mail, read) = member::mailbox();
+        (self.hire)(member, to, read, mail.clone())?;
+        self.addresses.push(address.to_owned());
+        self.hands.members.push(mail);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/front/src/mailbox.rs
@@ -0,0 +1,23 @@
+//! Mail for an actor that waits on its link: posting rings its bell.
+
+use juniperdock_link::Bell;
+use may::sync::mpsc::Sender;
+
+pub struct Mailbox<T> {
+    pub mail: Sender<T>,
+    pub bell: Bell,
+}
+
+impl<T> Clone for Mailbox<T> {
+    fn clone(&self) -> Self {
+        Mailbox { mail: self.mail.clone(), bell: self.bell.clone() }
+    }
+}
+
+impl<T> Mailbox<T> {
+    /// Posts to an actor; one that has ended needs no mail any more.
+    pub fn post(&self, mail: T) {
+        let _ = self.mail.send(mail);
+        self.bell.ring();
+    }
+}
--- /dev/null
+++ b/crates/front/src/main.rs
@@ -0,0 +1,205 @@
+//! The front on sockets: takes clients' txns, lets the router decide, and carries them to the members.
+
+mod client;
+mod clock;
+mod counters;
+mod desk;
+mod list;
+mod mailbox;
+mod member;
+
+use clock::Clock;
+use counters::Counters;
+use juniperdock_door::{self as door, Indices};
+use juniperdock_link::spawn;
+use may::net::TcpListener;
+use may::sync::mpsc::channel;
+use serde_json::Value;
+use signal_hook::consts::{SIGTERM, SIGUSR1};
+use slog::Drain;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// Stacks in bytes: of a connection's coroutine, and of those that decide or read JSON.
+const STACK: usize = 64 << 10;
+const DEEP_STACK: usize = 1 << 20;
+/// After SIGTERM clients still come for 0.4 s; what arrives until this long after it is answered.
+const LINGER: Duration = Duration::from_millis(700);
+
+fn main() -> ExitCode {
+    match serve() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("juniperdock: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Looks a term up by path; a list of plain values is joined by commas.
+fn term(terms: &Value, path: &str) -> Option<String> {
+    let mut at = terms;
+    for part in path.split('.') {
+        at = match (at, part.parse::<usize>()) {
+            (Value::Array(items), _) if part == "count" => return Some(items.len().to_string()),
+            (Value::Array(items), Ok(i)) => items.get(i)?,
+            _ => at.get(part)?,
+        };
+    }
+    let plain = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+    Some(match at {
+        Value::Array(items) => items.iter().map(plain).collect::<Vec<_>>().join(","),
+        Value::Null => return None,
+        value => plain(value),
+    })
+}
+
+fn serve() -> Result<(), String> {
+    let (clock, ring) = Clock::start();
+    let path = std::env::var("GW_CONFIG").map_err(|e| format!("GW_CONFIG: {e}"))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("GW_CONFIG: reading {path}: {e}"))?;
+    let told: Value =
+        serde_json::from_str(&text).map_err(|e| format!("GW_CONFIG: {path}: expected JSON: {e}"))?;
+    let address = |variable: &str, field: &str| -> Result<SocketAddr, String> {
+        let text = std::env::var(variable).ok().or_else(|| told[field].as_str().map(str::to_owned));
+        let text = text.ok_or_else(|| format!("expected {variable}, or {field} in GW_CONFIG"))?;
+        text.parse().map_err(|_| format!("{variable}: expected an address and port, found {text:?}"))
+    };
+    let (listen, discovery) = (address("GW_LISTEN", "listen")?, address("GW_DISCOVERY", "discovery")?);
+    let seed = told["seed"].as_str().ok_or("expected a text in seed of GW_CONFIG")?;
+    let seed =
+        u64::from_str_radix(seed, 16).map_err(|_| format!("seed: expected hex digits, found {seed:?}"))?;
+    let terms = |path: &str| term(&told["settings"], path);
+    let (router, kinds) = door::open(seed, &terms).map_err(|why| format!("settings: {why}"))?;
+    let millis = |path: &str| -> Result<Duration, String> {
+        let ms = terms(path).and_then(|ms| door::micros(ms.parse().ok()?));
+        ms.map(door::span).ok_or_else(|| format!("settings: expected a time in {path}"))
+    };
+    let (connect, idle) = (millis("Bounds.ConnectTimeout")?, millis("Bounds.ConnIdle")?);
+    let grace = millis("Guarantees.GraceToAnswer")?;
+    let mut names = Indices::default();
+    for i in 0..kinds {
+        names
+            .index(terms(&format!("Services.{i}.Name")).ok_or_else(|| format!("settings: no name for {i}"))?);
+    }
+    let zones = terms("Zones").unwrap_or_default().split(',').map(str::to_owned).collect();
+
+    let log = logger();
+    std::panic::set_hook(Box::new({
+        let log = log.clone();
+        move |panic| slog::error!(log, "panic"; "at" => panic.location().map(ToString::to_string))
+    }));
+    may::config().set_workers(1).set_stack_size(STACK / size_of::<usize>()).set_worker_pin(false);
+
+    let counters = Arc::new(Counters::default());
+    let (to_desk, desk_mail) = channel();
+    let (to_list, list_mail) = channel();
+    let reach = member::Reach {
+        clock: clock.clone(),
+        desk: to_desk.clone(),
+        counters: counters.clone(),
+        log: log.clone(),
+        connect,
+        idle,
+        stack: STACK,
+    };
+    let hire: desk::Hire = Box::new(move |index, address, read, mail| {
+        let member = member::Member::new(index, address, mail, reach.clone());
+        spawn("member", STACK, move || member.run(&read))
+    });
+    let mut desk = desk::Desk::new(
+        router,
+        zones,
+        clock.clone(),
+        to_desk.clone(),
+        to_list.clone(),
+        hire,
+        counters.clone(),
+        log.clone(),
+    );
+    let known = told["known"].clone();
+    let version = known["version"].as_u64();
+    let known = juniperdock_discovery::check(&known).map(|()| known);
+    if let Err(why) = &known {
+        slog::warn!(log, "no list is known yet"; "why" => why);
+    }
+    let now = clock.now();
+    spawn("desk", DEEP_STACK, move || {
+        if let Ok(known) = &known {
+            desk.list(now, known);
+        }
+        desk.run(&desk_mail);
+    })?;
+    let list = list::List {
+        address: discovery,
+        clock: clock.clone(),
+        desk: to_desk.clone(),
+        log: log.clone(),
+        version,
+    };
+    spawn("list", DEEP_STACK, move || list.run(&list_mail))?;
+    let _ = to_list.send(());
+
+    let listener = TcpListener::bind(listen).map_err(|e| format!("listening at {listen}: {e}"))?;
+    let hall = Arc::new(client::Hall {
+        clock: clock.clone(),
+        desk: to_desk,
+        counters: counters.clone(),
+        log: log.clone(),
+        kinds: names,
+        marks: terms("Specifics.SessionMarks").as_deref() == Some("client"),
+        grace: grace / 2,
+        tickets: AtomicU64::new(0),
+        present: AtomicUsize::new(0),
+        closing: AtomicBool::new(false),
+    });
+    let doorman = hall.clone();
+    spawn("doorman", STACK, move || {
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let hall = doorman.clone();
+                    if let Err(why) = spawn("client", STACK, move || client::run(stream, hall)) {
+                        slog::error!(doorman.log, "no client can be taken in"; "why" => why);
+                    }
+                }
+                Err(why) => slog::warn!(doorman.log, "a client was not taken in"; "why" => %why),
+            }
+        }
+    })?;
+    slog::info!(log, "serving"; "listen" => %listen, "discovery" => %discovery);
+    std::thread::spawn(ring);
+    watch_signals(&hall, &counters)
+}
+
+fn logger() -> slog::Logger {
+    let level = std::env::var("JUNIPERDOCK_LOG").ok().and_then(|level| level.parse().ok());
+    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+    let drain = slog_term::FullFormat::new(decorator).build().fuse();
+    let drain = slog_async::Async::new(drain).chan_size(1024).build().fuse();
+    let drain = slog::LevelFilter::new(drain, level.unwrap_or(slog::Level::Info)).fuse();
+    slog::Logger::root(drain, slog::o!())
+}
+
+/// Prints the counters on SIGUSR1; on SIGTERM answers all that was taken and ends.
+fn watch_signals(hall: &client::Hall, counters: &Counters) -> Result<(), String> {
+    let mut signals =
+        signal_hook::iterator::Signals::new([SIGTERM, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
+    for signal in signals.forever() {
+        if signal == SIGUSR1 {
+            eprintln!("counters: {counters}");
+            continue;
+        }
+        break;
+    }
+    hall.closing.store(true, Ordering::Relaxed);
+    std::thread::sleep(LINGER);
+    while hall.present.load(Ordering::Relaxed) > 0 && hall.clock.now() < Duration::MAX {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    eprintln!("counters: {counters}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/front/src/member.rs
@@ -0,0 +1,480 @@
+//! A member's actor and its connections. The actor keeps the pool; each connection carries one job at a time
+//! and tells the desk how it ended.
+
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::desk::{End, Mail};
+use juniperdock_door as door;
+use juniperdock_link::{Bell, Failure, Link, Reached, spawn};
+use juniperdock_pg as pg;
+use juniperdock_router::host::{Ending, Report, Role};
+use may::sync::mpsc::{Receiver, Sender, channel};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
+use std::time::Duration;
+
+pub struct Submit {
+    pub ticket: u64,
+    pub statement: Arc<str>,
+    pub left: Range<usize>,
+    /// When the front stops waiting.
+    pub give_up: Duration,
+    pub at: Duration,
+}
+
+pub enum Job {
+    Submit(Submit),
+    Probe { at: Duration },
+}
+
+pub enum ToMember {
+    Job(Job),
+    Cancel(u64),
+    Address(SocketAddr),
+    /// From a connection: it can be woken.
+    Up(u64, Bell),
+    /// From a connection: it is free for the next job.
+    Idle(u64),
+    /// From a connection: it has ended, and waits for word that no job comes any more.
+    Gone(u64),
+}
+
+enum ToConnection {
+    Job(Job),
+    Cancel(u64),
+    Close,
+}
+
+pub fn mailbox() -> (Sender<ToMember>, Receiver<ToMember>) {
+    channel()
+}
+
+/// What all connections to members need.
+#[derive(Clone)]
+pub struct Reach {
+    pub clock: Clock,
+    pub desk: Sender<Mail>,
+    pub counters: Arc<Counters>,
+    pub log: slog::Logger,
+    /// A connection comes up in this time or not at all; a probe is answered in it.
+    pub connect: Duration,
+    /// Members close connections that stand idle for this long.
+    pub idle: Duration,
+    pub stack: usize,
+}
+
+struct Connection {
+    mail: Sender<ToConnection>,
+    bell: Option<Bell>,
+    ticket: Option<u64>,
+    idle_since: Option<Duration>,
+}
+
+pub struct Member {
+    pub index: usize,
+    pub address: SocketAddr,
+    pub mail: Sender<ToMember>,
+    pub reach: Reach,
+    connections: HashMap<u64, Connection>,
+    /// Free ones; the last used is the next used.
+    idle: Vec<u64>,
+    next: u64,
+}
+
+impl Member {
+    pub fn new(index: usize, address: SocketAddr, mail: Sender<ToMember>, reach: Reach) -> Member {
+        Member { index, address, mail, reach, connections: HashMap::new(), idle: Vec::new(), next: 0 }
+    }
+
+    pub fn run(mut self, mail: &Receiver<ToMember>) {
+        while let Ok(mail) = mail.recv() {
+            match mail {
+                ToMember::Job(job) => self.assign(job),
+                ToMember::Cancel(ticket) => {
+                    let its = |c: &&Connection| c.ticket == Some(ticket);
+                    if let Some(c) = self.connections.values().find(its) {
+                        post(c, ToConnection::Cancel(ticket));
+                    }
+                }
+                ToMember::Address(address) => {
+                    self.address = address;
+                    for id in std::mem::take(&mut self.idle) {
+                        self.close(id);
+                    }
+                }
+                ToMember::Up(id, bell) => {
+                    if let Some(c) = self.connections.get_mut(&id) {
+                        c.bell = Some(bell);
+                    }
+                }
+                ToMember::Idle(id) => {
+                    if let Some(c) = self.connections.get_mut(&id) {
+                        (c.ticket, c.idle_since) = (None, Some(self.reach.clock.now()));
+                        self.idle.push(id);
+                    }
+                    self.close_old();
+                }
+                ToMember::Gone(id) => self.close(id),
+            }
+        }
+    }
+
+    fn close(&mut self, id: u64) {
+        self.idle.retain(|&idle| idle != id);
+        if let Some(c) = self.connections.remove(&id) {
+            post(&c, ToConnection::Close);
+        }
+    }
+
+    /// Closes those that stood idle for so long that the member may close them any moment.
+    fn close_old(&mut self) {
+        let now = self.reach.clock.now();
+        while let Some(&id) = self.idle.first() {
+            let since = self.connections.get(&id).and_then(|c| c.idle_since);
+            if since.is_some_and(|since| since + self.reach.idle * 3 / 4 > now) {
+                break;
+            }
+            self.reach.counters.connections_idle_closed.add();
+            self.close(id);
+        }
+    }
+
+    fn assign(&mut self, job: Job) {
+        self.close_old();
+        let ticket = if let Job::Submit(submit) = &job { Some(submit.ticket) } else { None };
+        if let Some(id) = self.idle.pop() {
+            if let Some(c) = self.connections.get_mut(&id) {
+                (c.ticket, c.idle_since) = (ticket, None);
+                self.reach.counters.connections_reused.add();
+                post(c, ToConnection::Job(job));
+            }
+            return;
+        }
+        let id = self.next;
+        self.next += 1;
+        let (mail, read) = channel();
+        self.connections.insert(id, Connection { mail, bell: None, ticket, idle_since: None });
+        let (member, address, pool, reach) =
+            (self.index, self.address, self.mail.clone(), self.reach.clone());
+        self.reach.counters.connections_opened.add();
+        let stack = reach.stack;
+        let started = spawn("connection", stack, move || {
+            Line { id, member, address, pool, reach, mail: read }.run(job);
+        });
+        if let Err(why) = started {
+            slog::error!(self.reach.log, "no connection can be started"; "why" => why);
+        }
+    }
+}
+
+fn post(c: &Connection, mail: ToConnection) {
+    let _ = c.mail.send(mail);
+    if let Some(bell) = &c.bell {
+        bell.ring();
+    }
+}
+
+/// What a member has said so far to one query.
+#[derive(Default)]
+struct Reply {
+    raw: Vec<u8>,
+    rows: u32,
+    described: bool,
+    complete: bool,
+    value: Option<Vec<u8>>,
+    error: Option<String>,
+    role: Option<Role>,
+    position: Option<Duration>,
+    ready: bool,
+}
+
+impl Reply {
+    fn ending(&self) -> Option<Ending> {
+        match self.error.as_deref() {
+            Some(pg::NO_PRIMARY | pg::TOO_FAR_BEHIND) => Some(Ending::Misplaced),
+            Some(pg::TOO_MANY) => Some(Ending::Full),
+            Some(_) => Some(Ending::Errored),
+            None if self.described && self.rows == 1 && self.complete => Some(Ending::Committed),
+            None => None,
+        }
+    }
+}
+
+/// How a job ended, and whether its connection can carry another.
+struct Outcome {
+    ending: Ending,
+    reply: Reply,
+    usable: bool,
+}
+
+/// One connection to a member.
+struct Line {
+    id: u64,
+    member: usize,
+    address: SocketAddr,
+    pool: Sender<ToMember>,
+    reach: Reach,
+    mail: Receiver<ToConnection>,
+}
+
+impl Line {
+    fn run(self, first: Job) {
+        let mut held = Some(first);
+        let lived = catch_unwind(AssertUnwindSafe(|| self.live(&mut held)));
+        if lived.is_err() {
+            self.reach.counters.panics.add();
+        }
+        if let Some(job) = held.take() {
+            self.tell(&job, Ending::Dropped, Reply::default());
+        }
+        self.reach.counters.connections_lost.add();
+        let _ = self.pool.send(ToMember::Gone(self.id));
+        // A job that was given out just now has not been written: it goes to another connection.
+        while let Ok(mail) = self.mail.recv() {
+            match mail {
+                ToConnection::Job(job) => {
+                    let _ = self.pool.send(ToMember::Job(job));
+                }
+                ToConnection::Cancel(_) => {}
+                ToConnection::Close => break,
+            }
+        }
+    }
+
+    fn live(&self, held: &mut Option<Job>) {
+        let Some(job) = held.as_ref() else { return };
+        let begun = self.reach.clock.now();
+        let mut link = match self.welcome(job, begun) {
+            Ok(link) => link,
+            Err(ending) => {
+                if let Some(job) = held.take() {
+                    self.tell(&job, ending, Reply::default());
+                }
+                return;
+            }
+        };
+        let took = (self.reach.clock.now() - begun).as_micros() as u64;
+        self.reach.counters.connect_most_us.at_least(took);
+        loop {
+            let Some(job) = held.as_ref() else { return };
+            let outcome = self.serve(&mut link, job);
+            if let Some(job) = held.take() {
+                self.tell(&job, outcome.ending, outcome.reply);
+            }
+            if !outcome.usable {
+                return;
+            }
+            let _ = self.pool.send(ToMember::Idle(self.id));
+            loop {
+                match self.mail.try_recv() {
+                    Ok(ToConnection::Job(job)) => {
+                        // Checked for an end before it is used again.
+                        if !still_quiet(&mut link) {
+                            let _ = self.pool.send(ToMember::Job(job));
+                            return;
+                        }
+                        *held = Some(job);
+                        break;
+                    }
+                    Ok(ToConnection::Cancel(_)) => {}
+                    Ok(ToConnection::Close) => {
+                        let _ = link.queue(&pg::terminate()).and_then(|()| link.pump());
+                        return;
+                    }
+                    Err(_) if !still_quiet(&mut link) => return,
+                    Err(_) => link.wait(),
+                }
+            }
+        }
+    }
+
+    /// Connects, and waits for the member's welcome; the error says how the job ended that wanted it.
+    fn welcome(&self, job: &Job, begun: Duration) -> Result<Link, Ending> {
+        let (clock, limit) = (&self.reach.clock, begun + self.reach.connect);
+        let give_up = self.give_up(job);
+        let most = self.reach.connect.min(give_up.saturating_sub(begun));
+        if most.is_zero() {
+            return Err(Ending::Moot);
+        }
+        // Out of time for the txn is no word on the member.
+        let late =
+            |at: Duration| if at >= give_up && at < limit { Ending::Moot } else { Ending::Unreachable };
+        let mut link = Link::connect(self.address, most, 2 * pg::LONGEST).map_err(|f| {
+            slog::debug!(self.reach.log, "no connection"; "why" => %f);
+            late(clock.now())
+        })?;
+        let bell = link.bell();
+        let _ = self.pool.send(ToMember::Up(self.id, bell.clone()));
+        clock.at(limit.min(give_up), move || bell.ring());
+        link.queue(&pg::startup("api", "ledger")).map_err(|_| Ending::Unreachable)?;
+        loop {
+            let pumped = link.pump();
+            while let Some((kind, body, length)) =
+                pg::message(link.inbound.make_contiguous()).map_err(|_| Ending::Unreachable)?
+            {
+                match kind {
+                    b'Z' => {
+                        link.inbound.drain(..length);
+                        return Ok(link);
+                    }
+                    b'E' if pg::error_field(body, b'C') == Some(pg::TOO_MANY) => return Err(Ending::Full),
+                    b'E' => return Err(Ending::Unreachable),
+                    b'R' if !body.starts_with(&[0; 4]) => return Err(Ending::Unreachable),
+                    _ => {}
+                }
+                link.inbound.drain(..length);
+            }
+            let now = clock.now();
+            if pumped.is_err() || link.ended || now >= limit.min(give_up) {
+                return Err(if pumped.is_ok() && !link.ended { late(now) } else { Ending::Unreachable });
+            }
+            if self.cancelled(job) {
+                return Err(Ending::Moot);
+            }
+            if matches!(pumped, Ok(false)) {
+                link.wait();
+            }
+        }
+    }
+
+    fn give_up(&self, job: &Job) -> Duration {
+        match job {
+            Job::Submit(submit) => submit.give_up,
+            Job::Probe { at } => *at + self.reach.connect,
+        }
+    }
+
+    fn cancelled(&self, job: &Job) -> bool {
+        std::iter::from_fn(|| self.mail.try_recv().ok())
+            .any(|mail| matches!((mail, job), (ToConnection::Cancel(t), Job::Submit(s)) if t == s.ticket))
+    }
+
+    /// Carries one job to its end.
+    fn serve(&self, link: &mut Link, job: &Job) -> Outcome {
+        let (clock, give_up, mut reply) = (&self.reach.clock, self.give_up(job), Reply::default());
+        let now = clock.now();
+        let text = match job {
+            Job::Submit(submit) => {
+                let left = submit.give_up.saturating_sub(now).as_millis();
+                pg::with_time_left(&submit.statement, &submit.left, left)
+            }
+            Job::Probe { .. } => "SHOW server_load".to_owned(),
+        };
+        if now >= give_up || self.cancelled(job) {
+            return Outcome { ending: Ending::Moot, reply, usable: true };
+        }
+        let bell = link.bell();
+        clock.at(give_up, move || bell.ring());
+        if let Err(failure) = link.queue(&pg::query(&text)) {
+            return broken(&failure, reply);
+        }
+        loop {
+            let pumped = link.pump();
+            if let Err(why) = self.read(link, &mut reply) {
+                slog::warn!(self.reach.log, "a member answers nonsense"; "member" => self.member, "why" => why);
+                return Outcome { ending: Ending::Dropped, reply, usable: false };
+            }
+            let unsent = !link.flushed();
+            if reply.ready {
+                // Ready without an answer is no proof of anything.
+                let ending = reply.ending().unwrap_or(Ending::Errored);
+                return Outcome { ending, reply, usable: !unsent };
+            }
+            match pumped {
+                Err(failure) => return broken(&failure, reply),
+                Ok(_) if link.ended => {
+                    let reached = if unsent { Reached::Connection } else { Reached::Written };
+                    return broken(&Failure { reached, why: "the member ended".to_owned() }, reply);
+                }
+                Ok(true) => continue,
+                Ok(false) => {}
+            }
+            let stop = if self.cancelled(job) {
+                Some(Ending::Cancelled)
+            } else {
+                (clock.now() >= give_up).then_some(Ending::TimedOut)
+            };
+            if let Some(ending) = stop {
+                let ending = if unsent { Ending::Moot } else { ending };
+                return Outcome { ending, reply, usable: false };
+            }
+            link.wait();
+        }
+    }
+
+    fn read(&self, link: &mut Link, reply: &mut Reply) -> Result<(), String> {
+        while let Some((kind, body, length)) = pg::message(link.inbound.make_contiguous())? {
+            let once = |seen: bool| if seen { Err("expected one answer".to_owned()) } else { Ok(()) };
+            match kind {
+                b'S' => match pg::parameter(body) {
+                    Some(("node_role", "leader")) => reply.role = Some(Role::Primary),
+                    Some(("node_role", "follower")) => reply.role = Some(Role::Replica),
+                    Some(("replay_position", ms)) => {
+                        let ms = ms.parse::<f64>().ok().and_then(door::micros);
+                        reply.position = ms.and_then(|at| self.reach.clock.origin.position(at));
+                    }
+                    _ => {}
+                },
+                b'T' => once(std::mem::replace(&mut reply.described, true))?,
+                b'D' => {
+                    once(reply.rows > 0)?;
+                    reply.rows += 1;
+                    let value = pg::column(body).ok_or("expected a row of one column")?;
+                    reply.value = Some(value.to_vec());
+                }
+                b'C' => once(std::mem::replace(&mut reply.complete, true))?,
+                b'E' => reply.error = Some(pg::error_field(body, b'C').unwrap_or(pg::INTERNAL).to_owned()),
+                b'Z' => reply.ready = true,
+                b'N' | b'I' | b'K' | b'R' => {}
+                other => {
+                    return Err(format!("expected an answer, found a message of type {:?}", other as char));
+                }
+            }
+            if matches!(kind, b'T' | b'D' | b'C') {
+                reply.raw.extend(link.inbound.range(..length));
+            }
+            link.inbound.drain(..length);
+            if reply.ready {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    fn tell(&self, job: &Job, ending: Ending, reply: Reply) {
+        let (member, at) = (self.member, self.reach.clock.now());
+        let mail = match job {
+            Job::Submit(submit) => {
+                let (role, position) = (reply.role, reply.position);
+                let (ticket, sent, row) = (submit.ticket, submit.at, reply.raw);
+                Mail::Ended(Box::new(End { ticket, member, ending, role, position, sent, at, row }))
+            }
+            Job::Probe { .. } => {
+                let text = reply.value.and_then(|value| String::from_utf8(value).ok()).unwrap_or_default();
+                let fields = text.split(',').filter_map(|part| part.trim().split_once('='));
+                match door::report(fields, &self.reach.clock.origin) {
+                    Ok(report) => Mail::Probed { member, ending, report },
+                    Err(why) => {
+                        slog::warn!(self.reach.log, "a report can't be read"; "why" => why);
+                        Mail::Probed { member, ending: Ending::Errored, report: Report::default() }
+                    }
+                }
+            }
+        };
+        let _ = self.reach.desk.send(mail);
+    }
+}
+
+fn broken(failure: &Failure, reply: Reply) -> Outcome {
+    // An answer that came whole counts, though the connection did not last.
+    let lost = if failure.reached < Reached::Written { Ending::Unreachable } else { Ending::Dropped };
+    Outcome { ending: reply.ending().unwrap_or(lost), reply, usable: false }
+}
+
+/// Whether an idle connection has neither ended nor said anything out of turn.
+fn still_quiet(link: &mut Link) -> bool {
+    link.pump().is_ok() && !link.ended && link.inbound.is_empty()
+}
