--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -16,6 +16,9 @@
 pub const TOO_FAR_BEHIND: &str = "72000";
 pub const LIMIT_EXCEEDED: &str = "54000";
 
+/// A message's type, its body, and how long it is in all.
+pub type Message<'a> = (u8, &'a [u8], usize);
+
 /// One typed message at the head of `bytes`: its type, its body and how long it is in all. `None` until all
 /// of it is there; the error says why what follows can't be followed.
 ///
@@ -25,7 +28,7 @@
 /// assert_eq!(juniperdock_pg::message(&query[..5]), Ok(None));
 /// assert!(juniperdock_pg::message(b"Q\0\0\0\x03").is_err());
 /// ```
-pub fn message(bytes: &[u8]) -> Result<Option<(u8, &[u8], usize)>, String> {
+pub fn message(bytes: &[u8]) -> Result<Option<Message<'_>>, String> {
     let Some((&kind, rest)) = bytes.split_first() else { return Ok(None) };
     if !kind.is_ascii_alphabetic() {
         return Err(format!("expected a message type, found byte {kind:#04x}"));
@@ -177,6 +180,9 @@
     }
 }
 
+/// A name and its value.
+pub type Field<'a> = (&'a str, &'a str);
+
 /// The names and values of the comment that leads a statement, and what follows it.
 ///
 /// ```
@@ -185,7 +191,7 @@
 /// assert_eq!(rest, " SELECT 1");
 /// assert!(juniperdock_pg::comment("/* id=9b").is_err());
 /// ```
-pub fn comment(statement: &str) -> Result<(Vec<(&str, &str)>, &str), String> {
+pub fn comment(statement: &str) -> Result<(Vec<Field<'_>>, &str), String> {
     let (inside, rest) = statement
         .trim_start()
         .strip_prefix("/*")
