--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Build, test, lint and run. Everything is cargo's; the targets only name it.
+
+.PHONY: build test lint run ci
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+# Needs GW_LISTEN, GW_DISCOVERY and GW_CONFIG; see README.md.
+run: build
+	target/release/juniperdock
+
+ci:
+	bash .ci/run
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -5,16 +5,22 @@
 use crate::desk::{Answer, Arrival, Mail};
 use crate::mailbox::Mailbox;
 use juniperdock_door::Indices;
-use juniperdock_link::Link;
+use juniperdock_link::{Bell, Link, spawn};
 use juniperdock_pg as pg;
-use may::net::TcpStream;
+use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc::{Receiver, Sender, channel};
+use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// The stack of a connection's coroutine, in bytes.
+pub const STACK: usize = 64 << 10;
+/// How long the door stays shut when a client can't be taken in.
+const PAUSE: Duration = Duration::from_millis(10);
+
 /// What all clients' actors share.
 pub struct Hall {
     pub clock: Clock,
@@ -28,9 +34,70 @@
     /// An answer must be out this long after the expiry.
     pub grace: Duration,
     pub tickets: AtomicU64,
-    pub present: AtomicUsize,
     /// Connections end once they are between txns.
     pub closing: AtomicBool,
+    /// How many clients there may be.
+    pub most: usize,
+    pub seats: Mutex<Seats>,
+}
+
+/// The clients that are here.
+#[derive(Default)]
+pub struct Seats {
+    next: u64,
+    taken: HashMap<u64, Seat>,
+}
+
+struct Seat {
+    bell: Bell,
+    /// Since when it is between txns; it may be asked to leave then.
+    idle_since: Option<Duration>,
+    asked_to_leave: bool,
+}
+
+impl Hall {
+    /// Held for a few steps only, never over a wait.
+    fn seats(&self) -> MutexGuard<'_, Seats> {
+        self.seats.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn present(&self) -> usize {
+        self.seats().taken.len()
+    }
+
+    /// From now on connections end between txns.
+    pub fn close(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+        self.seats().taken.values().for_each(|seat| seat.bell.ring());
+    }
+
+    /// Seats a client. Where all seats are taken, the client longest between txns is asked to leave; where
+    /// none is between txns, the new one gets no seat of its own: `false`.
+    fn sit(&self, bell: Bell) -> (u64, bool) {
+        let now = self.clock.now();
+        let mut seats = self.seats();
+        let full = seats.taken.len() >= self.most;
+        let idle = seats.taken.values_mut().filter(|seat| !seat.asked_to_leave && seat.idle_since.is_some());
+        let leaves = idle.min_by_key(|seat| seat.idle_since).filter(|_| full);
+        let found = !full || leaves.is_some();
+        if let Some(seat) = leaves {
+            seat.asked_to_leave = true;
+            seat.bell.ring();
+        }
+        seats.next += 1;
+        let id = seats.next;
+        seats.taken.insert(id, Seat { bell, idle_since: Some(now), asked_to_leave: false });
+        (id, found)
+    }
+
+    /// Notes whether a client is between txns; true if it is to leave.
+    fn rest(&self, id: u64, idle: bool) -> bool {
+        let mut seats = self.seats();
+        let Some(seat) = seats.taken.get_mut(&id) else { return true };
+        let since = seat.idle_since.unwrap_or_else(|| self.clock.now());
+        seat.idle_since = idle.then_some(since);
+        idle && (seat.asked_to_leave || self.closing.load(Ordering::Relaxed))
+    }
 }
 
 struct InHand {
@@ -40,6 +107,9 @@
 
 struct Client {
     hall: Arc<Hall>,
+    seat: u64,
+    /// There was room for it; else it is declined as soon as it has opened.
+    seated: bool,
     link: Link,
     mail: Receiver<(u64, Answer)>,
     mailbox: Mailbox<(u64, Answer)>,
@@ -51,16 +121,17 @@
     last: bool,
 }
 
-pub fn run(stream: TcpStream, hall: Arc<Hall>) {
+fn run(stream: TcpStream, hall: Arc<Hall>) {
     hall.counters.clients.add();
-    hall.present.fetch_add(1, Ordering::Relaxed);
     match Link::new(stream, 2 * pg::LONGEST) {
         Ok(link) => {
             let (mail, read) = channel();
             let mailbox = Mailbox { mail, bell: link.bell() };
             let (open, in_hand, skipping, last) = (false, None, false, false);
+            let (seat, seated) = hall.sit(link.bell());
             let hall = hall.clone();
-            let mut client = Client { hall, link, mail: read, mailbox, open, in_hand, skipping, last };
+            let mut client =
+                Client { hall, seat, seated, link, mail: read, mailbox, open, in_hand, skipping, last };
             if catch_unwind(AssertUnwindSafe(|| client.live())).is_err() {
                 client.hall.counters.panics.add();
                 let mut out = Vec::new();
@@ -71,10 +142,35 @@
                 client.hall.counters.left.add();
                 let _ = client.hall.desk.send(Mail::Left(in_hand.ticket));
             }
+            client.hall.seats().taken.remove(&seat);
         }
         Err(why) => slog::debug!(hall.log, "a client is gone at once"; "why" => %why),
     }
-    hall.present.fetch_sub(1, Ordering::Relaxed);
+}
+
+impl Hall {
+    /// Takes clients in as they come, for as long as the program runs.
+    pub fn let_in(self: Arc<Self>, listener: &TcpListener) {
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let hall = self.clone();
+                    if let Err(why) = spawn("client", STACK, move || run(stream, hall)) {
+                        slog::error!(self.log, "no client can be taken in"; "why" => why);
+                    }
+                }
+                Err(why) => {
+                    // Out of descriptors in spite of the budget: once more when some may be free.
+                    slog::warn!(self.log, "a client was not taken in"; "why" => %why);
+                    let (again, waited) = channel();
+                    self.clock.at(self.clock.now() + PAUSE, move || {
+                        let _ = again.send(());
+                    });
+                    let _ = waited.recv();
+                }
+            }
+        }
+    }
 }
 
 impl Client {
@@ -107,7 +203,7 @@
                 return;
             }
             if !moved && !read {
-                if done && self.link.inbound.is_empty() && self.hall.closing.load(Ordering::Relaxed) {
+                if self.hall.rest(self.seat, done) {
                     return;
                 }
                 if !self.link.flushed() {
@@ -199,7 +295,13 @@
                 length
             }
             Some((pg::Opening::Startup, length)) => {
-                pg::welcome(out);
+                if self.seated {
+                    pg::welcome(out);
+                } else {
+                    self.hall.counters.clients_refused.add();
+                    pg::error(out, true, pg::TOO_MANY, "too many clients", None);
+                    self.last = true;
+                }
                 self.open = true;
                 length
             }
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::mailbox::Mailbox;
-use crate::member::{self, Job, Submit, ToMember};
+use crate::member::{self, Job, Submit, ToMember, Until};
 use juniperdock_door::{Indices, span};
 use juniperdock_router::host::{Ending, Host, Listed, Report, Role};
 use juniperdock_router::routing::Router;
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,16 +56,26 @@
     Arrived(Box<Arrival>),
     Left(u64),
     Ended(Box<End>),
-    Probed { member: usize, ending: Ending, report: Report },
+    Probed {
+        member: usize,
+        ending: Ending,
+        report: Report,
+    },
     List(Value),
     ListLost,
-    Due { handle: u64, at: Duration },
+    /// Connections to members run short.
+    Short,
+    Due {
+        handle: u64,
+        at: Duration,
+    },
 }
 
 struct Held {
     arrival: Box<Arrival>,
     answered: bool,
-    member: usize,
+    /// The submission that is out: its member, and until when it may still be written.
+    out: Option<(usize, Until)>,
 }
 
 /// Carries out what the router wants done.
@@ -93,22 +104,22 @@
 }
 
 impl Host for Hands {
-    fn send(&mut self, txn: usize, member: usize, time_out: Option<Duration>) {
+    fn send(&mut self, txn: usize, member: usize, until: Duration) {
         let at = self.clock.now();
         let Some(held) = self.txns[txn].as_mut() else { return };
-        held.member = member;
-        let a = &held.arrival;
-        let give_up = time_out.map_or(a.expiry, |limit| a.expiry.min(at + limit));
-        let (statement, left) = (a.statement.clone(), a.left.clone());
-        let submit = Submit { ticket: a.ticket, statement, left, give_up, at };
+        let until = Until::new(until);
+        held.out = Some((member, until.clone()));
+        let Arrival { ticket, expiry, .. } = *held.arrival;
+        let (statement, left) = (held.arrival.statement.clone(), held.arrival.left.clone());
+        let submit = Submit { ticket, statement, left, give_up: expiry, until, at };
         self.counters.submitted.add();
         self.tell(member, ToMember::Job(Job::Submit(submit)));
     }
 
     fn cancel(&mut self, txn: usize, _submission: u32) {
         // One submission of a txn is out at a time: the one last sent.
-        if let Some(held) = &self.txns[txn] {
-            self.tell(held.member, ToMember::Cancel(held.arrival.ticket));
+        if let Some(Held { arrival, out: Some((member, _)), .. }) = &self.txns[txn] {
+            self.tell(*member, ToMember::Cancel(arrival.ticket));
         }
     }
 
@@ -149,11 +160,16 @@
 pub type Hire =
     Box<dyn Fn(usize, SocketAddr, Receiver<ToMember>, Sender<ToMember>) -> Result<(), String> + Send>;
 
+/// Makes a router that knows nothing yet.
+pub type Make = Box<dyn Fn() -> Result<Router, String> + Send>;
+
 pub struct Desk {
     router: Router,
+    make: Make,
     hands: Hands,
     ids: Indices<String>,
-    addresses: Vec<String>,
+    /// What the list last said of each member.
+    entries: Vec<Value>,
     cells: Indices<u64>,
     zones: Indices<String>,
     hire: Hire,
@@ -162,7 +178,7 @@
 
 impl Desk {
     pub fn new(
-        router: Router,
+        make: Make,
         zones: Vec<String>,
         clock: Clock,
         desk: Sender<Mail>,
@@ -170,7 +186,7 @@
         hire: Hire,
         counters: Arc<Counters>,
         log: slog::Logger,
-    ) -> Desk {
+    ) -> Result<Desk, String> {
         let mut known = Indices::default();
         zones.into_iter().for_each(|zone| {
             known.index(zone);
@@ -178,18 +194,51 @@
         let (txns, tickets, free, members) = (Vec::new(), HashMap::new(), Vec::new(), Vec::new());
         let hands = Hands { txns, tickets, free, members, clock, desk, list, counters };
         let (ids, cells) = (Indices::default(), Indices::default());
-        Desk { router, hands, ids, addresses: Vec::new(), cells, zones: known, hire, log }
+        let entries = Vec::new();
+        Ok(Desk { router: make()?, make, hands, ids, entries, cells, zones: known, hire, log })
     }
 
     pub fn run(mut self, mail: &Receiver<Mail>) {
         while let Ok(mail) = mail.recv() {
-            self.take(mail);
+            if catch_unwind(AssertUnwindSafe(|| self.take(mail))).is_err() {
+                self.hands.counters.panics.add();
+                if let Err(why) = self.start_anew() {
+                    slog::crit!(self.log, "the desk can't go on"; "why" => why);
+                    std::process::exit(1);
+                }
+            }
+            self.refresh();
+        }
+    }
+
+    /// After a panic nothing the router knew can be trusted: all in hand is rolled back, and a new router
+    /// starts from the list as it stands.
+    fn start_anew(&mut self) -> Result<(), String> {
+        for txn in 0..self.hands.txns.len() {
+            self.hands.answer(txn, Answer::RolledBack("the desk failed; it may have run"));
+            self.hands.release(txn);
+        }
+        self.router = (self.make)()?;
+        let list = serde_json::json!({ "full": true, "servers": self.entries });
+        self.list(self.hands.clock.now(), &list);
+        Ok(())
+    }
+
+    /// What is still to be written sees what has come in since it was decided.
+    fn refresh(&self) {
+        for (txn, held) in self.hands.txns.iter().enumerate() {
+            if let Some(Held { out: Some((_, until)), .. }) = held {
+                until.set(self.router.holds_until(txn));
+            }
         }
     }
 
     fn take(&mut self, mail: Mail) {
         let now = self.hands.clock.now();
         match mail {
+            Mail::Short => {
+                (0..self.hands.members.len()).for_each(|member| self.hands.tell(member, ToMember::Spare));
+            }
             Mail::Arrived(arrival) => self.arrived(now, arrival),
             Mail::Left(ticket) => {
                 if let Some(&txn) = self.hands.tickets.get(&ticket) {
@@ -233,7 +282,7 @@
         let (kind, left) = (a.kind, a.expiry.saturating_sub(now));
         let (retried, session, wrote_ago) = (a.retried, a.session, a.wrote_ago);
         self.hands.tickets.insert(a.ticket, txn);
-        self.hands.txns[txn] = Some(Held { arrival: a, answered: false, member: 0 });
+        self.hands.txns[txn] = Some(Held { arrival: a, answered: false, out: None });
         let hands = &mut self.hands;
         self.router.txn_arrived(now, txn, kind, group, left, retried, session, wrote_ago, hands);
     }
@@ -252,6 +301,9 @@
             Ending::Misplaced => count.ended_misplaced.add(),
         }
         let Some(&txn) = self.hands.tickets.get(&end.ticket) else { return };
+        if let Some(held) = self.hands.txns[txn].as_mut() {
+            held.out = None;
+        }
         let over = end.ending == Ending::Committed;
         if over {
             self.hands.answer(txn, Answer::Committed(end.row));
@@ -268,9 +320,8 @@
         let mut named = Vec::new();
         for entry in list["servers"].as_array().into_iter().flatten() {
             let id = entry["id"].as_str().unwrap_or_default();
-            let address = entry["addr"].as_str().unwrap_or_default();
             let member = self.ids.index(id.to_owned());
-            if let Err(why) = self.reach(member, address) {
+            if let Err(why) = self.reach(member, entry) {
                 slog::error!(self.log, "a member can't be reached"; "id" => id, "why" => why);
                 continue;
             }
@@ -292,21 +343,20 @@
     }
 
     /// Sees to it that the member has an actor that knows its address.
-    fn reach(&mut self, member: usize, address: &str) -> Result<(), String> {
-        if self.addresses.get(member).is_some_and(|known| known == address) {
-            return Ok(());
-        }
+    fn reach(&mut self, member: usize, entry: &Value) -> Result<(), String> {
+        let address = entry["addr"].as_str().unwrap_or_default();
         let to: SocketAddr =
             address.parse().map_err(|_| format!("expected an address, found {address:?}"))?;
-        if member < self.addresses.len() {
-            self.addresses[member] = address.to_owned();
-            self.hands.tell(member, ToMember::Address(to));
+        if let Some(known) = self.entries.get_mut(member) {
+            if known["addr"] != entry["addr"] {
+                self.hands.tell(member, ToMember::Address(to));
+            }
+            *known = entry.clone();
             return Ok(());
         }
         let (mail, read) = member::mailbox();
-        (self.hire)(member, to, read, mail.clone())?;
-        self.addresses.push(address.to_owned());
-        self.hands.members.push(mail);
-        Ok(())
+        self.entries.push(entry.clone());
+        self.hands.members.push(mail.clone());
+        (self.hire)(member, to, read, mail)
     }
 }
--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -1,11 +1,14 @@
 //! The list's actor: keeps a watch on the member list and passes on what it is told.
 
 use crate::clock::Clock;
+use crate::counters::Counters;
 use crate::desk::Mail;
 use juniperdock_discovery::{Answer, LONGEST, watch_request};
 use juniperdock_link::Link;
 use may::sync::mpsc::{Receiver, Sender};
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Whatever the list has to tell counts as told after this time: three of its empty lines.
@@ -15,6 +18,7 @@
     pub address: SocketAddr,
     pub clock: Clock,
     pub desk: Sender<Mail>,
+    pub counters: Arc<Counters>,
     pub log: slog::Logger,
     pub version: Option<u64>,
 }
@@ -25,7 +29,10 @@
         let mut told = false;
         while asked.recv().is_ok() {
             let before = self.version;
-            let why = self.watch();
+            let why = catch_unwind(AssertUnwindSafe(|| self.watch())).unwrap_or_else(|_| {
+                self.counters.panics.add();
+                "its actor failed".to_owned()
+            });
             told &= self.version == before;
             if !told {
                 slog::warn!(self.log, "the watch on the member list is lost"; "why" => why);
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -8,6 +8,7 @@
 mod mailbox;
 mod member;
 
+use client::STACK;
 use clock::Clock;
 use counters::Counters;
 use juniperdock_door::{self as door, Indices};
@@ -16,18 +17,20 @@
 use may::sync::mpsc::channel;
 use serde_json::Value;
 use signal_hook::consts::{SIGTERM, SIGUSR1};
+use signal_hook::iterator::Signals;
 use slog::Drain;
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Stacks in bytes: of a connection's coroutine, and of those that decide or read JSON.
-const STACK: usize = 64 << 10;
+/// The stack, in bytes, of the coroutines that decide or read JSON.
 const DEEP_STACK: usize = 1 << 20;
-/// After SIGTERM clients still come for 0.4 s; what arrives until this long after it is answered.
-const LINGER: Duration = Duration::from_millis(700);
+/// After SIGTERM clients still come for 0.4 s; then those between txns are told to go elsewhere.
+const LINGER: Duration = Duration::from_millis(450);
+/// Descriptors that are neither a client's nor a connection to a member, a quarter of all at most.
+const SPARE: usize = 64;
 
 fn main() -> ExitCode {
     match serve() {
@@ -58,6 +61,7 @@
 }
 
 fn serve() -> Result<(), String> {
+    let signals = Signals::new([SIGTERM, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
     let (clock, ring) = Clock::start();
     let path = std::env::var("GW_CONFIG").map_err(|e| format!("GW_CONFIG: {e}"))?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("GW_CONFIG: reading {path}: {e}"))?;
@@ -73,17 +77,24 @@
     let seed =
         u64::from_str_radix(seed, 16).map_err(|_| format!("seed: expected hex digits, found {seed:?}"))?;
     let terms = |path: &str| term(&told["settings"], path);
-    let (router, kinds) = door::open(seed, &terms).map_err(|why| format!("settings: {why}"))?;
+    let (_, kinds) = door::open(seed, &terms).map_err(|why| format!("settings: {why}"))?;
+    let settings = told["settings"].clone();
+    let make: desk::Make = Box::new(move || Ok(door::open(seed, &|path| term(&settings, path))?.0));
+    let sockets =
+        told["limits"]["sockets"].as_u64().ok_or("expected a number in limits.sockets of GW_CONFIG")?;
+    let sockets = usize::try_from(sockets).map_err(|e| format!("limits.sockets: {e}"))?;
+    let most = (sockets - SPARE.min(sockets / 4)) / 2;
     let millis = |path: &str| -> Result<Duration, String> {
         let ms = terms(path).and_then(|ms| door::micros(ms.parse().ok()?));
         ms.map(door::span).ok_or_else(|| format!("settings: expected a time in {path}"))
     };
     let (connect, idle) = (millis("Bounds.ConnectTimeout")?, millis("Bounds.ConnIdle")?);
     let grace = millis("Guarantees.GraceToAnswer")?;
-    let mut names = Indices::default();
+    let (mut names, mut longest) = (Indices::default(), Duration::ZERO);
     for i in 0..kinds {
-        names
-            .index(terms(&format!("Services.{i}.Name")).ok_or_else(|| format!("settings: no name for {i}"))?);
+        let name = terms(&format!("Services.{i}.Name"));
+        names.index(name.ok_or_else(|| format!("settings: expected a name for txn type {i}"))?);
+        longest = longest.max(millis(&format!("Services.{i}.HardLimit"))?);
     }
     let zones = terms("Zones").unwrap_or_default().split(',').map(str::to_owned).collect();
 
@@ -105,13 +116,15 @@
         connect,
         idle,
         stack: STACK,
+        open: Arc::new(AtomicUsize::new(0)),
+        most,
     };
     let hire: desk::Hire = Box::new(move |index, address, read, mail| {
         let member = member::Member::new(index, address, mail, reach.clone());
         spawn("member", STACK, move || member.run(&read))
     });
-    let mut desk = desk::Desk::new(
-        router,
+    let desk = desk::Desk::new(
+        make,
         zones,
         clock.clone(),
         to_desk.clone(),
@@ -119,24 +132,22 @@
         hire,
         counters.clone(),
         log.clone(),
-    );
+    )?;
     let known = told["known"].clone();
     let version = known["version"].as_u64();
     let known = juniperdock_discovery::check(&known).map(|()| known);
     if let Err(why) = &known {
         slog::warn!(log, "no list is known yet"; "why" => why);
     }
-    let now = clock.now();
-    spawn("desk", DEEP_STACK, move || {
-        if let Ok(known) = &known {
-            desk.list(now, known);
-        }
-        desk.run(&desk_mail);
-    })?;
+    if let Ok(known) = known {
+        let _ = to_desk.send(desk::Mail::List(known));
+    }
+    spawn("desk", DEEP_STACK, move || desk.run(&desk_mail))?;
     let list = list::List {
         address: discovery,
         clock: clock.clone(),
         desk: to_desk.clone(),
+        counters: counters.clone(),
         log: log.clone(),
         version,
     };
@@ -153,26 +164,15 @@
         marks: terms("Specifics.SessionMarks").as_deref() == Some("client"),
         grace: grace / 2,
         tickets: AtomicU64::new(0),
-        present: AtomicUsize::new(0),
         closing: AtomicBool::new(false),
+        most,
+        seats: Mutex::default(),
     });
     let doorman = hall.clone();
-    spawn("doorman", STACK, move || {
-        loop {
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    let hall = doorman.clone();
-                    if let Err(why) = spawn("client", STACK, move || client::run(stream, hall)) {
-                        slog::error!(doorman.log, "no client can be taken in"; "why" => why);
-                    }
-                }
-                Err(why) => slog::warn!(doorman.log, "a client was not taken in"; "why" => %why),
-            }
-        }
-    })?;
+    spawn("doorman", STACK, move || doorman.let_in(&listener))?;
     slog::info!(log, "serving"; "listen" => %listen, "discovery" => %discovery);
     std::thread::spawn(ring);
-    watch_signals(&hall, &counters)
+    watch_signals(signals, &hall, &counters, longest + grace)
 }
 
 fn logger() -> slog::Logger {
@@ -185,9 +185,12 @@
 }
 
 /// Prints the counters on SIGUSR1; on SIGTERM answers all that was taken and ends.
-fn watch_signals(hall: &client::Hall, counters: &Counters) -> Result<(), String> {
-    let mut signals =
-        signal_hook::iterator::Signals::new([SIGTERM, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
+fn watch_signals(
+    mut signals: Signals,
+    hall: &client::Hall,
+    counters: &Counters,
+    longest: Duration,
+) -> Result<(), String> {
     for signal in signals.forever() {
         if signal == SIGUSR1 {
             eprintln!("counters: {counters}");
@@ -195,10 +198,11 @@
         }
         break;
     }
-    hall.closing.store(true, Ordering::Relaxed);
     std::thread::sleep(LINGER);
-    while hall.present.load(Ordering::Relaxed) > 0 && hall.clock.now() < Duration::MAX {
-        std::thread::sleep(Duration::from_millis(10));
+    hall.close();
+    let last = hall.clock.now() + longest;
+    while hall.present() > 0 && hall.clock.now() < last {
+        std::thread::sleep(Duration::from_millis(5));
     }
     eprintln!("counters: {counters}");
     Ok(())
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -14,6 +14,7 @@
 use std::ops::Range;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 pub struct Submit {
@@ -22,9 +23,29 @@
     pub left: Range<usize>,
     /// When the front stops waiting.
     pub give_up: Duration,
+    /// Nothing is written after this; the desk keeps it up to date.
+    pub until: Until,
     pub at: Duration,
 }
 
+/// Until when a submission may still be written.
+#[derive(Clone)]
+pub struct Until(Arc<AtomicU64>);
+
+impl Until {
+    pub fn new(at: Duration) -> Until {
+        Until(Arc::new(AtomicU64::new(at.as_micros() as u64)))
+    }
+
+    pub fn set(&self, at: Duration) {
+        self.0.store(at.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    fn passed(&self, now: Duration) -> bool {
+        now.as_micros() as u64 >= self.0.load(Ordering::Relaxed)
+    }
+}
+
 pub enum Job {
     Submit(Submit),
     Probe { at: Duration },
@@ -34,6 +55,8 @@
     Job(Job),
     Cancel(u64),
     Address(SocketAddr),
+    /// Connections run short: those that stand idle are closed.
+    Spare,
     /// From a connection: it can be woken.
     Up(u64, Bell),
     /// From a connection: it is free for the next job.
@@ -64,6 +87,9 @@
     /// Members close connections that stand idle for this long.
     pub idle: Duration,
     pub stack: usize,
+    /// Connections to all members, and how many there may be.
+    pub open: Arc<AtomicUsize>,
+    pub most: usize,
 }
 
 struct Connection {
@@ -91,34 +117,45 @@
 
     pub fn run(mut self, mail: &Receiver<ToMember>) {
         while let Ok(mail) = mail.recv() {
-            match mail {
-                ToMember::Job(job) => self.assign(job),
-                ToMember::Cancel(ticket) => {
-                    let its = |c: &&Connection| c.ticket == Some(ticket);
-                    if let Some(c) = self.connections.values().find(its) {
-                        post(c, ToConnection::Cancel(ticket));
-                    }
+            if catch_unwind(AssertUnwindSafe(|| self.take(mail))).is_err() {
+                // The pool can't be trusted any more; connections end as their jobs do.
+                self.reach.counters.panics.add();
+                self.idle.clear();
+                let all = std::mem::take(&mut self.connections);
+                all.values().for_each(|c| post(c, ToConnection::Close));
+            }
+        }
+    }
+
+    fn take(&mut self, mail: ToMember) {
+        match mail {
+            ToMember::Job(job) => self.assign(job),
+            ToMember::Cancel(ticket) => {
+                let its = |c: &&Connection| c.ticket == Some(ticket);
+                if let Some(c) = self.connections.values().find(its) {
+                    post(c, ToConnection::Cancel(ticket));
                 }
-                ToMember::Address(address) => {
-                    self.address = address;
-                    for id in std::mem::take(&mut self.idle) {
-                        self.close(id);
-                    }
+            }
+            ToMember::Address(address) => {
+                self.address = address;
+                for id in std::mem::take(&mut self.idle) {
+                    self.close(id);
                 }
-                ToMember::Up(id, bell) => {
-                    if let Some(c) = self.connections.get_mut(&id) {
-                        c.bell = Some(bell);
-                    }
+            }
+            ToMember::Spare => std::mem::take(&mut self.idle).into_iter().for_each(|id| self.close(id)),
+            ToMember::Up(id, bell) => {
+                if let Some(c) = self.connections.get_mut(&id) {
+                    c.bell = Some(bell);
                 }
-                ToMember::Idle(id) => {
-                    if let Some(c) = self.connections.get_mut(&id) {
-                        (c.ticket, c.idle_since) = (None, Some(self.reach.clock.now()));
-                        self.idle.push(id);
-                    }
-                    self.close_old();
+            }
+            ToMember::Idle(id) => {
+                if let Some(c) = self.connections.get_mut(&id) {
+                    (c.ticket, c.idle_since) = (None, Some(self.reach.clock.now()));
+                    self.idle.push(id);
                 }
-                ToMember::Gone(id) => self.close(id),
+                self.close_old();
             }
+            ToMember::Gone(id) => self.close(id),
         }
     }
 
@@ -153,8 +190,15 @@
             }
             return;
         }
+        if self.reach.open.load(Ordering::Relaxed) >= self.reach.most {
+            // As if the member had no connection left; the idle ones of others make room for the next.
+            let _ = self.reach.desk.send(Mail::Short);
+            tell(&self.reach, self.index, &job, Ending::Full, Reply::default());
+            return;
+        }
         let id = self.next;
         self.next += 1;
+        self.reach.open.fetch_add(1, Ordering::Relaxed);
         let (mail, read) = channel();
         self.connections.insert(id, Connection { mail, bell: None, ticket, idle_since: None });
         let (member, address, pool, reach) =
@@ -166,6 +210,7 @@
         });
         if let Err(why) = started {
             slog::error!(self.reach.log, "no connection can be started"; "why" => why);
+            self.reach.open.fetch_sub(1, Ordering::Relaxed);
         }
     }
 }
@@ -230,7 +275,7 @@
         if let Some(job) = held.take() {
             self.tell(&job, Ending::Dropped, Reply::default());
         }
-        self.reach.counters.connections_lost.add();
+        self.reach.open.fetch_sub(1, Ordering::Relaxed);
         let _ = self.pool.send(ToMember::Gone(self.id));
         // A job that was given out just now has not been written: it goes to another connection.
         while let Ok(mail) = self.mail.recv() {
@@ -363,7 +408,8 @@
             }
             Job::Probe { .. } => "SHOW server_load".to_owned(),
         };
-        if now >= give_up || self.cancelled(job) {
+        let moot = matches!(job, Job::Submit(submit) if submit.until.passed(now));
+        if moot || now >= give_up || self.cancelled(job) {
             return Outcome { ending: Ending::Moot, reply, usable: true };
         }
         let bell = link.bell();
@@ -374,7 +420,7 @@
         loop {
             let pumped = link.pump();
             if let Err(why) = self.read(link, &mut reply) {
-                slog::warn!(self.reach.log, "a member answers nonsense"; "member" => self.member, "why" => why);
+                slog::warn!(self.reach.log, "a member talks nonsense"; "member" => self.member, "why" => why);
                 return Outcome { ending: Ending::Dropped, reply, usable: false };
             }
             let unsent = !link.flushed();
@@ -445,27 +491,34 @@
     }
 
     fn tell(&self, job: &Job, ending: Ending, reply: Reply) {
-        let (member, at) = (self.member, self.reach.clock.now());
-        let mail = match job {
-            Job::Submit(submit) => {
-                let (role, position) = (reply.role, reply.position);
-                let (ticket, sent, row) = (submit.ticket, submit.at, reply.raw);
-                Mail::Ended(Box::new(End { ticket, member, ending, role, position, sent, at, row }))
-            }
-            Job::Probe { .. } => {
-                let text = reply.value.and_then(|value| String::from_utf8(value).ok()).unwrap_or_default();
-                let fields = text.split(',').filter_map(|part| part.trim().split_once('='));
-                match door::report(fields, &self.reach.clock.origin) {
-                    Ok(report) => Mail::Probed { member, ending, report },
-                    Err(why) => {
-                        slog::warn!(self.reach.log, "a report can't be read"; "why" => why);
-                        Mail::Probed { member, ending: Ending::Errored, report: Report::default() }
-                    }
+        if matches!(ending, Ending::Dropped) {
+            self.reach.counters.connections_lost.add();
+        }
+        tell(&self.reach, self.member, job, ending, reply);
+    }
+}
+
+/// Tells the desk how a job ended.
+fn tell(reach: &Reach, member: usize, job: &Job, ending: Ending, reply: Reply) {
+    let mail = match job {
+        Job::Submit(submit) => {
+            let (role, position) = (reply.role, reply.position);
+            let (ticket, sent, row, at) = (submit.ticket, submit.at, reply.raw, reach.clock.now());
+            Mail::Ended(Box::new(End { ticket, member, ending, role, position, sent, at, row }))
+        }
+        Job::Probe { .. } => {
+            let text = reply.value.and_then(|value| String::from_utf8(value).ok()).unwrap_or_default();
+            let fields = text.split(',').filter_map(|part| part.trim().split_once('='));
+            match door::report(fields, &reach.clock.origin) {
+                Ok(report) => Mail::Probed { member, ending, report },
+                Err(why) => {
+                    slog::warn!(reach.log, "a report can't be read"; "why" => why);
+                    Mail::Probed { member, ending: Ending::Errored, report: Report::default() }
                 }
             }
-        };
-        let _ = self.reach.desk.send(mail);
-    }
+        }
+    };
+    let _ = reach.desk.send(mail);
 }
 
 fn broken(failure: &Failure, reply: Reply) -> Outcome {
--- /dev/null
+++ b/crates/front/tests/sockets.rs
@@ -0,0 +1,405 @@
+//! Stories on sockets: the built program among stand-ins. Each waits for what is to happen, never for a time.
+
+mod stand_in;
+
+use stand_in::{Agent, Does, Front, Member, PATIENCE, WATCH, list, message, row, txn};
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+/// One group: member 0 is its primary, 1 and 2 are replicas.
+struct Town {
+    agent: Agent,
+    members: Vec<Member>,
+    known: String,
+}
+
+impl Town {
+    fn new() -> Town {
+        Town::told(WATCH)
+    }
+
+    fn told(head: &'static str) -> Town {
+        let members: Vec<Member> = (0..3).map(|i| Member::start(i == 0)).collect();
+        let known = Town::list(&members, 1, ["up"; 3]);
+        Town { agent: Agent::start(head), members, known }
+    }
+
+    fn list(members: &[Member], version: u64, states: [&str; 3]) -> String {
+        let names = ["m-0", "m-1", "m-2"];
+        let entries: Vec<_> = (0..3).map(|i| (names[i], members[i].at, states[i])).collect();
+        list(version, true, &entries)
+    }
+
+    fn front(&self) -> Front {
+        Front::start(self.agent.at, &self.known, 1024)
+    }
+
+    fn tell(&self, version: u64, states: [&str; 3]) {
+        self.agent.tell(Town::list(&self.members, version, states));
+    }
+
+    /// The next txn that a member is sent.
+    fn sent(&self, member: usize) -> String {
+        self.members[member].seen.recv_timeout(PATIENCE).expect("a txn goes there")
+    }
+
+    fn quiet(&self, member: usize) -> bool {
+        self.members[member].seen.try_recv().is_err()
+    }
+}
+
+/// Asks until an answer is as it should be.
+fn until(mut good: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !good() {
+        assert!(begun.elapsed() < PATIENCE, "it does not come about");
+    }
+}
+
+#[test]
+fn reads_go_to_replicas_writes_to_the_primary_and_values_come_back_as_they_were() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    assert_eq!(client.ask("SET a = 1").last, b'Z');
+    for i in 0..20 {
+        let (read, write) = (txn("lookup", 2000, &format!("r{i}")), txn("mark", 2000, &format!("w{i}")));
+        // Two at once on one connection are answered in order.
+        client.say(&read);
+        client.say(&write);
+        let (first, second) = (client.reply(), client.reply());
+        let (first, second) = (first.value.expect("a value"), second.value.expect("a value"));
+        assert!(first.windows(4).any(|w| w == b"id=r") && second.windows(4).any(|w| w == b"id=w"));
+        let sent = town.sent(0);
+        assert_eq!(second, sent.as_bytes());
+        // Unchanged, but for what is left of its time.
+        let left: u32 = sent.split(",d=").nth(1).and_then(|s| s.split(',').next()).unwrap().parse().unwrap();
+        assert!(left <= 2000);
+        assert_eq!(sent, write.replace("d=2000", &format!("d={left}")));
+    }
+    assert!(town.quiet(0), "no read went to the primary");
+    let bytes: Vec<u8> = (0..=255).cycle().take(60_000).collect();
+    for i in [1, 2] {
+        town.members[i].set(Does::Says(row(&bytes)));
+    }
+    assert_eq!(client.ask(&txn("lookup", 2000, "big")).value, Some(bytes));
+}
+
+#[test]
+fn a_write_waits_for_a_primary_and_then_goes_there() {
+    let town = Town::new();
+    town.members[0].be_primary(false);
+    let front = town.front();
+    let mut client = front.client();
+    client.say(&txn("order", 2000, "w"));
+    // Reads are served meanwhile, by members that have said that they are replicas.
+    assert!(front.client().ask(&txn("lookup", 2000, "r")).value.is_some());
+    town.members[2].be_primary(true);
+    assert!(client.reply().value.is_some());
+    until(|| town.sent(2).contains("id=w"));
+}
+
+#[test]
+fn a_write_turned_away_untouched_goes_to_the_next_primary() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    assert!(client.ask(&txn("order", 2000, "w1")).value.is_some());
+    town.members[0].be_primary(false);
+    town.members[1].be_primary(true);
+    assert!(client.ask(&txn("order", 2000, "w2")).value.is_some(), "it never ran at member 0");
+    until(|| town.sent(1).contains("id=w2"));
+}
+
+#[test]
+fn what_may_have_run_goes_again_only_where_its_type_allows() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    assert!(client.ask(&txn("order", 2000, "first")).value.is_some());
+    town.sent(0);
+    // The connection ends after the last byte: the order may have run.
+    town.members[0].once(Does::Breaks(Vec::new()));
+    let reply = client.ask(&txn("order", 2000, "once"));
+    assert!(reply.value.is_none() && reply.code.is_some());
+    assert!(!["53300", "57P03"].contains(&reply.code.as_deref().unwrap()), "no decline: it may have run");
+    assert!(town.sent(0).contains("id=once"));
+    // A referenced one goes again, inside its group and window; half a row is no answer.
+    let half = row(b"half a value")[..50].to_vec();
+    town.members[0].once(Does::Breaks(half));
+    let reply = client.ask(&txn("mark", 2000, "again"));
+    assert!(reply.value.is_some_and(|value| value.windows(8).any(|w| w == b"id=again")));
+    assert!(town.sent(0).contains("id=again") && town.sent(0).contains("id=again"));
+    assert!(town.quiet(0), "the order went once");
+}
+
+#[test]
+fn nonsense_from_a_member_never_reaches_a_client() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    assert!(client.ask(&txn("order", 2000, "first")).value.is_some());
+    let two = [row(b"one"), row(b"two")].concat();
+    for says in
+        [b"hello".to_vec(), two, message(b'D', &[0, 2]), message(b'Z', b"I"), vec![b'D', 255, 255, 255, 255]]
+    {
+        until(|| client.ask(&txn("order", 2000, "good")).value.is_some());
+        town.members[0].once(Does::Says(says.clone()));
+        let reply = client.ask(&txn("order", 2000, "bad"));
+        assert_eq!((reply.value, reply.last), (None, b'Z'), "{says:?}");
+    }
+    // Turned away unseen, it goes again; an error is one.
+    until(|| client.ask(&txn("order", 2000, "good")).value.is_some());
+    town.members[0].once(Does::Fails("53300"));
+    assert!(client.ask(&txn("order", 2000, "full")).value.is_some());
+    town.members[0].once(Does::Fails("XX000"));
+    assert!(client.ask(&txn("order", 2000, "error")).value.is_none());
+}
+
+#[test]
+fn a_drained_member_gets_nothing_new() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    town.tell(2, ["up", "draining", "up"]);
+    // Once the list has come in, none goes there any more.
+    let mut since = 0;
+    until(|| {
+        assert!(client.ask(&txn("lookup", 2000, "r")).value.is_some());
+        since = if town.quiet(1) { since + 1 } else { 0 };
+        since == 50
+    });
+}
+
+#[test]
+fn a_drain_is_seen_by_what_waits_for_a_connection() {
+    let town = Town::new();
+    town.members.iter().for_each(|m| m.welcome(false));
+    // The only primary is asked for by a probe and then for the write; neither gets its connection yet.
+    let front = town.front();
+    let mut client = front.client();
+    town.members[0].welcome(true);
+    assert!(client.ask(&txn("order", 2000, "w1")).value.is_some());
+    town.sent(0);
+    town.members[0].welcome(false);
+    town.members[0].cut();
+    client.say(&txn("order", 2000, "w2"));
+    town.tell(2, ["draining", "up", "up"]);
+    until(|| town.agent.asked.try_recv().is_ok());
+    let reply = client.reply();
+    assert!(reply.value.is_none());
+    assert!(town.quiet(0), "nothing was written after the drain");
+}
+
+#[test]
+fn a_member_that_never_welcomes_costs_one_connect() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    assert!(client.ask(&txn("lookup", 2000, "r")).value.is_some());
+    town.members[1].welcome(false);
+    town.members[1].cut();
+    for i in 0..20 {
+        assert!(client.ask(&txn("lookup", 2000, &format!("r{i}"))).value.is_some());
+    }
+}
+
+#[test]
+fn each_txn_is_answered_before_its_expiry_though_its_member_hangs() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    assert!(client.ask(&txn("order", 2000, "first")).value.is_some());
+    town.members[0].set(Does::Hangs);
+    let begun = Instant::now();
+    let reply = client.ask(&txn("order", 300, "w"));
+    assert!(reply.code.is_some_and(|code| code != "53300" && code != "57P03"));
+    assert!(begun.elapsed() >= Duration::from_millis(290), "it waits for its answer");
+    // Out of time on arrival: answered all the same, and nothing is sent.
+    assert!(client.ask(&txn("lookup", 0, "late")).code.is_some());
+    assert!(client.ask(&txn("lookup", u32::MAX, "long")).value.is_some());
+}
+
+#[test]
+fn a_client_that_leaves_is_noticed() {
+    let town = Town::new();
+    let front = town.front();
+    assert!(front.client().ask(&txn("lookup", 2000, "r")).value.is_some());
+    town.members[0].set(Does::Hangs);
+    let mut leaver = front.client();
+    leaver.say(&txn("order", 2000, "w"));
+    until(|| town.sent(0).contains("id=w"));
+    drop(leaver);
+    assert!(front.client().ask(&txn("lookup", 2000, "r")).value.is_some());
+    front.signal("-TERM");
+    let (well, text) = front.end();
+    assert!(well && text.contains(" left=1 "), "{text}");
+}
+
+#[test]
+fn bad_input_gets_an_error_and_stops_no_one_else() {
+    let town = Town::new();
+    let front = town.front();
+    let mut good = front.client();
+    assert!(good.ask(&txn("lookup", 2000, "r")).value.is_some());
+    for (text, names) in [
+        ("SELECT 1", "comment"),
+        ("/* id=1", "comment"),
+        ("/* c=lookup,d=9,cluster=2 */ SELECT 1", "id"),
+        ("/* id=1,c=other,d=9,cluster=2 */ SELECT 1", "other"),
+        ("/* id=1,c=lookup,d=soon,cluster=2 */ SELECT 1", "soon"),
+        ("/* id=1,c=lookup,cluster=2 */ SELECT 1", "d"),
+        ("/* id=1,c=lookup,d=9,cluster=2,after=now */ SELECT 1", "now"),
+    ] {
+        let reply = good.ask(text);
+        assert_eq!((reply.code.as_deref(), reply.last), (Some("08P01"), b'Z'), "{text}: {names}");
+    }
+    let reply = good.ask("/* id=1,c=lookup,d=900,cluster=7 */ SELECT 1");
+    assert!(reply.value.is_none() && reply.code.is_some(), "no such group");
+    // Extended queries are passed by up to Sync.
+    let parse = [message(b'P', b"\0\0\0\0"), message(b'B', b"\0\0\0\0\0\0\0\0"), message(b'S', b"")].concat();
+    good.stream.write_all(&parse).unwrap();
+    let reply = good.reply();
+    assert_eq!((reply.code.as_deref(), reply.last), (Some("0A000"), b'Z'));
+    // Where the stream can't be followed, the connection ends with a fatal error.
+    for bytes in [&b"Q\0\0\0\x01"[..], b"Q\x7f\0\0\0", b"\0\0\0\0\0", b"~\0\0\0\x05a"] {
+        let mut bad = front.client();
+        bad.stream.write_all(bytes).unwrap();
+        let reply = bad.reply();
+        assert_eq!((reply.code.as_deref(), reply.last), (Some("08P01"), 0), "{bytes:?}");
+    }
+    let open = |bytes: &[u8]| {
+        let mut stream = TcpStream::connect(front.at).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(bytes).unwrap();
+        stream
+    };
+    let mut answer = [0];
+    let mut silent = open(&[0, 0, 0, 8, 4, 210, 22, 47]);
+    silent.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"N", "no encryption, said in plain");
+    let mut text = Vec::new();
+    open(&[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 2]).read_to_end(&mut text).unwrap();
+    assert!(text.is_empty(), "a cancel is closed without a word");
+    open(b"GET / HTTP/1.1\r\n\r\n").read_to_end(&mut text).unwrap();
+    assert!(text.starts_with(b"E"));
+    // One byte at a time, with nobody held up.
+    let whole = txn("lookup", 2000, "slow");
+    let mut slow = front.client();
+    for byte in message(b'Q', format!("{whole}\0").as_bytes()) {
+        slow.stream.write_all(&[byte]).unwrap();
+    }
+    assert!(good.ask(&txn("lookup", 2000, "r")).value.is_some());
+    assert!(slow.reply().value.is_some());
+}
+
+#[test]
+fn a_list_that_is_no_list_leaves_the_one_in_hand() {
+    for head in
+        ["HTTP/1.1 500 no\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", WATCH]
+    {
+        let town = Town::told(head);
+        town.agent.tell("{\"version\":9".to_owned());
+        let front = town.front();
+        let mut client = front.client();
+        // It is asked for again, and again.
+        for _ in 0..3 {
+            town.agent.asked.recv_timeout(PATIENCE).expect("another watch");
+        }
+        assert!(client.ask(&txn("lookup", 2000, "r")).value.is_some());
+    }
+}
+
+#[test]
+fn sigterm_answers_all_that_was_taken() {
+    let town = Town::new();
+    let front = town.front();
+    let mut idle = front.client();
+    let mut busy = front.client();
+    assert!(idle.ask(&txn("order", 2000, "first")).value.is_some());
+    town.members[0].set(Does::Hangs);
+    busy.say(&txn("order", 900, "w"));
+    until(|| town.sent(0).contains("id=w"));
+    front.signal("-TERM");
+    assert!(front.client().ask(&txn("lookup", 2000, "new")).value.is_some(), "clients still come");
+    assert!(busy.reply().code.is_some());
+    assert_eq!(idle.reply().last, 0);
+    let (well, text) = front.end();
+    assert!(well && text.contains("counters: "), "{text}");
+}
+
+#[test]
+fn a_killed_front_comes_back_from_nothing() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    assert!(client.ask(&txn("lookup", 2000, "r")).value.is_some());
+    let at = front.at;
+    front.signal("-KILL");
+    assert_eq!(client.reply().last, 0);
+    drop(front);
+    let front = Front::again(at, town.agent.at, &town.known, 1024);
+    assert!(front.client().ask(&txn("order", 2000, "w")).value.is_some());
+    front.signal("-USR1");
+    front.signal("-TERM");
+    assert!(front.end().0);
+}
+
+#[test]
+fn when_descriptors_are_used_up_idle_clients_leave_first() {
+    let town = Town::new();
+    let front = Front::start(town.agent.at, &town.known, 40);
+    let mut clients: Vec<_> = (0..60).map(|_| front.client()).collect();
+    // Those that came last are here, those idle longest were asked to leave.
+    assert!(clients.last_mut().unwrap().ask(&txn("lookup", 2000, "r")).value.is_some());
+    assert_eq!(clients[0].reply().last, 0);
+    // Busy ones stay; who finds no seat is told so.
+    for member in &town.members {
+        member.set(Does::Hangs);
+    }
+    let mut busy: Vec<_> = (0..15)
+        .map(|i| {
+            let mut client = front.client();
+            client.say(&txn("order", 2000, &format!("w{i}")));
+            client
+        })
+        .collect();
+    let mut extra = TcpStream::connect(front.at).unwrap();
+    extra.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut text = Vec::new();
+    extra.write_all(&[0, 0, 0, 9, 0, 3, 0, 0, 0]).unwrap();
+    extra.read_to_end(&mut text).unwrap();
+    assert!(String::from_utf8_lossy(&text).contains("53300"));
+    for client in &mut busy {
+        assert_eq!(client.reply().last, b'Z');
+    }
+    busy[0].stream.shutdown(Shutdown::Both).unwrap();
+}
+
+#[test]
+fn a_wrong_configuration_is_named() {
+    let run = |config: &str| {
+        let out = Command::new(env!("CARGO_BIN_EXE_juniperdock")).env("GW_CONFIG", config).output().unwrap();
+        assert!(!out.status.success());
+        String::from_utf8(out.stderr).unwrap()
+    };
+    assert!(run("/nowhere/config.json").contains("/nowhere/config.json"));
+    let file = std::env::temp_dir().join(format!("juniperdock-{}.json", std::process::id()));
+    for (text, names) in [
+        ("{", "JSON"),
+        ("{}", "GW_LISTEN"),
+        (r#"{"listen":"here","discovery":"127.0.0.1:1"}"#, "here"),
+        (r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1"}"#, "seed"),
+        (
+            r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"1","limits":{"sockets":9}}"#,
+            "ConnectTimeout",
+        ),
+    ] {
+        std::fs::write(&file, text).unwrap();
+        let told = run(file.to_str().unwrap());
+        assert!(told.contains(names) && told.lines().count() == 1, "{text}: {told}");
+    }
+    let _ = std::fs::remove_file(file);
+}
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -7,8 +7,9 @@
 
 /// What the router can have done. A host carries out each call in the order of the calls.
 pub trait Host {
-    /// Submits the txn to a member; `None` leaves the submission open until the txn expires.
-    fn send(&mut self, txn: usize, member: usize, time_out: Option<Duration>);
+    /// Submits the txn to a member, and waits until the txn expires. Nothing is written after `until`, nor
+    /// after a later `Router::holds_until`: it is then reported as never sent.
+    fn send(&mut self, txn: usize, member: usize, until: Duration);
     /// Stops waiting for one submission of a txn; its end is still reported.
     fn cancel(&mut self, txn: usize, submission: u32);
     /// Final answer: not done, and trying again is harmless.
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -127,7 +127,7 @@
                 self.touch(self.members[m].group);
             }
         }
-        self.settle(now, host);
+        self.settle(now, [], host);
     }
 
     /// A client's txn; `wrote_ago` is the age of its session's last write where the client tells it.
@@ -157,8 +157,7 @@
         self.txns[txn] = Some(Txn::new(kind, group, now, retried, now + left, must_see, session));
         self.groups[group].held.push(txn);
         self.first.add(now, 1.0);
-        self.touch(group);
-        self.settle(now, host);
+        self.settle(now, [group], host);
         self.remind_held(txn, host);
     }
 
@@ -183,14 +182,10 @@
         let left = t.over;
         t.over |= over;
         let (kind, group, session) = (t.kind, t.group, t.session);
-        if let Some(out) = out
-            && !ending.never_ran()
-            && t.may_have_run.is_none()
-        {
+        if let Some(out) = out.filter(|_| !ending.never_ran() && t.may_have_run.is_none()) {
             t.may_have_run = Some((out.at, self.members[out.member].zone));
         }
-        let m = &mut self.members[member];
-        m.in_hand.retain(|&held| held != txn);
+        self.members[member].in_hand.retain(|&held| held != txn);
         if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Ending::Moot | Ending::Unreachable) {
             self.members[member].last_answer = now;
         }
@@ -217,14 +212,12 @@
                 tally.in_time.add(now, f64::from(in_time));
             }
         }
-        self.touch(group);
         if self.txn(txn).over {
-            self.txns[txn] = None;
-            host.release(txn);
+            self.forget(txn, host);
         } else {
             self.go_on(now, txn, ending, host);
         }
-        self.settle(now, host);
+        self.settle(now, [group], host);
     }
 
     /// The client has left, or its answer is overdue.
@@ -232,8 +225,7 @@
         let Some(Some(t)) = self.txns.get_mut(txn) else { return };
         t.over = true;
         let group = t.group;
-        self.touch(group);
-        self.settle(now, host);
+        self.settle(now, [group], host);
     }
 
     pub fn probed(&mut self, now: Duration, member: usize, end: Ending, told: Report, host: &mut impl Host) {
@@ -249,8 +241,7 @@
             m.probe_failures += 1;
         }
         self.plan_probe(now, member, host);
-        self.touch(self.members[member].group);
-        self.settle(now, host);
+        self.settle(now, [self.members[member].group], host);
     }
 
     pub fn reminder_due(&mut self, now: Duration, handle: u64, host: &mut impl Host) {
@@ -258,11 +249,10 @@
         if handle == ASK_FOR_LIST {
             host.listen();
         } else if handle.is_multiple_of(2) {
-            self.touch(self.members[at - 1].group);
-            self.settle(now, host);
+            self.settle(now, [self.members[at - 1].group], host);
         } else if let Some(Some(t)) = self.txns.get(at) {
-            self.touch(t.group);
-            self.settle(now, host);
+            let group = t.group;
+            self.settle(now, [group], host);
             self.remind_held(at, host);
         }
     }
@@ -295,9 +285,7 @@
     }
 
     fn judge(&mut self, now: Duration, member: usize, kind: usize, ending: Ending, took: Duration) {
-        let sla = self.types[kind].sla.as_secs_f64();
-        let work = self.typical[kind];
-        let secs = took.as_secs_f64();
+        let (sla, work, secs) = (self.types[kind].sla.as_secs_f64(), self.typical[kind], took.as_secs_f64());
         let usual = &mut self.usual[kind];
         if ending == Ending::Committed || !ending.never_ran() && secs > *usual {
             *usual += 0.02 * (secs - *usual);
@@ -431,7 +419,8 @@
         host.remind(now + pause, member as u64 * 2 + 2);
     }
 
-    fn settle(&mut self, now: Duration, host: &mut impl Host) {
+    fn settle(&mut self, now: Duration, of: impl IntoIterator<Item = usize>, host: &mut impl Host) {
+        of.into_iter().for_each(|group| self.touch(group));
         self.wake(now);
         while let Some(group) = self.touched.pop() {
             self.groups[group].touched = false;
@@ -528,11 +517,9 @@
     }
 
     fn awaits(&self, now: Duration, group: usize) -> bool {
-        self.groups[group]
-            .members
-            .iter()
-            .map(|&i| &self.members[i])
-            .any(|m| m.probe_out && m.asked.is_some_and(|at| now < at + REPORT_AWAITED))
+        let just = |at| now < at + REPORT_AWAITED;
+        let out = |&i: &usize| self.members[i].probe_out && self.members[i].asked.is_some_and(just);
+        self.groups[group].members.iter().any(out)
     }
 
     fn probe_due(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
@@ -624,8 +611,7 @@
 
     /// The member for a txn: the writer for writes and fresh reads, else a random reader inside the bound.
     fn choose(&mut self, now: Duration, txn: usize) -> Option<usize> {
-        let t = self.txn(txn);
-        let (group, kind) = (t.group, t.kind);
+        let Txn { group, kind, .. } = *self.txn(txn);
         let fit = |w: &usize| self.has_room(now, *w, 1.0) && self.members[*w].shunned <= now;
         let writer = self.groups[group].writer.filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
@@ -764,13 +750,10 @@
         if left.is_zero() {
             return true;
         }
-        let (mut warm, mut done) = (0u32, 0.0);
-        for m in self.members.iter_mut().filter(|m| m.warm_at <= now && !m.stopped) {
-            warm += 1;
-            done += m.done.sum(now);
-        }
-        if warm > 0 {
-            self.warm_work = done / f64::from(warm);
+        let warm = self.members.iter_mut().filter(|m| m.warm_at <= now && !m.stopped);
+        let done: Vec<f64> = warm.map(|m| m.done.sum(now)).collect();
+        if !done.is_empty() {
+            self.warm_work = done.iter().sum::<f64>() / done.len() as f64;
         }
         let missing = left.as_secs_f64() / self.cold.warm_up.as_secs_f64().max(1e-9);
         let share = 1.0 - (1.0 - self.cold.share) * missing.min(1.0);
@@ -788,15 +771,30 @@
         }
         let work = self.typical[self.txn(txn).kind];
         let t = self.txn_mut(txn);
-        t.out = Some(Submission { member, at: now });
+        (t.out, t.held) = (Some(Submission { member, at: now }), false);
         t.submissions += 1;
-        t.held = false;
         let m = &mut self.members[member];
         m.in_hand.push(txn);
         m.sent.add(now, work);
-        host.send(txn, member, None);
+        host.send(txn, member, self.holds_until(txn));
         true
     }
+
+    /// Rules 1, 3 and 5 again: until when a submission that waits for a connection may still be written, as
+    /// far as is known by now. Meets connects and stalls of this front between a decision and its bytes.
+    pub fn holds_until(&self, txn: usize) -> Duration {
+        let Some(Some(t)) = self.txns.get(txn) else { return Duration::ZERO };
+        let Some(out) = t.out.as_ref().filter(|_| !t.over) else { return Duration::ZERO };
+        let m = &self.members[out.member];
+        let excused = self.members_check || self.groups[t.group].writer == Some(out.member);
+        match self.types[t.kind].level {
+            _ if m.stopped => Duration::ZERO,
+            Level::Bounded(bound) if !excused => {
+                m.position.map_or(Duration::ZERO, |p| t.expiry.min(p + bound))
+            }
+            _ => t.expiry,
+        }
+    }
 }
 
 fn shun_for(times: u32) -> Duration {
--- a/crates/router/tests/fake/mod.rs
+++ b/crates/router/tests/fake/mod.rs
@@ -18,7 +18,7 @@
 pub struct Acts(pub Vec<Act>);
 
 impl Host for Acts {
-    fn send(&mut self, txn: usize, member: usize, _time_out: Option<Duration>) {
+    fn send(&mut self, txn: usize, member: usize, _until: Duration) {
         self.0.push(Act::Sent(txn, member));
     }
     fn cancel(&mut self, txn: usize, submission: u32) {
--- a/crates/simhost/src/line.rs
+++ b/crates/simhost/src/line.rs
@@ -1,5 +1,6 @@
 //! One line of the wire: a name, then `name=value` parts in any order.
 
+use juniperdock_door as door;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -41,24 +42,17 @@
 
     /// Milliseconds, exact to the microsecond.
     pub fn millis(&self, field: &str) -> Result<Option<i64>, String> {
-        self.opt::<f64>(field)?.map(|ms| micros(ms).ok_or_else(|| bad(self.name, field, &ms))).transpose()
+        self.opt::<f64>(field)?
+            .map(|ms| door::micros(ms).ok_or_else(|| bad(self.name, field, &ms)))
+            .transpose()
     }
 
     pub fn span(&self, field: &str) -> Result<Option<Duration>, String> {
-        Ok(self.millis(field)?.map(span))
+        Ok(self.millis(field)?.map(door::span))
     }
 }
 
-pub fn span(micros: i64) -> Duration {
-    Duration::from_micros(micros.max(0) as u64)
-}
-
-pub fn micros(ms: f64) -> Option<i64> {
-    let us = (ms * 1000.0).round();
-    (us.is_finite() && us.abs() < 9e15).then_some(us as i64)
-}
-
-pub fn parse<T: FromStr>(name: &str, field: &str, value: &str) -> Result<T, String> {
+fn parse<T: FromStr>(name: &str, field: &str, value: &str) -> Result<T, String> {
     value.parse().map_err(|_| bad(name, field, &value))
 }
 
--- a/crates/simhost/src/world.rs
+++ b/crates/simhost/src/world.rs
@@ -1,9 +1,8 @@
 //! The instances of this process, the lists they share, and the reply being written.
 
-use crate::line::{self, Line};
-use juniperdock_router::host::{
-    ColdStart, Effect, Ending, Host, Level, Listed, Report, Role, Scope, Standing, TxnType,
-};
+use crate::line::Line;
+use juniperdock_door::{self as door, Indices, Origin};
+use juniperdock_router::host::{Ending, Host, Listed, Report, Role};
 use juniperdock_router::routing::Router;
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -21,39 +20,21 @@
 }
 
 /// Ids of one instance and the indices that stand for them.
-#[derive(Default)]
 struct Ids {
     front: u64,
-    /// The clock, in microseconds, at the instance's start, and where positions count from.
-    start: i64,
-    zero: i64,
+    origin: Origin,
     /// How many txn types there are.
     kinds: usize,
-    stores: HashMap<String, usize>,
-    store_names: Vec<String>,
-    cells: HashMap<u64, usize>,
+    stores: Indices<String>,
+    cells: Indices<u64>,
     txns: HashMap<u64, usize>,
     txn_ids: Vec<u64>,
     free: Vec<usize>,
 }
 
 impl Ids {
-    fn store(&mut self, name: &str) -> usize {
-        if let Some(&at) = self.stores.get(name) {
-            return at;
-        }
-        self.store_names.push(name.to_owned());
-        self.stores.insert(name.to_owned(), self.store_names.len() - 1);
-        self.store_names.len() - 1
-    }
-
     fn known_store(&self, name: &str) -> Result<usize, String> {
-        self.stores.get(name).copied().ok_or_else(|| format!("expected a store of a list, found {name:?}"))
-    }
-
-    fn cell(&mut self, number: u64) -> usize {
-        let next = self.cells.len();
-        *self.cells.entry(number).or_insert(next)
+        self.stores.known(name).ok_or_else(|| format!("expected a store of a list, found {name:?}"))
     }
 
     fn new_txn(&mut self, id: u64) -> Result<usize, String> {
@@ -69,17 +50,6 @@
         Ok(at)
     }
 
-    fn since_start(&self, clock: i64) -> Duration {
-        line::span(clock - self.start)
-    }
-
-    /// A position from before the start proves nothing that this instance can use.
-    fn position(&self, micros: i64) -> Option<Duration> {
-        u64::try_from(self.zero + micros - self.start).ok().map(Duration::from_micros)
-    }
-}
-
-impl Ids {
     /// 4 x position in ms + role; 0 for a position that is not told.
     fn stand(&self, stand: i64) -> (Option<Role>, Option<Duration>) {
         let role = match stand % 4 {
@@ -87,7 +57,7 @@
             2 => Some(Role::Replica),
             _ => None,
         };
-        (role, Some(stand / 4).filter(|&p| p > 0).and_then(|p| self.position(p * 1000)))
+        (role, Some(stand / 4).filter(|&p| p > 0).and_then(|p| self.origin.position(p * 1000)))
     }
 }
 
@@ -114,11 +84,11 @@
 }
 
 impl Host for Actions<'_> {
-    fn send(&mut self, txn: usize, member: usize, time_out: Option<Duration>) {
-        let give_up = ms(time_out.unwrap_or(Duration::ZERO));
+    fn send(&mut self, txn: usize, member: usize, _until: Duration) {
+        // What is sent here leaves at once, and lasts until its client gives up.
         let (front, id) = (self.ids.front, self.ids.txn_ids[txn]);
-        let store = &self.ids.store_names[member];
-        writeln!(self.out, "PLACE Front={front} Corr={id} Store={store} GiveUpAfter={give_up}")
+        let store = self.ids.stores.id(member);
+        writeln!(self.out, "PLACE Front={front} Corr={id} Store={store} GiveUpAfter=0")
             .expect("a String takes all");
     }
 
@@ -148,12 +118,12 @@
     }
 
     fn probe(&mut self, member: usize) {
-        let (front, store) = (self.ids.front, &self.ids.store_names[member]);
+        let (front, store) = (self.ids.front, self.ids.stores.id(member));
         writeln!(self.out, "PROBE Front={front} Store={store}").expect("a String takes all");
     }
 
     fn remind(&mut self, at: Duration, handle: u64) {
-        let fire_at = (self.ids.start + at.as_micros() as i64) as f64 / 1000.0;
+        let fire_at = (self.ids.origin.start + at.as_micros() as i64) as f64 / 1000.0;
         let front = self.ids.front;
         self.put(format_args!("REMIND Front={front} FireAt={fire_at} Handle={handle}"));
     }
@@ -270,8 +240,9 @@
         let done = self.call(front, |router, now, host| {
             let mut named = Vec::with_capacity(rows.len());
             for row in &rows {
-                let (member, group) = (host.ids.store(&row.store), host.ids.cell(row.cell));
-                let up_for = row.came_up.map(|at| line::span(clock - at));
+                let (member, group) =
+                    (host.ids.stores.index(row.store.clone()), host.ids.cells.index(row.cell));
+                let up_for = row.came_up.map(|at| door::span(clock - at));
                 router.listed(now, member, group, row.zone, row.state, row.primary, up_for);
                 named.push(member);
             }
@@ -299,7 +270,7 @@
                 let retried = line.flag("IsRetry")?;
                 let (session, wrote) = (line.opt("ClientKey")?, line.span("WroteMsAgo")?);
                 let txn = ids.new_txn(line.need("Corr")?)?;
-                let group = ids.cell(cell);
+                let group = ids.cells.index(cell);
                 self.call(front, |router, now, host| {
                     router.txn_arrived(now, txn, kind, group, left, retried, session, wrote, host);
                 })
@@ -350,7 +321,7 @@
         input: impl FnOnce(&mut Router, Duration, &mut Actions),
     ) -> Result<(), String> {
         let Instance { router, ids } = self.instances.get_mut(&front).ok_or_else(|| unborn(front))?;
-        let now = ids.since_start(self.clock);
+        let now = ids.origin.since_start(self.clock);
         let mut host = Actions { ids, out: &mut self.out };
         if let Err(panic) = catch_unwind(AssertUnwindSafe(|| input(router, now, &mut host))) {
             let why = panic.downcast_ref::<String>().map(String::as_str);
@@ -382,88 +353,24 @@
 }
 
 fn report(line: &Line, ids: &Ids) -> Result<Report, String> {
-    let mut report = Report::default();
-    for (name, value) in line.text("Stats").unwrap_or("").split(',').filter_map(|p| p.split_once(':')) {
-        let value: f64 = line::parse(line.name, name, value)?;
-        match name {
-            // Rounded down: a position must never be claimed that was not reached.
-            "x0" => report.position = ids.position((value * 1e6 + 1e-3).floor() as i64),
-            "x1" => report.role = Some(if value > 0.5 { Role::Primary } else { Role::Replica }),
-            "q" => report.queue = Some(value),
-            "busy" => report.busy = Some(value),
-            _ => {}
-        }
-    }
-    Ok(report)
+    let fields = line.text("Stats").unwrap_or("").split(',').filter_map(|part| part.split_once(':'));
+    door::report(fields, &ids.origin).map_err(|why| format!("{}: {why}", line.name))
 }
 
 /// Reads what an instance is handed at its start.
 fn born(line: &Line, clock: i64) -> Result<Instance, String> {
-    let at = |path: String| line.millis(&path);
-    let count: usize = line.opt("Services.count")?.unwrap_or(0);
-    let levels: Vec<&str> = line.text("Specifics.ReadLevel").unwrap_or("").split(',').collect();
-    let ages: Vec<&str> = line.text("Specifics.MaxAge").unwrap_or("").split(',').collect();
-    let mut types = Vec::with_capacity(count);
-    for i in 0..count {
-        let span = |key: &str| Ok::<_, String>(line::span(at(format!("Services.{i}.{key}"))?.unwrap_or(0)));
-        let effect = match line.text(&format!("Services.{i}.Effect")) {
-            Some("pure") => Effect::Repeatable,
-            Some("token") => Effect::Referenced {
-                window: span("Window")?,
-                scope: match line.text(&format!("Services.{i}.DedupScope")) {
-                    Some("all") => Scope::Everywhere,
-                    Some("zone") => Scope::Zone,
-                    _ => Scope::Group,
-                },
-            },
-            Some("side_effect") | None => Effect::OnceOnly,
-            Some(v) => return Err(format!("BORN: expected a known Services.{i}.Effect, found {v:?}")),
-        };
-        let age: f64 =
-            ages.get(i).filter(|a| !a.is_empty()).map_or(Ok(0.0), |a| line::parse("BORN", "MaxAge", a))?;
-        let level = match levels.get(i).copied().unwrap_or("loose") {
-            "update" => Level::Write,
-            "latest" => Level::Fresh,
-            "own_writes" => Level::Session,
-            "recent" => Level::Bounded(line::span(line::micros(age).unwrap_or(0))),
-            "loose" | "" => Level::Loose,
-            v => return Err(format!("BORN: expected a known read level, found {v:?}")),
-        };
-        types.push(TxnType {
-            sla: span("Objective")?,
-            value: line.opt(&format!("Services.{i}.Value"))?.unwrap_or(1.0),
-            late_value: line.opt(&format!("Services.{i}.LateWorth"))?.unwrap_or(0.0),
-            effect,
-            level,
-        });
-    }
-    let standing = Standing {
-        me: line.opt("Me")?.unwrap_or(0),
-        fronts: line.opt("Balancers")?.unwrap_or(1),
-        zone: line.opt("Zone")?.unwrap_or(0),
-    };
-    let cold = ColdStart {
-        share: line.opt("Guarantees.ColdFrom")?.unwrap_or(1.0),
-        warm_up: line.span("Guarantees.WarmUp")?.unwrap_or_default(),
-        multiple: line.opt("Guarantees.TipMultiple")?.unwrap_or(1.0),
-        window: line.span("Guarantees.OverloadFor")?.unwrap_or(Duration::from_secs(1)),
+    let (router, kinds) = door::open(line.need("Entropy")?, &|path| line.text(path).map(str::to_owned))
+        .map_err(|why| format!("BORN: {why}"))?;
+    let zero = line.millis("Specifics.Zero")?.unwrap_or(clock);
+    let ids = Ids {
+        front: line.need("Front")?,
+        origin: Origin { start: clock, zero },
+        kinds,
+        stores: Indices::default(),
+        cells: Indices::default(),
+        txns: HashMap::new(),
+        txn_ids: Vec::new(),
+        free: Vec::new(),
     };
-    let mut router = Router::new(line.need("Entropy")?, standing, types, cold);
-    router.allow_submissions(line.opt("Bounds.TryLimit")?.unwrap_or(1));
-    if line.flag("Bounds.Cancel")? {
-        router.allow_cancelling();
-    }
-    router.allow_probes(line.flag("Bounds.MayProbe")?);
-    if line.flag("Bounds.RetryAfter")? {
-        router.allow_come_back(line.span("Bounds.MaxRetryAfter")?.unwrap_or_default());
-    }
-    if matches!(line.text("Specifics.ServerChecks"), Some("reject" | "hold")) {
-        router.members_check_reads();
-    }
-    if line.flag("Guarantees.GoneIsAdvice")? {
-        router.gone_is_advice();
-    }
-    let zero = at("Specifics.Zero".to_owned())?.unwrap_or(clock);
-    let ids = Ids { front: line.need("Front")?, start: clock, zero, kinds: count, ..Ids::default() };
     Ok(Instance { router, ids })
 }
