--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -11,8 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Whatever the list has to tell counts as told after this time: three of its empty lines.
-const SILENCE: Duration = Duration::from_secs(6);
+/// Without a sign of life for this long the watch is opened anew: two empty lines have not come. Whatever the
+/// list has to tell counts as told after 6 s.
+const SILENCE: Duration = Duration::from_secs(5);
 
 pub struct List {
     pub address: SocketAddr,
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -55,7 +55,7 @@
     Job(Job),
     Cancel(u64),
     Address(SocketAddr),
-    /// Connections run short: those that stand idle are closed.
+    /// Those that stand idle are closed: connections run short, or the member has fallen silent.
     Spare,
     /// From a connection: it can be woken.
     Up(u64, Bell),
@@ -306,12 +306,18 @@
         loop {
             let Some(job) = held.as_ref() else { return };
             let outcome = self.serve(&mut link, job);
+            let suspect = matches!((job, outcome.ending), (Job::Probe { .. }, Ending::TimedOut));
+            // Given up is given up: the connection ends before the desk can send the txn again.
+            let kept = outcome.usable.then_some(link);
             if let Some(job) = held.take() {
                 self.tell(&job, outcome.ending, outcome.reply);
             }
-            if !outcome.usable {
-                return;
+            if suspect {
+                // A machine that has fallen silent resets its old connections when it is back.
+                let _ = self.pool.send(ToMember::Spare);
             }
+            let Some(back) = kept else { return };
+            link = back;
             let _ = self.pool.send(ToMember::Idle(self.id));
             loop {
                 match self.mail.try_recv() {
