Date what came in during a standstill of the front to its begin

A front that stood still (stopped, starved) reads requests late and took their time as starting then; clients count from when they sent, so an answer could come past the expiry. The clock's thread now makes the worker run every 20 ms; after a gap of over 40 ms, what is read in the first 20 ms counts from the gap's begin. The story fails without it (the txn is committed after its client gave up).

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -176,6 +176,7 @@
 impl Client {
     fn live(&mut self) {
         loop {
+            self.hall.clock.pulse();
             let moved = match self.link.pump() {
                 Ok(moved) => moved,
                 Err(why) => {
@@ -379,8 +380,8 @@
         let ms = number("d", left)?.min(3_600_000);
         let cell = number("cluster", need("cluster")?)?;
         let clock = &self.hall.clock;
-        let at = clock.now();
-        let unix = clock.origin.start / 1000 + at.as_millis() as i64;
+        let (now, at) = (clock.now(), clock.came_in());
+        let unix = clock.origin.start / 1000 + now.as_millis() as i64;
         let wrote_ago = match field("after") {
             Some(after) => {
                 let ago = unix.saturating_sub_unsigned(number("after", after)?);
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -63,6 +63,8 @@
     },
     List(Value),
     ListLost,
+    /// Shows that the worker runs.
+    Beat,
     /// Connections to members run short.
     Short,
     Due {
@@ -200,6 +202,10 @@
 
     pub fn run(mut self, mail: &Receiver<Mail>) {
         while let Ok(mail) = mail.recv() {
+            self.hands.clock.pulse();
+            if matches!(mail, Mail::Beat) {
+                continue;
+            }
             if catch_unwind(AssertUnwindSafe(|| self.take(mail))).is_err() {
                 self.hands.counters.panics.add();
                 if let Err(why) = self.start_anew() {
@@ -236,6 +242,7 @@
     fn take(&mut self, mail: Mail) {
         let now = self.hands.clock.now();
         match mail {
+            Mail::Beat => {}
             Mail::Short => {
                 (0..self.hands.members.len()).for_each(|member| self.hands.tell(member, ToMember::Spare));
             }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -108,6 +108,7 @@
     let counters = Arc::new(Counters::default());
     let (to_desk, desk_mail) = channel();
     let (to_list, list_mail) = channel();
+    let beats = to_desk.clone();
     let reach = member::Reach {
         clock: clock.clone(),
         desk: to_desk.clone(),
@@ -171,7 +172,11 @@
     let doorman = hall.clone();
     spawn("doorman", STACK, move || doorman.let_in(&listener))?;
     slog::info!(log, "serving"; "listen" => %listen, "discovery" => %discovery);
-    std::thread::spawn(ring);
+    std::thread::spawn(move || {
+        ring(&|| {
+            let _ = beats.send(desk::Mail::Beat);
+        });
+    });
     watch_signals(signals, &hall, &counters, longest + grace)
 }
 
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -330,6 +330,24 @@
     assert!(well && text.contains("counters: "), "{text}");
 }
 
+#[test]
+fn what_came_in_while_the_front_stood_still_has_less_time_left() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    assert!(client.ask(&txn("order", 2000, "first")).value.is_some());
+    town.sent(0);
+    front.signal("-STOP");
+    let begun = Instant::now();
+    client.say(&txn("order", 500, "late"));
+    until(|| begun.elapsed() > Duration::from_millis(700));
+    front.signal("-CONT");
+    let reply = client.reply();
+    assert!(reply.value.is_none(), "its client has given up by now: {reply:?}");
+    assert!(town.quiet(0), "nothing is sent for it");
+    assert!(client.ask(&txn("order", 2000, "next")).value.is_some());
+}
+
 #[test]
 fn a_killed_front_comes_back_from_nothing() {
     let town = Town::new();
