Read on after a last answer; bound the clients that are told there is no room

Two causes: clients without a seat were taken in without a bound, and a connection closed over unread bytes is reset, which takes the declining answer from its client. Now a sixteenth of the shared descriptors is for those, the doorman waits beyond it, and a connection is read on (1 s at most) after its last answer.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -19,7 +19,9 @@
 /// The stack of a connection's coroutine, in bytes.
 pub const STACK: usize = 64 << 10;
 /// How long the door stays shut when a client can't be taken in.
-const PAUSE: Duration = Duration::from_millis(10);
+const PAUSE: Duration = Duration::from_millis(2);
+/// How long a connection is read on after its last answer.
+const LINGER: Duration = Duration::from_secs(1);
 
 /// What all clients' actors share.
 pub struct Hall {
@@ -36,8 +38,9 @@
     pub tickets: AtomicU64,
     /// Connections end once they are between txns.
     pub closing: AtomicBool,
-    /// How many clients there may be.
+    /// How many clients there may be, and how many more to be told that there is no room.
     pub most: usize,
+    pub standing: usize,
     pub seats: Mutex<Seats>,
 }
 
@@ -90,13 +93,22 @@
         (id, found)
     }
 
-    /// Notes whether a client is between txns; true if it is to leave.
-    fn rest(&self, id: u64, idle: bool) -> bool {
+    /// Notes whether a client has no txn in hand, and whether it has its answers too; true if it is to leave.
+    fn rest(&self, id: u64, idle: bool, done: bool) -> bool {
         let mut seats = self.seats();
         let Some(seat) = seats.taken.get_mut(&id) else { return true };
         let since = seat.idle_since.unwrap_or_else(|| self.clock.now());
         seat.idle_since = idle.then_some(since);
-        idle && (seat.asked_to_leave || self.closing.load(Ordering::Relaxed))
+        idle && seat.asked_to_leave || done && self.closing.load(Ordering::Relaxed)
+    }
+
+    /// Comes back a little later.
+    fn pause(&self) {
+        let (again, waited) = channel();
+        self.clock.at(self.clock.now() + PAUSE, move || {
+            let _ = again.send(());
+        });
+        let _ = waited.recv();
     }
 }
 
@@ -117,8 +129,10 @@
     in_hand: Option<InHand>,
     /// After a failed extended query, all is passed by up to Sync.
     skipping: bool,
-    /// Nothing more is read: the connection ends once all is written.
+    /// Nothing more is taken: the connection ends once all is written.
     last: bool,
+    /// Until when it is read on after the end of its sending.
+    lingers: Option<Duration>,
 }
 
 fn run(stream: TcpStream, hall: Arc<Hall>) {
@@ -127,11 +141,22 @@
         Ok(link) => {
             let (mail, read) = channel();
             let mailbox = Mailbox { mail, bell: link.bell() };
-            let (open, in_hand, skipping, last) = (false, None, false, false);
+            let (open, in_hand, skipping, last, lingers) = (false, None, false, false, None);
             let (seat, seated) = hall.sit(link.bell());
             let hall = hall.clone();
-            let mut client =
-                Client { hall, seat, seated, link, mail: read, mailbox, open, in_hand, skipping, last };
+            let mut client = Client {
+                hall,
+                seat,
+                seated,
+                link,
+                mail: read,
+                mailbox,
+                open,
+                in_hand,
+                skipping,
+                last,
+                lingers,
+            };
             if catch_unwind(AssertUnwindSafe(|| client.live())).is_err() {
                 client.hall.counters.panics.add();
                 let mut out = Vec::new();
@@ -152,6 +177,9 @@
     /// Takes clients in as they come, for as long as the program runs.
     pub fn let_in(self: Arc<Self>, listener: &TcpListener) {
         loop {
+            while self.present() >= self.most + self.standing {
+                self.pause();
+            }
             match listener.accept() {
                 Ok((stream, _)) => {
                     let hall = self.clone();
@@ -162,11 +190,7 @@
                 Err(why) => {
                     // Out of descriptors in spite of the budget: once more when some may be free.
                     slog::warn!(self.log, "a client was not taken in"; "why" => %why);
-                    let (again, waited) = channel();
-                    self.clock.at(self.clock.now() + PAUSE, move || {
-                        let _ = again.send(());
-                    });
-                    let _ = waited.recv();
+                    self.pause();
                 }
             }
         }
@@ -199,12 +223,11 @@
                 read = true;
             }
             let done = self.in_hand.is_none() && self.link.flushed();
-            if self.last && done {
-                self.link.close();
+            if self.last && done && self.linger() {
                 return;
             }
             if !moved && !read {
-                if self.hall.rest(self.seat, done) {
+                if self.hall.rest(self.seat, self.in_hand.is_none(), done && self.lingers.is_none()) {
                     return;
                 }
                 if !self.link.flushed() {
@@ -220,6 +243,20 @@
         }
     }
 
+    /// Ends the sending, then reads on for a while: to close over bytes that came in unread would reset the
+    /// connection and could take the last answer from the client. True once it may close.
+    fn linger(&mut self) -> bool {
+        let now = self.hall.clock.now();
+        if self.lingers.is_none() {
+            self.link.close();
+            let bell = self.link.bell();
+            self.hall.clock.at(now + LINGER, move || bell.ring());
+        }
+        let until = *self.lingers.get_or_insert(now + LINGER);
+        self.link.inbound.clear();
+        now >= until || self.link.ended
+    }
+
     /// The last guard of an answer in time, should the desk or a member's actor be late.
     fn guard(&mut self) {
         let due = |in_hand: &mut InHand| in_hand.expiry + self.hall.grace <= self.hall.clock.now();
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -29,8 +29,8 @@
 const DEEP_STACK: usize = 1 << 20;
 /// After SIGTERM clients still come for 0.4 s; then those between txns are told to go elsewhere.
 const LINGER: Duration = Duration::from_millis(450);
-/// Descriptors that are neither a client's nor a connection to a member, a quarter of all at most.
-const SPARE: usize = 64;
+/// Descriptors of the front's own: standard streams, listener, list, selector, signals.
+const OWN: usize = 14;
 
 fn main() -> ExitCode {
     match serve() {
@@ -83,7 +83,9 @@
     let sockets =
         told["limits"]["sockets"].as_u64().ok_or("expected a number in limits.sockets of GW_CONFIG")?;
     let sockets = usize::try_from(sockets).map_err(|e| format!("limits.sockets: {e}"))?;
-    let most = (sockets - SPARE.min(sockets / 4)) / 2;
+    let shared = sockets.checked_sub(OWN).ok_or_else(|| format!("limits.sockets: expected over {OWN}"))?;
+    let standing = shared / 16;
+    let most = (shared - standing) / 2;
     let millis = |path: &str| -> Result<Duration, String> {
         let ms = terms(path).and_then(|ms| door::micros(ms.parse().ok()?));
         ms.map(door::span).ok_or_else(|| format!("settings: expected a time in {path}"))
@@ -167,6 +169,7 @@
         tickets: AtomicU64::new(0),
         closing: AtomicBool::new(false),
         most,
+        standing,
         seats: Mutex::default(),
     });
     let doorman = hall.clone();
