Under few descriptors decline txns, not connections, and make room at the door

At fault: the doorman waited for a free place while the idle and the lingering were only asked to leave once a new client had come in.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -58,6 +58,20 @@
     asked_to_leave: bool,
 }
 
+impl Seats {
+    /// Asks the client longest between txns to leave, if there is one.
+    fn ask_to_leave(&mut self) -> bool {
+        let idle = self.taken.values_mut().filter(|seat| !seat.asked_to_leave && seat.idle_since.is_some());
+        let leaves = idle.min_by_key(|seat| seat.idle_since);
+        if let Some(seat) = leaves {
+            seat.asked_to_leave = true;
+            seat.bell.ring();
+            return true;
+        }
+        false
+    }
+}
+
 impl Hall {
     /// Held for a few steps only, never over a wait.
     fn seats(&self) -> MutexGuard<'_, Seats> {
@@ -79,14 +93,7 @@
     fn sit(&self, bell: Bell) -> (u64, bool) {
         let now = self.clock.now();
         let mut seats = self.seats();
-        let full = seats.taken.len() >= self.most;
-        let idle = seats.taken.values_mut().filter(|seat| !seat.asked_to_leave && seat.idle_since.is_some());
-        let leaves = idle.min_by_key(|seat| seat.idle_since).filter(|_| full);
-        let found = !full || leaves.is_some();
-        if let Some(seat) = leaves {
-            seat.asked_to_leave = true;
-            seat.bell.ring();
-        }
+        let found = seats.taken.len() < self.most || seats.ask_to_leave();
         seats.next += 1;
         let id = seats.next;
         seats.taken.insert(id, Seat { bell, idle_since: Some(now), asked_to_leave: false });
@@ -120,7 +127,7 @@
 struct Client {
     hall: Arc<Hall>,
     seat: u64,
-    /// There was room for it; else it is declined as soon as it has opened.
+    /// There was room for it; else its first txn is declined, and it is to come again.
     seated: bool,
     link: Link,
     mail: Receiver<(u64, Answer)>,
@@ -178,6 +185,7 @@
     pub fn let_in(self: Arc<Self>, listener: &TcpListener) {
         loop {
             while self.present() >= self.most + self.standing {
+                self.seats().ask_to_leave();
                 self.pause();
             }
             match listener.accept() {
@@ -249,6 +257,9 @@
         let now = self.hall.clock.now();
         if self.lingers.is_none() {
             self.link.close();
+            if let Some(seat) = self.hall.seats().taken.get_mut(&self.seat) {
+                seat.idle_since = Some(Duration::ZERO);
+            }
             let bell = self.link.bell();
             self.hall.clock.at(now + LINGER, move || bell.ring());
         }
@@ -333,13 +344,7 @@
                 length
             }
             Some((pg::Opening::Startup, length)) => {
-                if self.seated {
-                    pg::welcome(out);
-                } else {
-                    self.hall.counters.clients_refused.add();
-                    pg::error(out, true, pg::TOO_MANY, "too many clients", None);
-                    self.last = true;
-                }
+                pg::welcome(out);
                 self.open = true;
                 length
             }
@@ -379,6 +384,12 @@
         match pg::verb(&text) {
             pg::Verb::Empty => pg::empty_query(out),
             pg::Verb::Session(tag) => pg::command_complete(out, tag),
+            pg::Verb::Txn if !self.find_seat() => {
+                self.hall.counters.clients_refused.add();
+                pg::error(out, true, pg::TOO_MANY, "too many clients, trying again is harmless", None);
+                self.last = true;
+                return;
+            }
             pg::Verb::Txn => match self.arrival(text) {
                 Ok(arrival) => {
                     self.hall.counters.txns.add();
@@ -398,6 +409,12 @@
         pg::ready(out);
     }
 
+    /// Whether there is room for it by now.
+    fn find_seat(&mut self) -> bool {
+        self.seated |= self.hall.present() <= self.hall.most;
+        self.seated
+    }
+
     fn arrival(&self, statement: Arc<str>) -> Result<Arrival, String> {
         let (fields, rest) = pg::comment(&statement)?;
         let field = |name: &str| fields.iter().find(|field| field.0 == name).map(|field| field.1);
