Poll the writer four times less often: its answers tell as much

At fault: plan_probe() in routing.rs.

Harms: a writer without any txn is heard of four times later; when the slot is empty all are asked at once as before.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -15,6 +15,8 @@
 const PROBES_PER_BOUND: u32 = 2;
 /// Polls stay under this share of a front's first submissions; what it needs to know beyond that it asks for.
 const POLLS_PER_TXN: f64 = 0.5;
+/// The writer is polled so many times less often: its answers tell as much.
+const WRITER_SELDOM: u32 = 4;
 /// A read waits so long for a report that may prove a reader.
 const REPORT_AWAITED: Duration = Duration::from_millis(40);
 /// A member that fails is left alone this long at first, then twice as long each time, up to the longest.
@@ -253,8 +255,7 @@
         } else if handle.is_multiple_of(2) {
             self.settle(now, [self.members[at - 1].group], host);
         } else if let Some(Some(t)) = self.txns.get(at) {
-            let group = t.group;
-            self.settle(now, [group], host);
+            self.settle(now, [t.group], host);
             self.remind_held(at, host);
         }
     }
@@ -325,9 +326,9 @@
                 m.shunned = m.shunned.max(now + SHUN_FIRST / 8 * 2u32.pow(m.fulls.min(4)));
             }
             Ending::Unreachable | Ending::Dropped => {
-                m.shunned = now + shun_for(m.failures);
+                let shunned = now + shun_for(m.failures);
+                (m.shunned, m.probe_failures, m.probe_due) = (shunned, m.probe_failures.max(1), now);
                 m.failures += 1;
-                (m.probe_failures, m.probe_due) = (m.probe_failures.max(1), now);
             }
             // A time-out is the client's end of patience, an error weighs as a late answer: neither shuns.
             _ => {}
@@ -410,10 +411,10 @@
         let rate = self.first.sum(now) / now.min(RESEND_SPAN).as_secs_f64().max(1e-3);
         self.apart = Duration::from_secs_f64(self.members.len() as f64 / rate.max(1.0));
         let poll = self.apart.div_f64(POLLS_PER_TXN);
-        let m = &self.members[member];
-        let g = &self.groups[m.group];
-        let pause = match m.probe_failures {
+        let g = &self.groups[self.members[member].group];
+        let pause = match self.members[member].probe_failures {
             0 if g.writer.is_none() && !g.held.is_empty() => every / 2,
+            0 if g.writer == Some(member) => poll.max(every) * WRITER_SELDOM,
             0 => poll.max(every),
             n => every * 2u32.pow(n.min(5)),
         };
@@ -449,17 +450,16 @@
             let Some(sent) = sent else { continue };
             let usual = |&t: &usize| self.usual[self.txn(t).kind];
             let slowest = m.in_hand.iter().map(usual).fold(0.0, f64::max) / m.in_hand.len().min(2) as f64;
-            let since =
-                now.saturating_sub(sent.max(m.last_answer).max(m.hushed).max(self.awake)).as_secs_f64();
-            if since <= SILENCE * slowest {
+            let heard = sent.max(m.last_answer).max(m.hushed).max(self.awake);
+            if now.saturating_sub(heard).as_secs_f64() <= SILENCE * slowest {
                 continue;
             }
             fired = true;
             let least = self.part(ROOM_LEAST);
             let m = &mut self.members[member];
             (m.hushed, m.failures, m.room) = (now, m.failures + 1, least);
-            m.shunned = now + shun_for(m.failures);
-            (m.probe_failures, m.probe_due) = (m.probe_failures.max(1), now);
+            (m.shunned, m.probe_failures) = (now + shun_for(m.failures), m.probe_failures.max(1));
+            m.probe_due = now;
             self.doubt(now, member);
             for &txn in &self.members[member].in_hand {
                 let t = self.txn(txn);
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -660,3 +660,24 @@
     s.router.client_left(s.now, read, &mut s.host);
     assert_eq!(s.router.holds_until(read), ms(0));
 }
+
+#[test]
+fn the_writer_is_polled_less_often_than_its_readers() {
+    let mut s = Story::running();
+    let mut polls = [0; 3];
+    for _ in 0..4000 {
+        s.now += ms(25);
+        s.host.0.clear();
+        for member in 0..3 {
+            s.router.reminder_due(s.now, member as u64 * 2 + 2, &mut s.host);
+        }
+        for act in std::mem::take(&mut s.host.0) {
+            if let Act::Probed(member) = act {
+                polls[member] += 1;
+                let role = if member == 0 { Role::Primary } else { Role::Replica };
+                s.report(member, role, s.now);
+            }
+        }
+    }
+    assert!(polls[0] > 0 && polls[0] * 3 < polls[1] && polls[1] == polls[2], "{polls:?}");
+}
