A report that a member has not made yet tells no role

A line for each report of the first second (on a copy of the tree): members that have made no report yet answer x0=0.000,x1=0, primaries too, and that was read as a claim to be a replica; writes waited up to 0.3 s for the first real report though the list named the primaries. Ruled out: slow probes (all answered within 2 ms) and connects. At fault: the reading of reports in member.rs.

A position of 0 now voids the whole report, so the list's hint counts until there is one.

--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::desk::{End, Mail};
-use juniperdock_door as door;
+use juniperdock_door::{self as door, Origin};
 use juniperdock_link::{Bell, Failure, Link, Reached, spawn};
 use juniperdock_pg as pg;
 use juniperdock_router::host::{Ending, Report, Role};
@@ -504,6 +504,16 @@
     }
 }
 
+/// What a member says of itself. One that has made no report yet says 0 to all: that tells nothing, its role
+/// neither.
+fn report(text: &str, origin: &Origin) -> Result<Report, String> {
+    let fields = || text.split(',').filter_map(|part| part.trim().split_once('='));
+    if fields().any(|(name, at)| name == "x0" && at.parse() == Ok(0.0)) {
+        return Ok(Report::default());
+    }
+    door::report(fields(), origin)
+}
+
 /// Tells the desk how a job ended.
 fn tell(reach: &Reach, member: usize, job: &Job, ending: Ending, reply: Reply) {
     let mail = match job {
@@ -514,8 +524,7 @@
         }
         Job::Probe { .. } => {
             let text = reply.value.and_then(|value| String::from_utf8(value).ok()).unwrap_or_default();
-            let fields = text.split(',').filter_map(|part| part.trim().split_once('='));
-            match door::report(fields, &reach.clock.origin) {
+            match report(&text, &reach.clock.origin) {
                 Ok(report) => Mail::Probed { member, ending, report },
                 Err(why) => {
                     slog::warn!(reach.log, "a report can't be read"; "why" => why);
@@ -537,3 +546,20 @@
 fn still_quiet(link: &mut Link) -> bool {
     link.pump().is_ok() && !link.ended && link.inbound.is_empty()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_not_made_yet_tells_no_role() {
+        let origin = Origin { start: 1_796_135_196_000_000, zero: 0 };
+        let told = |text| report(text, &origin).expect("a report");
+        let none = told("x0=0.000,x1=0,q=0,busy=0");
+        assert!(none.role.is_none() && none.position.is_none());
+        assert!(told("").role.is_none());
+        let made = told("x0=1796135196.444,x1=1,q=0,busy=0.056");
+        assert_eq!((made.role, made.position), (Some(Role::Primary), Some(Duration::from_millis(444))));
+        assert!(report("x0=soon", &origin).is_err());
+    }
+}
