--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -1,7 +1,7 @@
 //! The desk owns the router and its reminders. All inputs come through its mailbox, in order; what the router
 //! has done goes out to the actors' mailboxes. Nothing is chosen here.
 
-use crate::clock::Clock;
+use crate::clock::{Clock, PULSE};
 use crate::counters::Counters;
 use crate::mailbox::Mailbox;
 use crate::member::{self, Job, Submit, ToMember, Until};
@@ -268,15 +268,18 @@
                 self.router.list_lost(now, &mut self.hands);
             }
             Mail::Due { handle, at } => {
-                let late = now.saturating_sub(at).as_micros() as u64;
-                self.hands.counters.held_up_most_us.at_least(late);
+                let late = now.saturating_sub(at);
+                self.hands.counters.held_up_most_us.at_least(late.as_micros() as u64);
+                if late > PULSE {
+                    self.hands.counters.reminders_late.add();
+                }
                 self.router.reminder_due(now, handle, &mut self.hands);
             }
         }
     }
 
     fn arrived(&mut self, now: Duration, a: Box<Arrival>) {
-        self.hands.counters.held_up_most_us.at_least((now - a.at).as_micros() as u64);
+        self.hands.counters.held_up_most_us.at_least(now.saturating_sub(a.at).as_micros() as u64);
         if self.cells.known(&a.cell).is_none() && !self.cells.is_empty() {
             a.client.post((a.ticket, Answer::RolledBack("expected a cluster that the list names")));
             return;
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -17,6 +17,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+#[derive(Clone)]
 pub struct Submit {
     pub ticket: u64,
     pub statement: Arc<str>,
@@ -46,6 +47,7 @@
     }
 }
 
+#[derive(Clone)]
 pub enum Job {
     Submit(Submit),
     Probe { at: Duration },
@@ -204,13 +206,15 @@
         let (member, address, pool, reach) =
             (self.index, self.address, self.mail.clone(), self.reach.clone());
         self.reach.counters.connections_opened.add();
-        let stack = reach.stack;
+        let (stack, wanted) = (reach.stack, job.clone());
         let started = spawn("connection", stack, move || {
             Line { id, member, address, pool, reach, mail: read }.run(job);
         });
         if let Err(why) = started {
             slog::error!(self.reach.log, "no connection can be started"; "why" => why);
             self.reach.open.fetch_sub(1, Ordering::Relaxed);
+            self.connections.remove(&id);
+            tell(&self.reach, self.index, &wanted, Ending::Full, Reply::default());
         }
     }
 }
