End the time after a standstill by beats, not by the clock

The story of a standstill failed once in nine runs of the whole on a loaded machine. Two causes: the story wrote its txn before the front had stopped (it now waits until all its threads have), and on a busy core 20 ms could pass before what had waited was read.

--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -12,12 +12,14 @@
 /// The worker is known to run at least this often.
 pub const PULSE: Duration = Duration::from_millis(20);
 
-/// When the worker last ran, and its latest standstill: its start, and when it was seen. In microseconds.
+/// When the worker last ran, and its latest standstill: its start, and how many beats its end lasts. Times in
+/// microseconds.
 #[derive(Default)]
 struct Runs {
     last: AtomicU64,
     stood_from: AtomicU64,
-    seen: AtomicU64,
+    ending: AtomicU64,
+    beaten: AtomicU64,
 }
 
 struct Alarm {
@@ -75,17 +77,28 @@
         let last = self.runs.last.swap(now, Ordering::Relaxed);
         if last > 0 && now.saturating_sub(last) > 2 * PULSE.as_micros() as u64 {
             self.runs.stood_from.store(last, Ordering::Relaxed);
-            self.runs.seen.store(now, Ordering::Relaxed);
+            self.runs.ending.store(2, Ordering::Relaxed);
+        }
+    }
+
+    /// Notes a beat. After two of them, a while apart, all that had come in before has been read.
+    pub fn beat(&self) {
+        self.pulse();
+        let now = self.now().as_micros() as u64;
+        if now >= self.runs.beaten.load(Ordering::Relaxed) + PULSE.as_micros() as u64 / 2 {
+            self.runs.beaten.store(now, Ordering::Relaxed);
+            let ending = self.runs.ending.load(Ordering::Relaxed);
+            self.runs.ending.store(ending.saturating_sub(1), Ordering::Relaxed);
         }
     }
 
     /// The earliest time at which bytes that are read now may have come in: right after a standstill of this
     /// front they may have waited since it began.
     pub fn came_in(&self) -> Duration {
-        let now = self.now();
-        let seen = Duration::from_micros(self.runs.seen.load(Ordering::Relaxed));
-        let stood_from = Duration::from_micros(self.runs.stood_from.load(Ordering::Relaxed));
-        if seen.is_zero() || now > seen + PULSE { now } else { stood_from }
+        if self.runs.ending.load(Ordering::Relaxed) == 0 {
+            return self.now();
+        }
+        Duration::from_micros(self.runs.stood_from.load(Ordering::Relaxed))
     }
 
     /// Calls `ring` from the clock's thread once that time has come; `ring` must not wait.
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -202,10 +202,11 @@
 
     pub fn run(mut self, mail: &Receiver<Mail>) {
         while let Ok(mail) = mail.recv() {
-            self.hands.clock.pulse();
             if matches!(mail, Mail::Beat) {
+                self.hands.clock.beat();
                 continue;
             }
+            self.hands.clock.pulse();
             if catch_unwind(AssertUnwindSafe(|| self.take(mail))).is_err() {
                 self.hands.counters.panics.add();
                 if let Err(why) = self.start_anew() {
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -338,6 +338,7 @@
     assert!(client.ask(&txn("order", 2000, "first")).value.is_some());
     town.sent(0);
     front.signal("-STOP");
+    until(|| front.stopped());
     let begun = Instant::now();
     client.say(&txn("order", 500, "late"));
     until(|| begun.elapsed() > Duration::from_millis(700));
--- a/crates/front/tests/stand_in/mod.rs
+++ b/crates/front/tests/stand_in/mod.rs
@@ -290,6 +290,15 @@
         assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
     }
 
+    /// Whether it stands still, all of it.
+    pub fn stopped(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("its threads");
+        tasks.flatten().all(|task| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+        })
+    }
+
     /// Waits for its end: whether it ended well, and what it wrote to standard error.
     pub fn end(mut self) -> (bool, String) {
         let mut text = String::new();
