Read the configuration again on SIGHUP and move the watch with the list

Cause: main.rs registered TERM and USR1 only, so HUP's default ended the program; list.rs held one address for good. Now SIGHUP reads GW_CONFIG again; the list's actor opens the watch at the new address from the version it has and drops the old one once the new one has told something.

--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -41,6 +41,6 @@
     submitted, ended_committed, ended_errored, ended_full, ended_timed_out, ended_unreachable,
     ended_dropped, ended_cancelled, ended_moot, ended_misplaced,
     connections_opened, connections_reused, connections_lost, connections_idle_closed,
-    probes, probes_failed, lists, lists_failed, reminders, reminders_late, panics,
+    probes, probes_failed, lists, lists_failed, reloads, reloads_failed, reminders, reminders_late, panics,
     held_up_most_us, connect_most_us,
 }
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::{Clock, PULSE};
 use crate::counters::Counters;
+use crate::list;
 use crate::mailbox::Mailbox;
 use crate::member::{self, Job, Submit, ToMember, Until};
 use juniperdock_door::{Indices, span};
@@ -88,7 +89,7 @@
     members: Vec<Sender<ToMember>>,
     clock: Clock,
     desk: Sender<Mail>,
-    list: Sender<()>,
+    list: Sender<list::Mail>,
     counters: Arc<Counters>,
 }
 
@@ -154,7 +155,7 @@
     }
 
     fn listen(&mut self) {
-        let _ = self.list.send(());
+        let _ = self.list.send(list::Mail::Open);
     }
 }
 
@@ -184,7 +185,7 @@
         zones: Vec<String>,
         clock: Clock,
         desk: Sender<Mail>,
-        list: Sender<()>,
+        list: Sender<list::Mail>,
         hire: Hire,
         counters: Arc<Counters>,
         log: slog::Logger,
--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -1,68 +1,179 @@
-//! The list's actor: keeps a watch on the member list and passes on what it is told.
+//! The list's actor: keeps a watch on the member list and passes on what it is told. Where the list moves to
+//! another address, the watch there is opened before the old one is dropped.
 
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::desk::Mail;
+use crate::desk;
 use juniperdock_discovery::{Answer, LONGEST, watch_request};
-use juniperdock_link::Link;
-use may::sync::mpsc::{Receiver, Sender};
+use juniperdock_link::{Bell, Link, spawn};
+use may::sync::mpsc::{Receiver, Sender, channel};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Without a sign of life for this long the watch is opened anew: two empty lines have not come. Whatever the
 /// list has to tell counts as told after 6 s.
 const SILENCE: Duration = Duration::from_secs(5);
 
+pub enum Mail {
+    /// A watch is wanted.
+    Open,
+    /// The list is to be had at this address from now on.
+    At(SocketAddr),
+    /// From a watch: it can be woken.
+    Up(u64, Bell),
+    /// From a watch: a list, whole or of what changed.
+    Told(u64, Value),
+    /// From a watch: it has ended, and why.
+    Over(u64, String),
+}
+
+/// A watch that is open or being opened.
+struct Open {
+    number: u64,
+    bell: Option<Bell>,
+    stop: Arc<AtomicBool>,
+}
+
 pub struct List {
-    pub address: SocketAddr,
-    pub clock: Clock,
-    pub desk: Sender<Mail>,
-    pub counters: Arc<Counters>,
-    pub log: slog::Logger,
-    pub version: Option<u64>,
+    address: SocketAddr,
+    version: Option<u64>,
+    clock: Clock,
+    desk: Sender<desk::Mail>,
+    counters: Arc<Counters>,
+    log: slog::Logger,
+    stack: usize,
+    mail: Sender<Mail>,
+    read: Receiver<Mail>,
+    /// In the order in which they were opened; only the last counts once it has told something.
+    watches: Vec<Open>,
+    opened: u64,
+    /// That no watch could be kept has been logged since the last list.
+    logged: bool,
 }
 
 impl List {
-    /// Opens a watch each time it is asked to; tells the desk when one was lost.
-    pub fn run(mut self, asked: &Receiver<()>) {
-        let mut told = false;
-        while asked.recv().is_ok() {
-            let before = self.version;
-            let why = catch_unwind(AssertUnwindSafe(|| self.watch())).unwrap_or_else(|_| {
-                self.counters.panics.add();
+    pub fn new(
+        address: SocketAddr,
+        version: Option<u64>,
+        clock: Clock,
+        desk: Sender<desk::Mail>,
+        counters: Arc<Counters>,
+        log: slog::Logger,
+        stack: usize,
+    ) -> List {
+        let (mail, read) = channel();
+        let (watches, opened, logged) = (Vec::new(), 0, false);
+        List { address, version, clock, desk, counters, log, stack, mail, read, watches, opened, logged }
+    }
+
+    pub fn mail(&self) -> Sender<Mail> {
+        self.mail.clone()
+    }
+
+    pub fn run(mut self) {
+        while let Ok(mail) = self.read.recv() {
+            match mail {
+                Mail::Open => self.open(),
+                Mail::At(address) => {
+                    if address != self.address {
+                        slog::info!(self.log, "the member list has moved"; "to" => %address);
+                        self.address = address;
+                        self.open();
+                    }
+                }
+                Mail::Up(number, bell) => {
+                    if let Some(watch) = self.watches.iter_mut().find(|watch| watch.number == number) {
+                        watch.bell = Some(bell);
+                    }
+                }
+                Mail::Told(number, list) => self.told(number, list),
+                Mail::Over(number, why) => self.over(number, &why),
+            }
+        }
+    }
+
+    fn open(&mut self) {
+        self.opened += 1;
+        let (number, stop) = (self.opened, Arc::new(AtomicBool::new(false)));
+        self.watches.push(Open { number, bell: None, stop: stop.clone() });
+        let watch =
+            Watch { number, address: self.address, clock: self.clock.clone(), list: self.mail.clone(), stop };
+        let (version, counters, list) = (self.version, self.counters.clone(), self.mail.clone());
+        let started = spawn("watch", self.stack, move || {
+            let why = catch_unwind(AssertUnwindSafe(|| watch.run(version))).unwrap_or_else(|_| {
+                counters.panics.add();
                 "its actor failed".to_owned()
             });
-            told &= self.version == before;
-            if !told {
-                slog::warn!(self.log, "the watch on the member list is lost"; "why" => why);
-                told = true;
-            }
-            let _ = self.desk.send(Mail::ListLost);
+            let _ = list.send(Mail::Over(number, why));
+        });
+        if let Err(why) = started {
+            let _ = self.mail.send(Mail::Over(number, why));
+        }
+    }
+
+    fn told(&mut self, number: u64, list: Value) {
+        // Nothing is believed of a watch that a later one has taken over from.
+        let Some(at) = self.watches.iter().position(|watch| watch.number == number) else { return };
+        for old in self.watches.drain(..at) {
+            old.stop.store(true, Ordering::Relaxed);
+            old.bell.iter().for_each(Bell::ring);
+        }
+        let version = list["version"].as_u64();
+        if list["full"].as_bool() == Some(false) && version <= self.version {
+            return; // Heard already, from the watch before.
         }
+        (self.version, self.logged) = (version, false);
+        let _ = self.desk.send(desk::Mail::List(list));
     }
 
+    /// One that was taken over from may end; the desk hears of the last one's end.
+    fn over(&mut self, number: u64, why: &str) {
+        let last = self.watches.last().is_some_and(|watch| watch.number == number);
+        self.watches.retain(|watch| watch.number != number);
+        if !last {
+            return;
+        }
+        if !std::mem::replace(&mut self.logged, true) {
+            slog::warn!(self.log, "the watch on the member list is lost"; "why" => why);
+        }
+        let _ = self.desk.send(desk::Mail::ListLost);
+    }
+}
+
+/// One watch, on a coroutine of its own.
+struct Watch {
+    number: u64,
+    address: SocketAddr,
+    clock: Clock,
+    list: Sender<Mail>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Watch {
     /// Watches until it fails, and says why it did.
-    fn watch(&mut self) -> String {
-        let request = watch_request(&self.address.to_string(), self.version);
+    fn run(&self, after: Option<u64>) -> String {
+        let request = watch_request(&self.address.to_string(), after);
         let mut link = match Link::connect(self.address, SILENCE, LONGEST) {
             Ok(link) => link,
             Err(why) => return why.to_string(),
         };
+        let _ = self.list.send(Mail::Up(self.number, link.bell()));
         if let Err(why) = link.queue(request.as_bytes()) {
             return why.to_string();
         }
         let (mut answer, mut signs, mut heard) = (Answer::default(), 0, self.clock.now());
         let bell = link.bell();
         self.clock.at(heard + SILENCE, move || bell.ring());
-        loop {
+        while !self.stop.load(Ordering::Relaxed) {
             let moved = link.pump();
             match answer.take(&mut link.inbound) {
                 Ok(lists) => {
                     for list in lists {
-                        self.version = list["version"].as_u64();
-                        let _ = self.desk.send(Mail::List(list));
+                        let _ = self.list.send(Mail::Told(self.number, list));
                     }
                 }
                 Err(why) => return why,
@@ -81,5 +192,6 @@
                 Ok(false) => link.wait(),
             }
         }
+        "another has taken over".to_owned()
     }
 }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -14,9 +14,9 @@
 use juniperdock_door::{self as door, Indices};
 use juniperdock_link::spawn;
 use may::net::TcpListener;
-use may::sync::mpsc::channel;
+use may::sync::mpsc::{Sender, channel};
 use serde_json::Value;
-use signal_hook::consts::{SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 use slog::Drain;
 use std::net::SocketAddr;
@@ -60,13 +60,16 @@
     })
 }
 
+fn configuration(path: &str) -> Result<Value, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("GW_CONFIG: reading {path}: {e}"))?;
+    serde_json::from_str(&text).map_err(|e| format!("GW_CONFIG: {path}: expected JSON: {e}"))
+}
+
 fn serve() -> Result<(), String> {
-    let signals = Signals::new([SIGTERM, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
+    let signals = Signals::new([SIGHUP, SIGTERM, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
     let (clock, ring) = Clock::start();
     let path = std::env::var("GW_CONFIG").map_err(|e| format!("GW_CONFIG: {e}"))?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("GW_CONFIG: reading {path}: {e}"))?;
-    let told: Value =
-        serde_json::from_str(&text).map_err(|e| format!("GW_CONFIG: {path}: expected JSON: {e}"))?;
+    let told = configuration(&path)?;
     let address = |variable: &str, field: &str| -> Result<SocketAddr, String> {
         let text = std::env::var(variable).ok().or_else(|| told[field].as_str().map(str::to_owned));
         let text = text.ok_or_else(|| format!("expected {variable}, or {field} in GW_CONFIG"))?;
@@ -109,8 +112,12 @@
 
     let counters = Arc::new(Counters::default());
     let (to_desk, desk_mail) = channel();
-    let (to_list, list_mail) = channel();
     let beats = to_desk.clone();
+    let version = told["known"]["version"].as_u64();
+    let (clock_of, log_of) = (clock.clone(), log.clone());
+    let list =
+        list::List::new(discovery, version, clock_of, to_desk.clone(), counters.clone(), log_of, DEEP_STACK);
+    let to_list = list.mail();
     let reach = member::Reach {
         clock: clock.clone(),
         desk: to_desk.clone(),
@@ -137,7 +144,6 @@
         log.clone(),
     )?;
     let known = told["known"].clone();
-    let version = known["version"].as_u64();
     let known = juniperdock_discovery::check(&known).map(|()| known);
     if let Err(why) = &known {
         slog::warn!(log, "no list is known yet"; "why" => why);
@@ -146,16 +152,8 @@
         let _ = to_desk.send(desk::Mail::List(known));
     }
     spawn("desk", DEEP_STACK, move || desk.run(&desk_mail))?;
-    let list = list::List {
-        address: discovery,
-        clock: clock.clone(),
-        desk: to_desk.clone(),
-        counters: counters.clone(),
-        log: log.clone(),
-        version,
-    };
-    spawn("list", DEEP_STACK, move || list.run(&list_mail))?;
-    let _ = to_list.send(());
+    spawn("list", STACK, move || list.run())?;
+    let _ = to_list.send(list::Mail::Open);
 
     let listener = TcpListener::bind(listen).map_err(|e| format!("listening at {listen}: {e}"))?;
     let hall = Arc::new(client::Hall {
@@ -180,7 +178,14 @@
             let _ = beats.send(desk::Mail::Beat);
         });
     });
-    watch_signals(signals, &hall, &counters, longest + grace)
+    let reload = || {
+        if let Err(why) = reread(&path, &told, &to_list, &log) {
+            counters.reloads_failed.add();
+            slog::error!(log, "the configuration stays as it is"; "why" => why);
+        }
+        counters.reloads.add();
+    };
+    watch_signals(signals, &hall, &counters, longest + grace, &reload)
 }
 
 fn logger() -> slog::Logger {
@@ -192,19 +197,37 @@
     slog::Logger::root(drain, slog::o!())
 }
 
-/// Prints the counters on SIGUSR1; on SIGTERM answers all that was taken and ends.
+/// Reads the configuration again. Where the list is to be had counts at once; all else at the next start.
+fn reread(path: &str, told: &Value, list: &Sender<list::Mail>, log: &slog::Logger) -> Result<(), String> {
+    let again = configuration(path)?;
+    let discovery = again["discovery"].as_str().ok_or("expected a text in discovery of GW_CONFIG")?;
+    let discovery: SocketAddr = discovery
+        .parse()
+        .map_err(|_| format!("discovery: expected an address and port, found {discovery:?}"))?;
+    let _ = list.send(list::Mail::At(discovery));
+    let other = ["name", "listen", "limits", "peer_listen", "peers", "peers_all", "settings"];
+    let other: Vec<_> = other.into_iter().filter(|field| again[field] != told[field]).collect();
+    if !other.is_empty() {
+        slog::warn!(log, "a change that counts from the next start only"; "in" => other.join(", "));
+    }
+    Ok(())
+}
+
+/// Prints the counters on SIGUSR1 and reads the configuration again on SIGHUP; on SIGTERM answers all that was
+/// taken and ends.
 fn watch_signals(
     mut signals: Signals,
     hall: &client::Hall,
     counters: &Counters,
     longest: Duration,
+    reload: &dyn Fn(),
 ) -> Result<(), String> {
     for signal in signals.forever() {
-        if signal == SIGUSR1 {
-            eprintln!("counters: {counters}");
-            continue;
+        match signal {
+            SIGUSR1 => eprintln!("counters: {counters}"),
+            SIGHUP => reload(),
+            _ => break,
         }
-        break;
     }
     std::thread::sleep(LINGER);
     hall.close();
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -312,6 +312,44 @@
     }
 }
 
+#[test]
+fn a_new_configuration_moves_the_watch_and_a_bad_one_changes_nothing() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    assert!(client.ask(&txn("order", 2000, "first")).value.is_some());
+    town.agent.asked.recv_timeout(PATIENCE).expect("a watch");
+    for bad in ["", "{\"discovery\":", "{}", "{\"discovery\":\"there\"}"] {
+        front.reconfigure(bad);
+        assert!(client.ask(&txn("lookup", 2000, "r")).value.is_some(), "{bad}");
+    }
+    // What is in hand does not notice.
+    town.members[0].set(Does::Hangs);
+    client.say(&txn("order", 500, "w"));
+    until(|| town.sent(0).contains("id=w"));
+    let moved = Agent::start(WATCH);
+    front.reconfigure(&format!("{{\"discovery\":\"{}\"}}", moved.at));
+    moved.asked.recv_timeout(PATIENCE).expect("a watch at the new address");
+    assert!(client.reply().code.is_some());
+    // From its first word on only the new address counts.
+    moved.tell(Town::list(&town.members, 2, ["up", "draining", "up"]));
+    let mut since = 0;
+    until(|| {
+        assert!(client.ask(&txn("lookup", 2000, "r")).value.is_some());
+        since = if town.quiet(1) { since + 1 } else { 0 };
+        since == 50
+    });
+    town.tell(3, ["up", "up", "draining"]);
+    for _ in 0..50 {
+        assert!(client.ask(&txn("lookup", 2000, "r")).value.is_some());
+    }
+    assert!(town.quiet(1));
+    front.signal("-TERM");
+    front.signal("-HUP");
+    let (well, text) = front.end();
+    assert!(well && text.contains(" reloads="), "{text}");
+}
+
 #[test]
 fn sigterm_answers_all_that_was_taken() {
     let town = Town::new();
--- a/crates/front/tests/stand_in/mod.rs
+++ b/crates/front/tests/stand_in/mod.rs
@@ -285,6 +285,13 @@
         }
     }
 
+    /// Replaces the configuration's file and says so.
+    pub fn reconfigure(&self, text: &str) {
+        let (file, new) = (self.dir.join("config.json"), self.dir.join("new.json"));
+        std::fs::write(&new, text).and_then(|()| std::fs::rename(new, file)).expect("a file");
+        self.signal("-HUP");
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
