Hold spoilt answers and errors about the statement against no member

Checked: spoilt answers come from all members alike; reminders late only in the first second; CPU under its part. At fault: member.rs (nonsense ended as Dropped, any other code as Errored, parts of an answer taken in any order, role and position of a broken answer believed), routing.rs judge and probed. Now Spoilt and Invalid are endings of their own: neither is judged nor counted in the throttle; an error about the statement goes to the client as it came, once.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -285,6 +285,10 @@
                 self.hall.counters.committed.add();
                 out = row;
             }
+            Answer::Invalid(error) => {
+                self.hall.counters.invalid.add();
+                out = error;
+            }
             Answer::Declined(come_back) => {
                 self.hall.counters.declined.add();
                 let detail = come_back.map(|wait| wait.as_millis().to_string());
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -22,6 +22,8 @@
 pub enum Answer {
     /// A member's row, as it came.
     Committed(Vec<u8>),
+    /// A member's error about the statement, as it came.
+    Invalid(Vec<u8>),
     Declined(Option<Duration>),
     RolledBack(&'static str),
 }
@@ -50,6 +52,7 @@
     pub position: Option<Duration>,
     pub sent: Duration,
     pub at: Duration,
+    /// What the member said to the client, as it came.
     pub row: Vec<u8>,
 }
 
@@ -304,6 +307,8 @@
         match end.ending {
             Ending::Committed => count.ended_committed.add(),
             Ending::Errored => count.ended_errored.add(),
+            Ending::Invalid => count.ended_invalid.add(),
+            Ending::Spoilt => count.ended_spoilt.add(),
             Ending::Full => count.ended_full.add(),
             Ending::TimedOut => count.ended_timed_out.add(),
             Ending::Unreachable => count.ended_unreachable.add(),
@@ -316,9 +321,11 @@
         if let Some(held) = self.hands.txns[txn].as_mut() {
             held.out = None;
         }
-        let over = end.ending == Ending::Committed;
-        if over {
-            self.hands.answer(txn, Answer::Committed(end.row));
+        let over = matches!(end.ending, Ending::Committed | Ending::Invalid);
+        match end.ending {
+            Ending::Committed => self.hands.answer(txn, Answer::Committed(end.row)),
+            Ending::Invalid => self.hands.answer(txn, Answer::Invalid(end.row)),
+            _ => {}
         }
         let (member, ending, took) = (end.member, end.ending, end.at.saturating_sub(end.sent));
         let (role, position, hands) = (end.role, end.position, &mut self.hands);
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -230,7 +230,6 @@
 #[derive(Default)]
 struct Reply {
     raw: Vec<u8>,
-    rows: u32,
     described: bool,
     complete: bool,
     value: Option<Vec<u8>>,
@@ -241,12 +240,15 @@
 }
 
 impl Reply {
+    /// What the answer comes to, once the member is ready again; nothing else is an answer.
     fn ending(&self) -> Option<Ending> {
         match self.error.as_deref() {
+            _ if !self.ready => None,
             Some(pg::NO_PRIMARY | pg::TOO_FAR_BEHIND) => Some(Ending::Misplaced),
             Some(pg::TOO_MANY) => Some(Ending::Full),
+            Some(code) if pg::of_statement(code) => Some(Ending::Invalid),
             Some(_) => Some(Ending::Errored),
-            None if self.described && self.rows == 1 && self.complete => Some(Ending::Committed),
+            None if self.complete => Some(Ending::Committed),
             None => None,
         }
     }
@@ -431,13 +433,16 @@
             let pumped = link.pump();
             if let Err(why) = self.read(link, &mut reply) {
                 slog::warn!(self.reach.log, "a member talks nonsense"; "member" => self.member, "why" => why);
-                return Outcome { ending: Ending::Dropped, reply, usable: false };
+                // Nothing that such an answer says is believed.
+                return Outcome { ending: Ending::Spoilt, reply: Reply::default(), usable: false };
             }
             let unsent = !link.flushed();
             if reply.ready {
                 // Ready without an answer is no proof of anything.
-                let ending = reply.ending().unwrap_or(Ending::Errored);
-                return Outcome { ending, reply, usable: !unsent };
+                let Some(ending) = reply.ending().filter(|_| !unsent) else {
+                    return Outcome { ending: Ending::Spoilt, reply: Reply::default(), usable: false };
+                };
+                return Outcome { ending, reply, usable: true };
             }
             match pumped {
                 Err(failure) => return broken(&failure, reply),
@@ -463,7 +468,9 @@
 
     fn read(&self, link: &mut Link, reply: &mut Reply) -> Result<(), String> {
         while let Some((kind, body, length)) = pg::message(link.inbound.make_contiguous())? {
-            let once = |seen: bool| if seen { Err("expected one answer".to_owned()) } else { Ok(()) };
+            // In this order, each once: description, row, end; or an error and nothing else.
+            let next =
+                |whole: bool| if whole { Ok(()) } else { Err("expected one answer of one row".to_owned()) };
             match kind {
                 b'S' => match pg::parameter(body) {
                     Some(("node_role", "leader")) => reply.role = Some(Role::Primary),
@@ -471,25 +478,35 @@
                     Some(("replay_position", ms)) => {
                         let ms = ms.parse::<f64>().ok().and_then(door::micros);
                         reply.position = ms.and_then(|at| self.reach.clock.origin.position(at));
+                        possible(reply.position, self.reach.clock.now())?;
                     }
                     _ => {}
                 },
-                b'T' => once(std::mem::replace(&mut reply.described, true))?,
+                b'T' => {
+                    next(!reply.described && reply.error.is_none() && pg::one_column(body))?;
+                    reply.described = true;
+                }
                 b'D' => {
-                    once(reply.rows > 0)?;
-                    reply.rows += 1;
+                    next(reply.described && reply.value.is_none())?;
                     let value = pg::column(body).ok_or("expected a row of one column")?;
                     reply.value = Some(value.to_vec());
                 }
-                b'C' => once(std::mem::replace(&mut reply.complete, true))?,
-                b'E' => reply.error = Some(pg::error_field(body, b'C').unwrap_or(pg::INTERNAL).to_owned()),
+                b'C' => {
+                    next(reply.value.is_some() && !reply.complete)?;
+                    reply.complete = true;
+                }
+                b'E' => {
+                    next(!reply.described && reply.error.is_none())?;
+                    let code = pg::error_field(body, b'C').ok_or("expected a code in an error")?;
+                    reply.error = Some(code.to_owned());
+                }
                 b'Z' => reply.ready = true,
                 b'N' | b'I' | b'K' | b'R' => {}
                 other => {
                     return Err(format!("expected an answer, found a message of type {:?}", other as char));
                 }
             }
-            if matches!(kind, b'T' | b'D' | b'C') {
+            if matches!(kind, b'T' | b'D' | b'C' | b'E') {
                 reply.raw.extend(link.inbound.range(..length));
             }
             link.inbound.drain(..length);
@@ -518,6 +535,12 @@
     door::report(fields(), origin)
 }
 
+/// All machines read the same clock: no member can have a commit still to come.
+fn possible(position: Option<Duration>, now: Duration) -> Result<(), String> {
+    let past = position.is_none_or(|at| at <= now + Duration::from_millis(1));
+    past.then_some(()).ok_or_else(|| "expected a position in the past".to_owned())
+}
+
 /// Tells the desk how a job ended.
 fn tell(reach: &Reach, member: usize, job: &Job, ending: Ending, reply: Reply) {
     let mail = match job {
@@ -527,12 +550,16 @@
             Mail::Ended(Box::new(End { ticket, member, ending, role, position, sent, at, row }))
         }
         Job::Probe { .. } => {
-            let text = reply.value.and_then(|value| String::from_utf8(value).ok()).unwrap_or_default();
-            match report(&text, &reach.clock.origin) {
+            let text = String::from_utf8(reply.value.unwrap_or_default());
+            let told = text.map_err(|e| e.to_string()).and_then(|text| {
+                let told = report(&text, &reach.clock.origin)?;
+                possible(told.position, reach.clock.now()).map(|()| told)
+            });
+            match told {
                 Ok(report) => Mail::Probed { member, ending, report },
                 Err(why) => {
                     slog::warn!(reach.log, "a report can't be read"; "why" => why);
-                    Mail::Probed { member, ending: Ending::Errored, report: Report::default() }
+                    Mail::Probed { member, ending: Ending::Spoilt, report: Report::default() }
                 }
             }
         }
@@ -541,9 +568,12 @@
 }
 
 fn broken(failure: &Failure, reply: Reply) -> Outcome {
-    // An answer that came whole counts, though the connection did not last.
+    // An answer that came whole counts, though the connection did not last; of another nothing is believed.
     let lost = if failure.reached < Reached::Written { Ending::Unreachable } else { Ending::Dropped };
-    Outcome { ending: reply.ending().unwrap_or(lost), reply, usable: false }
+    match reply.ending() {
+        Some(ending) => Outcome { ending, reply, usable: false },
+        None => Outcome { ending: lost, reply: Reply::default(), usable: false },
+    }
 }
 
 /// Whether an idle connection has neither ended nor said anything out of turn.
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 mod stand_in;
 
-use stand_in::{Agent, Does, Front, Member, PATIENCE, WATCH, list, message, row, txn};
+use stand_in::{Agent, Does, Front, Member, PATIENCE, WATCH, error, list, message, row, txn};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::process::Command;
@@ -142,16 +142,35 @@
     let mut client = front.client();
     assert!(client.ask(&txn("order", 2000, "first")).value.is_some());
     let two = [row(b"one"), row(b"two")].concat();
-    for says in
-        [b"hello".to_vec(), two, message(b'D', &[0, 2]), message(b'Z', b"I"), vec![b'D', 255, 255, 255, 255]]
-    {
-        until(|| client.ask(&txn("order", 2000, "good")).value.is_some());
+    let none = error("53300");
+    let (wide, swapped) = (row(b"a")[1..].to_vec(), [&row(b"a")[27..], &row(b"a")].concat());
+    for says in [
+        b"hello".to_vec(),
+        two,
+        message(b'D', &[0, 2]),
+        message(b'Z', b"I"),
+        vec![b'D', 255, 255, 255, 255],
+        [row(b"a"), none.clone()].concat(),
+        [none.clone(), row(b"a")].concat(),
+        [&row(b"a")[..27], &none].concat(),
+        message(b'E', b"\0"),
+        wide,
+        swapped,
+        [message(b'S', b"replay_position\08e12\0"), row(b"a")].concat(),
+    ] {
+        // The member lives, and keeps its slot.
+        assert!(client.ask(&txn("order", 2000, "good")).value.is_some());
         town.members[0].once(Does::Says(says.clone()));
         let reply = client.ask(&txn("order", 2000, "bad"));
         assert_eq!((reply.value, reply.last), (None, b'Z'), "{says:?}");
+        assert!(reply.code.is_some_and(|code| code != "53300"), "no decline, it may have run: {says:?}");
     }
+    // An error about the statement is the client's, as it came; no other member is tried.
+    town.members[0].once(Does::Fails("42601"));
+    assert_eq!(client.ask(&txn("mark", 2000, "syntax")).code.as_deref(), Some("42601"));
+    until(|| town.sent(0).contains("id=syntax"));
+    assert!(town.quiet(0));
     // Turned away unseen, it goes again; an error is one.
-    until(|| client.ask(&txn("order", 2000, "good")).value.is_some());
     town.members[0].once(Does::Fails("53300"));
     assert!(client.ask(&txn("order", 2000, "full")).value.is_some());
     town.members[0].once(Does::Fails("XX000"));
--- a/crates/front/tests/stand_in/mod.rs
+++ b/crates/front/tests/stand_in/mod.rs
@@ -80,7 +80,7 @@
     [message(b'T', described), message(b'D', &data), message(b'C', b"SELECT 1\0")].concat()
 }
 
-fn error(code: &str) -> Vec<u8> {
+pub fn error(code: &str) -> Vec<u8> {
     message(b'E', format!("SERROR\0VERROR\0C{code}\0Mno\0\0").as_bytes())
 }
 
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -138,6 +138,18 @@
         .and_then(|part| std::str::from_utf8(&part[1..]).ok())
 }
 
+/// Whether an error's code finds fault with the statement itself: no member could use it.
+pub fn of_statement(code: &str) -> bool {
+    code == PROTOCOL_VIOLATION
+        || ["0A", "22", "23", "26", "34", "3D", "3F", "42"].contains(&&code[..code.len().min(2)])
+}
+
+/// Whether a RowDescription tells of one column.
+pub fn one_column(body: &[u8]) -> bool {
+    let name = body.strip_prefix(&[0, 1]).map(|rest| rest.split(|&b| b == 0).next().unwrap_or(rest));
+    name.is_some_and(|name| body.len() == 2 + name.len() + 1 + 18)
+}
+
 /// Name and value of a ParameterStatus.
 pub fn parameter(body: &[u8]) -> Option<(&str, &str)> {
     let mut parts = body.split(|&b| b == 0).map(|part| std::str::from_utf8(part).ok());
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -105,6 +105,10 @@
     Committed,
     /// An error from the member; it may have had an effect.
     Errored,
+    /// No member could use such a statement; the client has this as its answer.
+    Invalid,
+    /// An answer came that can't be made out. It may have had an effect; the member lives.
+    Spoilt,
     /// Turned away unseen.
     Full,
     TimedOut,
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -4,6 +4,7 @@
 //! each records the facts, then the ordered rules in `settle` run over the groups touched until none fires.
 //! Sends leave through `submit` alone, and only if `gate` lets them pass.
 
+use crate::host::Ending::{Invalid, Misplaced, Moot, Spoilt, Unreachable};
 use crate::host::{ColdStart, Effect, Ending, Host, Level, Listed, Report, Role, Scope, Standing, TxnType};
 use crate::ring::Ring;
 pub use crate::state::Router;
@@ -190,7 +191,7 @@
             t.may_have_run = Some((out.at, self.members[out.member].zone));
         }
         self.members[member].in_hand.retain(|&held| held != txn);
-        if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Ending::Moot | Ending::Unreachable) {
+        if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Moot | Unreachable) {
             self.members[member].last_answer = now;
         }
         self.heard(now, member, role, position, true);
@@ -207,7 +208,7 @@
         if !slept && !lost {
             self.judge(now, member, kind, ending, took);
         }
-        if !slept && !matches!(ending, Ending::Unreachable | Ending::Moot | Ending::Misplaced) {
+        if !slept && !matches!(ending, Unreachable | Moot | Misplaced | Invalid | Spoilt) {
             let TxnType { sla, level, .. } = self.types[kind];
             let in_time = ending == Ending::Committed && !left && took <= sla.mul_f64(IN_TIME);
             let write = usize::from(level == Level::Write);
@@ -241,7 +242,7 @@
             m.barren = if told.position.is_some_and(|p| p + slack > now) { 0 } else { m.barren + 1 };
             let hint = Some(Role::Primary).filter(|_| m.hinted && m.primary_at.is_none());
             self.heard(now, member, told.role.or(hint), told.position, false);
-        } else if end != Ending::Full {
+        } else if !matches!(end, Ending::Full | Spoilt) {
             m.probe_failures += 1;
         }
         self.plan_probe(now, member, host);
@@ -325,7 +326,7 @@
                 m.fulls = (m.fulls + 1).min(8);
                 m.shunned = m.shunned.max(now + SHUN_FIRST / 8 * 2u32.pow(m.fulls.min(4)));
             }
-            Ending::Unreachable | Ending::Dropped => {
+            Unreachable | Ending::Dropped => {
                 let shunned = now + shun_for(m.failures);
                 (m.shunned, m.probe_failures, m.probe_due) = (shunned, m.probe_failures.max(1), now);
                 m.failures += 1;
@@ -334,8 +335,8 @@
             _ => {}
         }
         // A failed submission to the writer empties the slot; only a claim made after this fills it again.
-        let astray = ending == Ending::Misplaced && self.types[kind].level == Level::Write;
-        if astray || matches!(ending, Ending::Unreachable | Ending::Dropped) {
+        let astray = ending == Misplaced && self.types[kind].level == Level::Write;
+        if astray || matches!(ending, Unreachable | Ending::Dropped) {
             self.doubt(now, member);
         }
     }
@@ -394,7 +395,6 @@
             host.roll_back(txn);
         }
         self.txn_mut(txn).over = true;
-        self.txn_mut(txn).held = false;
         self.forget(txn, host);
     }
 
@@ -458,8 +458,8 @@
             let least = self.part(ROOM_LEAST);
             let m = &mut self.members[member];
             (m.hushed, m.failures, m.room) = (now, m.failures + 1, least);
-            (m.shunned, m.probe_failures) = (now + shun_for(m.failures), m.probe_failures.max(1));
-            m.probe_due = now;
+            let shunned = now + shun_for(m.failures);
+            (m.shunned, m.probe_failures, m.probe_due) = (shunned, m.probe_failures.max(1), now);
             self.doubt(now, member);
             for &txn in &self.members[member].in_hand {
                 let t = self.txn(txn);
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -30,6 +30,25 @@
     assert_eq!(s.sends(lost), [0, 2], "a referenced txn goes again inside its group and window");
 }
 
+#[test]
+fn what_a_living_member_spoils_is_not_held_against_it() {
+    let mut s = Story::running();
+    for (i, ending) in [Ending::Spoilt, Ending::Invalid].into_iter().cycle().take(20).enumerate() {
+        let txn = s.arrive(ONCE, 2000);
+        assert_eq!(s.sends(txn), [0], "{i}: the slot is not emptied, the member not shunned");
+        s.now += ms(5);
+        s.end(txn, 0, ending, 5);
+        assert!(s.did(&Act::RolledBack(txn)), "it may have run");
+    }
+    let again = s.arrive(MARKED, 2000);
+    s.end(again, 0, Ending::Spoilt, 5);
+    assert_eq!(s.sends(again), [0, 0]);
+    // Nor is a report that can't be read.
+    s.router.probed(s.now, 0, Ending::Spoilt, Default::default(), &mut s.host);
+    let (one, two) = (s.arrive(ONCE, 2000), s.arrive(ONCE, 2000));
+    assert_eq!((s.sends(one), s.sends(two)), (vec![0], vec![0]));
+}
+
 #[test]
 fn a_late_report_of_the_old_primary_does_not_take_the_slot_back() {
     let mut s = Story::running();
