Pass large values; wake no thread for far alarms; let idle clients stay two seconds

Ruled out: spoilt lengths (noise is over 538 million), panics, members' refusals. At fault: pg length (one bound both ways), clock.rs at, client.rs ask_to_leave, desk.rs refresh (all txns, every mail).

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -23,6 +23,8 @@
 /// How long a connection is read on after its last answer.
 const LINGER: Duration = Duration::from_secs(1);
 
+/// A client between txns for less than this is not asked to leave.
+const IDLE: Duration = Duration::from_secs(2);
 /// How long a client may take over an opening or a message that it has begun.
 const UNFINISHED: Duration = Duration::from_secs(2);
 
@@ -58,14 +60,20 @@
     bell: Bell,
     /// Since when it is between txns; it may be asked to leave then.
     idle_since: Option<Duration>,
+    /// It has sent its opening.
+    open: bool,
     asked_to_leave: bool,
 }
 
 impl Seats {
-    /// Asks the client longest between txns to leave, if there is one.
-    fn ask_to_leave(&mut self) -> bool {
-        let idle = self.taken.values_mut().filter(|seat| !seat.asked_to_leave && seat.idle_since.is_some());
-        let leaves = idle.min_by_key(|seat| seat.idle_since);
+    /// Asks a client to leave: one that has said nothing, or else the one longest between txns, if it is for
+    /// so long that hardly a txn of its crosses the end of its connection.
+    fn ask_to_leave(&mut self, now: Duration) -> bool {
+        let idle = |seat: &&mut Seat| {
+            let rested = |since| !seat.open || since + IDLE <= now;
+            !seat.asked_to_leave && seat.idle_since.is_some_and(rested)
+        };
+        let leaves = self.taken.values_mut().filter(idle).min_by_key(|seat| (seat.open, seat.idle_since));
         if let Some(seat) = leaves {
             seat.asked_to_leave = true;
             seat.bell.ring();
@@ -96,10 +104,10 @@
     fn sit(&self, bell: Bell) -> (u64, bool) {
         let now = self.clock.now();
         let mut seats = self.seats();
-        let found = seats.taken.len() < self.most || seats.ask_to_leave();
+        let found = seats.taken.len() < self.most || seats.ask_to_leave(now);
         seats.next += 1;
         let id = seats.next;
-        seats.taken.insert(id, Seat { bell, idle_since: Some(now), asked_to_leave: false });
+        seats.taken.insert(id, Seat { bell, idle_since: Some(now), open: false, asked_to_leave: false });
         (id, found)
     }
 
@@ -145,11 +153,14 @@
     lingers: Option<Duration>,
     /// Until when the opening or the message that has begun must be whole.
     due: Option<Duration>,
+    /// When it is rung next, at the latest.
+    rings: Duration,
 }
 
 fn run(stream: TcpStream, hall: Arc<Hall>) {
     hall.counters.clients.add();
-    match Link::new(stream, 2 * pg::LONGEST) {
+    // What goes out is one answer at a time, as long as the member's.
+    match Link::new(stream, 2 * pg::LONGEST, usize::MAX) {
         Ok(link) => {
             let (mail, read) = channel();
             let mailbox = Mailbox { mail, bell: link.bell() };
@@ -169,6 +180,7 @@
                 last,
                 lingers,
                 due,
+                rings: Duration::ZERO,
             };
             if catch_unwind(AssertUnwindSafe(|| client.live())).is_err() {
                 client.hall.counters.panics.add();
@@ -191,7 +203,7 @@
     pub fn let_in(self: Arc<Self>, listener: &TcpListener) {
         loop {
             while self.present() >= self.most + self.standing {
-                self.seats().ask_to_leave();
+                self.seats().ask_to_leave(self.clock.now());
                 self.pause();
             }
             match listener.accept() {
@@ -233,7 +245,7 @@
                 return;
             }
             let mut read = false;
-            while self.in_hand.is_none() && !self.last && self.next() {
+            while self.in_hand.is_none() && !self.last && self.link.unsent() < pg::LONGEST && self.next() {
                 read = true;
             }
             self.finish();
@@ -253,7 +265,7 @@
                         Err(_) => return,
                     }
                 }
-                self.link.wait();
+                self.wait();
             } else {
                 // One that sends at full speed takes turns with the others.
                 may::coroutine::yield_now();
@@ -261,21 +273,30 @@
         }
     }
 
+    /// Waits, until the next of its times at the longest. One alarm is out at a time: most txns end long before
+    /// theirs.
+    fn wait(&mut self) {
+        let expiry = self.in_hand.as_ref().map(|in_hand| in_hand.expiry + self.hall.grace);
+        let next = [expiry, self.due, self.lingers].into_iter().flatten().min();
+        if let Some(next) = next.filter(|&next| self.rings <= self.hall.clock.now() || next < self.rings) {
+            self.rings = next;
+            let bell = self.link.bell();
+            self.hall.clock.at(next, move || bell.ring());
+        }
+        self.link.wait();
+    }
+
     /// Sees to it that what a client has begun gets to its end: a place is not kept by saying nothing, nor by
     /// a message without an end.
     fn finish(&mut self) {
-        let waits = self.in_hand.is_none() && !self.last && (!self.open || !self.link.inbound.is_empty());
+        let reads = self.in_hand.is_none() && !self.last && self.link.unsent() < pg::LONGEST;
+        let waits = reads && (!self.open || !self.link.inbound.is_empty());
         if !waits {
             self.due = None;
             return;
         }
         let now = self.hall.clock.now();
-        let due = *self.due.get_or_insert_with(|| {
-            let bell = self.link.bell();
-            self.hall.clock.at(now + UNFINISHED, move || bell.ring());
-            now + UNFINISHED
-        });
-        if now >= due {
+        if now >= *self.due.get_or_insert(now + UNFINISHED) {
             self.hall.counters.clients_unfinished.add();
             let mut out = Vec::new();
             pg::error(&mut out, true, pg::PROTOCOL_VIOLATION, "expected a whole message by now", None);
@@ -293,8 +314,6 @@
             if let Some(seat) = self.hall.seats().taken.get_mut(&self.seat) {
                 seat.idle_since = Some(Duration::ZERO);
             }
-            let bell = self.link.bell();
-            self.hall.clock.at(now + LINGER, move || bell.ring());
         }
         let until = *self.lingers.get_or_insert(now + LINGER);
         self.link.inbound.clear();
@@ -343,10 +362,8 @@
     }
 
     fn say(&mut self, bytes: &[u8]) {
-        if self.link.queue(bytes).is_err() {
-            // It does not read its answers.
-            self.last = true;
-        }
+        // Bounded by what is taken: nothing more is while much is unsent.
+        let _ = self.link.queue(bytes);
     }
 
     /// Takes one message, if a whole one is there.
@@ -384,13 +401,17 @@
             Some((pg::Opening::Startup, length)) => {
                 pg::welcome(out);
                 self.open = true;
+                if let Some(seat) = self.hall.seats().taken.get_mut(&self.seat) {
+                    seat.open = true;
+                }
                 length
             }
         })
     }
 
     fn message(&mut self, out: &mut Vec<u8>) -> Result<usize, String> {
-        let Some((kind, body, length)) = pg::message(self.link.inbound.make_contiguous())? else {
+        let Some((kind, body, length)) = pg::message(self.link.inbound.make_contiguous(), pg::LONGEST)?
+        else {
             return Ok(0);
         };
         match kind {
@@ -433,8 +454,6 @@
                     self.hall.counters.txns.add();
                     let (ticket, expiry) = (arrival.ticket, arrival.expiry);
                     self.in_hand = Some(InHand { ticket, expiry });
-                    let bell = self.mailbox.bell.clone();
-                    self.hall.clock.at(expiry + self.hall.grace, move || bell.ring());
                     let _ = self.hall.desk.send(Mail::Arrived(Box::new(arrival)));
                     return;
                 }
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -4,9 +4,8 @@
 use juniperdock_door::Origin;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
 /// The worker is known to run at least this often.
@@ -47,24 +46,43 @@
     }
 }
 
+/// Alarms still to ring, and when the clock's thread looks next; only an earlier one wakes it before.
+#[derive(Default)]
+struct Alarms {
+    heap: BinaryHeap<Reverse<Alarm>>,
+    looks: Duration,
+}
+
+#[derive(Default)]
+struct Bells {
+    alarms: Mutex<Alarms>,
+    earlier: Condvar,
+}
+
+impl Bells {
+    fn alarms(&self) -> MutexGuard<'_, Alarms> {
+        self.alarms.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 #[derive(Clone)]
 pub struct Clock {
     begun: Instant,
     /// Unix time at the start; positions are Unix times, so they count from 0.
     pub origin: Origin,
-    alarms: Sender<Alarm>,
+    bells: Arc<Bells>,
     runs: Arc<Runs>,
 }
 
 impl Clock {
     /// A clock that starts now, and what its thread is to run; that calls `beat` once a pulse.
     pub fn start() -> (Clock, impl FnOnce(&dyn Fn()) + Send) {
-        let (alarms, asked) = channel();
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let origin = Origin { start: unix.as_micros() as i64, zero: 0 };
-        let clock = Clock { begun: Instant::now(), origin, alarms, runs: Arc::default() };
+        let bells = Arc::new(Bells::default());
+        let clock = Clock { begun: Instant::now(), origin, bells: bells.clone(), runs: Arc::default() };
         let begun = clock.begun;
-        (clock, move |beat| ring(begun, &asked, beat))
+        (clock, move |beat| ring(begun, &bells, beat))
     }
 
     pub fn now(&self) -> Duration {
@@ -103,28 +121,33 @@
 
     /// Calls `ring` from the clock's thread once that time has come; `ring` must not wait.
     pub fn at(&self, at: Duration, ring: impl FnOnce() + Send + 'static) {
-        // The clock's thread lasts as long as the program.
-        let _ = self.alarms.send(Alarm { at, ring: Box::new(ring) });
+        let mut alarms = self.bells.alarms();
+        alarms.heap.push(Reverse(Alarm { at, ring: Box::new(ring) }));
+        if at < alarms.looks {
+            self.bells.earlier.notify_one();
+        }
     }
 }
 
-fn ring(begun: Instant, asked: &Receiver<Alarm>, beat: &dyn Fn()) {
-    let (mut alarms, mut beaten) = (BinaryHeap::new(), Duration::ZERO);
+fn ring(begun: Instant, bells: &Bells, beat: &dyn Fn()) -> ! {
+    let mut beaten = Duration::ZERO;
     loop {
         if begun.elapsed() >= beaten + PULSE {
             beaten = begun.elapsed();
             beat();
         }
-        while alarms.peek().is_some_and(|Reverse(alarm): &Reverse<Alarm>| alarm.at <= begun.elapsed()) {
-            if let Some(Reverse(alarm)) = alarms.pop() {
-                (alarm.ring)();
-            }
-        }
-        let next = alarms.peek().map(|Reverse(alarm)| alarm.at.saturating_sub(begun.elapsed()));
-        match asked.recv_timeout(next.map_or(PULSE, |next| next.min(PULSE))) {
-            Ok(alarm) => alarms.push(Reverse(alarm)),
-            Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return,
+        let mut alarms = bells.alarms();
+        let now = begun.elapsed();
+        if alarms.heap.peek().is_some_and(|Reverse(alarm)| alarm.at <= now) {
+            let due = alarms.heap.pop();
+            // Rung without the lock: who is woken may set the next one.
+            drop(alarms);
+            due.into_iter().for_each(|Reverse(alarm)| (alarm.ring)());
+            continue;
         }
+        let next = alarms.heap.peek().map_or(now + PULSE, |Reverse(alarm)| alarm.at);
+        alarms.looks = next.min(now + PULSE);
+        let wait = alarms.looks - now;
+        let _ = bells.earlier.wait_timeout(alarms, wait);
     }
 }
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -87,6 +87,8 @@
 /// Carries out what the router wants done.
 struct Hands {
     txns: Vec<Option<Held>>,
+    /// Those whose submission may not have been written yet.
+    unwritten: Vec<usize>,
     tickets: HashMap<u64, usize>,
     free: Vec<usize>,
     ids: Indices<String>,
@@ -135,6 +137,7 @@
         let at = self.clock.now();
         let Some(held) = self.txns[txn].as_mut() else { return };
         let until = Until::new(until);
+        self.unwritten.push(txn);
         held.out = Some((member, until.clone()));
         let Arrival { ticket, expiry, .. } = *held.arrival;
         let (statement, left) = (held.arrival.statement.clone(), held.arrival.left.clone());
@@ -226,6 +229,7 @@
         let (ids, entries, its_log) = (Indices::default(), Vec::new(), log.clone());
         let hands = Hands {
             txns,
+            unwritten: Vec::new(),
             tickets,
             free,
             ids,
@@ -274,12 +278,15 @@
     }
 
     /// What is still to be written sees what has come in since it was decided.
-    fn refresh(&self) {
-        for (txn, held) in self.hands.txns.iter().enumerate() {
-            if let Some(Held { out: Some((_, until)), .. }) = held {
-                until.set(self.router.holds_until(txn));
+    fn refresh(&mut self) {
+        let (txns, router) = (&self.hands.txns, &self.router);
+        self.hands.unwritten.retain(|&txn| match &txns[txn] {
+            Some(Held { out: Some((_, until)), .. }) if !until.is_over() => {
+                until.set(router.holds_until(txn));
+                true
             }
-        }
+            _ => false,
+        });
     }
 
     fn take(&mut self, mail: Mail) {
@@ -450,7 +457,7 @@
 
         let door = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
         let at = door.local_addr().expect("an address");
-        let link = juniperdock_link::Link::connect(at, Duration::from_secs(9), 1).expect("a link");
+        let link = juniperdock_link::Link::connect(at, Duration::from_secs(9), 1, 1).expect("a link");
         let (answers, told) = channel();
         let arrival = |ticket, left| {
             let client = Mailbox { mail: answers.clone(), bell: link.bell() };
--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -157,7 +157,7 @@
     /// Watches until it fails, and says why it did.
     fn run(&self, after: Option<u64>) -> String {
         let request = watch_request(&self.address.to_string(), after);
-        let mut link = match Link::connect(self.address, SILENCE, LONGEST) {
+        let mut link = match Link::connect(self.address, SILENCE, LONGEST, LONGEST) {
             Ok(link) => link,
             Err(why) => return why.to_string(),
         };
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -29,6 +29,8 @@
 const DEEP_STACK: usize = 1 << 20;
 /// After SIGTERM clients still come for 0.4 s; then those between txns are told to go elsewhere.
 const LINGER: Duration = Duration::from_millis(450);
+/// Buffers for an answer hold at most one in so many parts of the memory.
+const MEMORY_PARTS: usize = 64;
 /// Descriptors of the front's own: standard streams, listener, list, selector, signals.
 const OWN: usize = 14;
 
@@ -89,6 +91,9 @@
     let shared = sockets.checked_sub(OWN).ok_or_else(|| format!("limits.sockets: expected over {OWN}"))?;
     let standing = shared / 16;
     let most = (shared - standing) / 2;
+    // One answer never takes more than a part of the memory; without a limit, a value of the usual size.
+    let memory = told["limits"]["memory_mb"].as_u64().and_then(|mb| usize::try_from(mb).ok());
+    let largest = memory.map_or(0, |mb| (mb << 20) / MEMORY_PARTS).max(juniperdock_pg::LONGEST);
     let millis = |path: &str| -> Result<Duration, String> {
         let ms = terms(path).and_then(|ms| door::micros(ms.parse().ok()?));
         ms.map(door::span).ok_or_else(|| format!("settings: expected a time in {path}"))
@@ -128,6 +133,7 @@
         stack: STACK,
         open: Arc::new(AtomicUsize::new(0)),
         most,
+        longest: largest,
     };
     let hire: desk::Hire = Box::new(move |index, address, read, mail| {
         let member = member::Member::new(index, address, mail, reach.clone());
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -9,6 +9,7 @@
 use juniperdock_pg as pg;
 use juniperdock_router::host::{Ending, Report, Role};
 use may::sync::mpsc::{Receiver, Sender, channel};
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -32,6 +33,9 @@
     pub at: Duration,
 }
 
+/// Written, or never to be written.
+const OVER: u64 = u64::MAX;
+
 /// Until when a submission may still be written.
 #[derive(Clone)]
 pub struct Until(Arc<AtomicU64>);
@@ -45,8 +49,14 @@
         self.0.store(at.as_micros() as u64, Ordering::Relaxed);
     }
 
-    fn passed(&self, now: Duration) -> bool {
-        now.as_micros() as u64 >= self.0.load(Ordering::Relaxed)
+    /// Whether it is too late to write, and that it needs no setting any more.
+    fn close(&self, now: Duration) -> bool {
+        let until = self.0.swap(OVER, Ordering::Relaxed);
+        now.as_micros() as u64 >= until
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == OVER
     }
 }
 
@@ -99,6 +109,8 @@
     /// Connections to all members, and how many there may be.
     pub open: Arc<AtomicUsize>,
     pub most: usize,
+    /// The longest message taken from a member.
+    pub longest: usize,
 }
 
 struct Connection {
@@ -238,7 +250,7 @@
         self.reach.counters.connections_opened.add();
         let (stack, wanted) = (reach.stack, job.clone());
         let started = spawn("connection", stack, move || {
-            Line { id, member, address, pool, reach, mail: read }.run(job);
+            Line { id, member, address, pool, reach, mail: read, rings: Cell::default() }.run(job);
         });
         if let Err(why) = started {
             slog::error!(self.reach.log, "no connection can be started"; "why" => why);
@@ -299,6 +311,8 @@
     pool: Sender<ToMember>,
     reach: Reach,
     mail: Receiver<ToConnection>,
+    /// When it is rung next, at the latest.
+    rings: Cell<Duration>,
 }
 
 impl Line {
@@ -394,10 +408,11 @@
         // Out of time for the txn is no word on the member.
         let late =
             |at: Duration| if at >= give_up && at < limit { Ending::Moot } else { Ending::Unreachable };
-        let mut link = Link::connect(self.address, most, 2 * pg::LONGEST).map_err(|f| {
-            slog::debug!(self.reach.log, "no connection"; "why" => %f);
-            late(clock.now())
-        })?;
+        let mut link =
+            Link::connect(self.address, most, 2 * self.reach.longest, 2 * pg::LONGEST).map_err(|f| {
+                slog::debug!(self.reach.log, "no connection"; "why" => %f);
+                late(clock.now())
+            })?;
         let bell = link.bell();
         let _ = self.pool.send(ToMember::Up(self.id, bell.clone()));
         clock.at(limit.min(give_up), move || bell.ring());
@@ -405,7 +420,8 @@
         loop {
             let pumped = link.pump();
             while let Some((kind, body, length)) =
-                pg::message(link.inbound.make_contiguous()).map_err(|_| Ending::Unreachable)?
+                pg::message(link.inbound.make_contiguous(), self.reach.longest)
+                    .map_err(|_| Ending::Unreachable)?
             {
                 match kind {
                     b'Z' => {
@@ -455,12 +471,10 @@
             }
             Job::Probe { .. } => "SHOW server_load".to_owned(),
         };
-        let moot = matches!(job, Job::Submit(submit) if submit.until.passed(now));
+        let moot = matches!(job, Job::Submit(submit) if submit.until.close(now));
         if moot || now >= give_up || self.cancelled(job) {
             return Outcome { ending: Ending::Moot, reply, usable: true };
         }
-        let bell = link.bell();
-        clock.at(give_up, move || bell.ring());
         if let Err(failure) = link.queue(&pg::query(&text)) {
             return broken(&failure, reply);
         }
@@ -497,12 +511,24 @@
                 let ending = if unsent { Ending::Moot } else { ending };
                 return Outcome { ending, reply, usable: false };
             }
-            link.wait();
+            self.wait(link, give_up);
+        }
+    }
+
+    /// Waits, until that time at the longest. One alarm is out at a time: most txns end long before theirs.
+    fn wait(&self, link: &mut Link, until: Duration) {
+        if self.rings.get() <= self.reach.clock.now() || self.rings.get() > until {
+            self.rings.set(until);
+            let bell = link.bell();
+            self.reach.clock.at(until, move || bell.ring());
         }
+        link.wait();
     }
 
     fn read(&self, link: &mut Link, reply: &mut Reply) -> Result<(), String> {
-        while let Some((kind, body, length)) = pg::message(link.inbound.make_contiguous())? {
+        while let Some((kind, body, length)) =
+            pg::message(link.inbound.make_contiguous(), self.reach.longest)?
+        {
             // In this order, each once: description, row, end; or an error and nothing else.
             let next =
                 |whole: bool| if whole { Ok(()) } else { Err("expected one answer of one row".to_owned()) };
@@ -542,7 +568,8 @@
                 }
             }
             if matches!(kind, b'T' | b'D' | b'C' | b'E') {
-                reply.raw.extend(link.inbound.range(..length));
+                // Contiguous since it was read.
+                reply.raw.extend_from_slice(&link.inbound.as_slices().0[..length]);
             }
             link.inbound.drain(..length);
             if reply.ready {
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -81,10 +81,14 @@
     }
     assert!(town.quiet(0), "no read went to the primary");
     let bytes: Vec<u8> = (0..=255).cycle().take(60_000).collect();
-    for i in [1, 2] {
-        town.members[i].set(Does::Says(row(&bytes)));
+    // A member may give more than a client may send, as far as memory allows.
+    let more = bytes.repeat(10);
+    for bytes in [bytes, more] {
+        for i in [1, 2] {
+            town.members[i].set(Does::Says(row(&bytes)));
+        }
+        assert!(client.ask(&txn("lookup", 2000, "big")).value == Some(bytes));
     }
-    assert_eq!(client.ask(&txn("lookup", 2000, "big")).value, Some(bytes));
 }
 
 #[test]
@@ -462,10 +466,14 @@
 fn when_descriptors_are_used_up_idle_clients_leave_first() {
     let town = Town::new();
     let front = Front::start(town.agent.at, &town.known, 52);
+    let begun = Instant::now();
     let mut clients: Vec<_> = (0..60).map(|_| front.client()).collect();
     // Those that came last are here, those idle longest were asked to leave.
     assert!(clients.last_mut().unwrap().ask(&txn("lookup", 2000, "r")).value.is_some());
     assert_eq!(clients[0].reply().last, 0);
+    assert!(begun.elapsed() >= Duration::from_secs(2), "none leaves that was idle for a moment only");
+    drop(clients);
+    until(|| front.descriptors() < 25);
     // Busy ones stay; who finds no seat is told so.
     for member in &town.members {
         member.set(Does::Hangs);
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -54,22 +54,29 @@
     stream: TcpStream,
     pub inbound: VecDeque<u8>,
     outbound: VecDeque<u8>,
-    bound: usize,
+    most_in: usize,
+    most_out: usize,
     /// The other side has ended its sending.
     pub ended: bool,
 }
 
 impl Link {
-    /// `bound`: the most bytes kept in each direction.
-    pub fn new(stream: TcpStream, bound: usize) -> Result<Link, Failure> {
+    /// The most bytes kept of what comes in, and of what goes out.
+    pub fn new(stream: TcpStream, most_in: usize, most_out: usize) -> Result<Link, Failure> {
         let failed = |e: std::io::Error| Failure { reached: Reached::Nothing, why: e.to_string() };
         stream.set_nodelay(true).map_err(failed)?;
-        Ok(Link { stream, inbound: VecDeque::new(), outbound: VecDeque::new(), bound, ended: false })
+        let (inbound, outbound) = (VecDeque::new(), VecDeque::new());
+        Ok(Link { stream, inbound, outbound, most_in, most_out, ended: false })
     }
 
-    pub fn connect(to: SocketAddr, limit: Duration, bound: usize) -> Result<Link, Failure> {
+    pub fn connect(
+        to: SocketAddr,
+        limit: Duration,
+        most_in: usize,
+        most_out: usize,
+    ) -> Result<Link, Failure> {
         let failed = |e: std::io::Error| Failure { reached: Reached::Nothing, why: format!("to {to}: {e}") };
-        Link::new(TcpStream::connect_timeout(&to, limit).map_err(failed)?, bound)
+        Link::new(TcpStream::connect_timeout(&to, limit).map_err(failed)?, most_in, most_out)
     }
 
     pub fn bell(&self) -> Bell {
@@ -81,8 +88,12 @@
         self.outbound.is_empty()
     }
 
+    pub fn unsent(&self) -> usize {
+        self.outbound.len()
+    }
+
     pub fn queue(&mut self, bytes: &[u8]) -> Result<(), Failure> {
-        if self.outbound.len() + bytes.len() > self.bound {
+        if bytes.len() > self.most_out.saturating_sub(self.outbound.len()) {
             return Err(self.failure("the other side does not read".to_owned()));
         }
         self.outbound.extend(bytes);
@@ -121,8 +132,8 @@
     fn read(&mut self) -> Result<bool, Failure> {
         let mut moved = false;
         let mut piece = [0u8; PIECE];
-        while !self.ended && self.inbound.len() < self.bound {
-            let room = piece.len().min(self.bound - self.inbound.len());
+        while !self.ended && self.inbound.len() < self.most_in {
+            let room = piece.len().min(self.most_in - self.inbound.len());
             match self.stream.inner().read(&mut piece[..room]) {
                 Ok(0) => {
                     self.ended = true;
@@ -131,6 +142,10 @@
                 Ok(n) => {
                     self.inbound.extend(&piece[..n]);
                     moved = true;
+                    // All there was; what comes after ends the next wait at once.
+                    if n < room {
+                        break;
+                    }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -3,7 +3,7 @@
 
 use std::ops::Range;
 
-/// The longest message taken: a value of 64 KiB in hex digits, its statement and its comment.
+/// The longest message taken from a client: a value of 64 KiB in hex digits, its statement and its comment.
 pub const LONGEST: usize = 2 * 65_536 + 8_192;
 
 pub const PROTOCOL_VIOLATION: &str = "08P01";
@@ -20,28 +20,28 @@
 pub type Message<'a> = (u8, &'a [u8], usize);
 
 /// One typed message at the head of `bytes`: its type, its body and how long it is in all. `None` until all
-/// of it is there; the error says why what follows can't be followed.
+/// of it is there; the error says why what follows can't be followed. No longer one than `most` is waited for.
 ///
 /// ```
 /// let query = b"Q\0\0\0\x05\0rest";
-/// assert_eq!(juniperdock_pg::message(query), Ok(Some((b'Q', &b"\0"[..], 6))));
-/// assert_eq!(juniperdock_pg::message(&query[..5]), Ok(None));
-/// assert!(juniperdock_pg::message(b"Q\0\0\0\x03").is_err());
+/// assert_eq!(juniperdock_pg::message(query, 9), Ok(Some((b'Q', &b"\0"[..], 6))));
+/// assert_eq!(juniperdock_pg::message(&query[..5], 9), Ok(None));
+/// assert!(juniperdock_pg::message(b"Q\0\0\0\x03", 9).is_err());
 /// ```
-pub fn message(bytes: &[u8]) -> Result<Option<Message<'_>>, String> {
+pub fn message(bytes: &[u8], most: usize) -> Result<Option<Message<'_>>, String> {
     let Some((&kind, rest)) = bytes.split_first() else { return Ok(None) };
     if !kind.is_ascii_alphabetic() {
         return Err(format!("expected a message type, found byte {kind:#04x}"));
     }
-    let Some(length) = length(rest)? else { return Ok(None) };
+    let Some(length) = length(rest, most)? else { return Ok(None) };
     Ok(rest.get(4..length).map(|body| (kind, body, length + 1)))
 }
 
-fn length(bytes: &[u8]) -> Result<Option<usize>, String> {
+fn length(bytes: &[u8], most: usize) -> Result<Option<usize>, String> {
     let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
     match u32::from_be_bytes(*head) as usize {
-        n @ 4..=LONGEST => Ok(Some(n)),
-        n => Err(format!("expected a length from 4 to {LONGEST}, found {n}")),
+        n if (4..=most).contains(&n) => Ok(Some(n)),
+        n => Err(format!("expected a length from 4 to {most}, found {n}")),
     }
 }
 
@@ -56,7 +56,7 @@
 
 /// The opening message at the head of `bytes`, and how long it is.
 pub fn opening(bytes: &[u8]) -> Result<Option<(Opening, usize)>, String> {
-    let Some(length) = length(bytes)? else { return Ok(None) };
+    let Some(length) = length(bytes, LONGEST)? else { return Ok(None) };
     if !(8..=10_000).contains(&length) {
         return Err(format!("expected an opening message of 8 to 10000 bytes, found {length}"));
     }
