Call off what later answers of the same member have passed by

At fault: routing.rs hush, which calls off only at members silent altogether; place, which sorts and draws for all held txns though no member has room (10% of the CPU under load).

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -23,8 +23,8 @@
 /// How long a connection is read on after its last answer.
 const LINGER: Duration = Duration::from_secs(1);
 
-/// A client between txns for less than this is not asked to leave.
-const IDLE: Duration = Duration::from_secs(2);
+/// A client between txns for less than this is not asked to leave, nor one that came less long ago.
+const IDLE: Duration = Duration::from_millis(250);
 /// How long a client may take over an opening or a message that it has begun.
 const UNFINISHED: Duration = Duration::from_secs(2);
 
@@ -70,7 +70,7 @@
     /// so long that hardly a txn of its crosses the end of its connection.
     fn ask_to_leave(&mut self, now: Duration) -> bool {
         let idle = |seat: &&mut Seat| {
-            let rested = |since| !seat.open || since + IDLE <= now;
+            let rested = |since| since + IDLE <= now;
             !seat.asked_to_leave && seat.idle_since.is_some_and(rested)
         };
         let leaves = self.taken.values_mut().filter(idle).min_by_key(|seat| (seat.open, seat.idle_since));
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -86,7 +86,6 @@
         host.remind(now + SHUN_FIRST.mul_f64(self.rng.rand_float()), ASK_FOR_LIST);
     }
 
-    /// One entry of the list; `up_for` is the time since its latest start.
     pub fn listed(
         &mut self,
         now: Duration,
@@ -103,8 +102,8 @@
         }
         let m = &mut self.members[member];
         (m.group, m.zone) = (group, zone);
-        if !m.listed {
-            m.listed = true; // and not asked by all fronts at once, where many start together
+        if !std::mem::replace(&mut m.listed, true) {
+            // Not asked by all fronts at once, where many start together.
             m.probe_due = now + SHUN_FIRST.mul_f64(self.rng.rand_float());
             self.groups[group].members.push(member);
         }
@@ -161,8 +160,7 @@
         let must_see = match self.types[kind].level {
             Level::Fresh => Some(now),
             Level::Session => match (wrote_ago, session) {
-                (Some(ago), _) if ago.is_zero() => None,
-                (Some(ago), _) => Some(now.saturating_sub(ago)),
+                (Some(ago), _) => Some(now.saturating_sub(ago)).filter(|_| !ago.is_zero()),
                 (None, Some(key)) => self.sessions.get(&key).copied(),
                 (None, None) => Some(now),
             },
@@ -195,7 +193,8 @@
         let answered_since = out.as_ref().is_some_and(|out| out.at < self.members[member].last_answer);
         let left = t.over;
         t.over |= over;
-        let (kind, group, session) = (t.kind, t.group, t.session);
+        let (kind, group, session, called_off) =
+            (t.kind, t.group, t.session, std::mem::take(&mut t.called_off));
         if let Some(out) = out.filter(|_| !ending.never_ran() && t.may_have_run.is_none()) {
             t.may_have_run = Some((out.at, self.members[out.member].zone));
         }
@@ -212,7 +211,7 @@
         {
             self.sessions.entry(key).and_modify(|newest| *newest = at.max(*newest)).or_insert(at);
         }
-        let lost = ending != Ending::Committed && self.lost(took, kind) && answered_since;
+        let lost = ending != Ending::Committed && (called_off || self.lost(took, kind)) && answered_since;
         if !slept && !lost {
             self.judge(now, member, kind, ending, took);
         }
@@ -233,7 +232,6 @@
         self.settle(now, [group], host);
     }
 
-    /// The client has left, or its answer is overdue.
     pub fn client_left(&mut self, now: Duration, txn: usize, host: &mut impl Host) {
         let Some(Some(t)) = self.txns.get_mut(txn) else { return };
         t.over = true;
@@ -302,8 +300,7 @@
             *usual += 0.02 * (secs - *usual);
         }
         let usual = Duration::from_secs_f64(*usual);
-        let least = self.part(ROOM_LEAST);
-        let m = &mut self.members[member];
+        let (least, m) = (self.part(ROOM_LEAST), &mut self.members[member]);
         // A quick error must not look like low load: it counts as an answer at the SLA time.
         let errored = matches!(ending, Ending::Errored | Ending::Dropped);
         let counted = if errored { secs.max(sla) } else { secs };
@@ -311,8 +308,7 @@
             m.slow += 0.2 * (counted / work - m.slow);
             if m.slow * work > STRAIN * sla {
                 if now > m.last_cut + usual {
-                    m.room = (m.room * 0.9).max(least);
-                    m.last_cut = now;
+                    (m.room, m.last_cut) = ((m.room * 0.9).max(least), now);
                 }
             } else if ending == Ending::Committed {
                 m.room += 1.0 / m.room;
@@ -323,6 +319,7 @@
                 (m.failures, m.fulls, m.probe_failures) = (0, 0, 0);
                 m.shunned = Duration::ZERO;
                 m.done.add(now, work);
+                m.passed_by = m.passed_by.max(now.saturating_sub(took));
                 let typical = &mut self.typical[kind];
                 // Falls fast and rises slowly: what an answer takes where nothing waits.
                 *typical += if secs < *typical { 0.05 } else { 0.01 } * (secs - *typical);
@@ -412,7 +409,6 @@
 
     fn plan_probe(&mut self, now: Duration, member: usize, host: &mut impl Host) {
         let Some(every) = self.probe_every else { return };
-        // Polls stay under a share of the txns; `ask` does the rest.
         let rate = self.first.sum(now) / now.min(RESEND_SPAN).as_secs_f64().max(1e-3);
         self.apart = Duration::from_secs_f64(self.live() / rate.max(1.0));
         let poll = self.apart.div_f64(POLLS_PER_TXN);
@@ -444,10 +440,11 @@
         }
     }
 
-    /// A member that has answered nothing for some answer times is shunned, what may run again called off.
-    /// Meets hangs and cut links; harms when one answers in bursts, by a submission within the budget.
+    /// A member that answers nothing for some answer times is shunned. What is out there, or for as long and
+    /// passed by later answers, is called off. Meets hangs, lost answers; harms when one answers in bursts.
     fn hush(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
-        let mut fired = false;
+        let (mut fired, mut off) = (false, Vec::new());
+        let spare = RESEND_SHARE * self.first.sum(now) > self.again.sum(now);
         for i in 0..self.groups[group].members.len() {
             let member = self.groups[group].members[i];
             let m = &self.members[member];
@@ -456,24 +453,33 @@
             let usual = |&t: &usize| self.usual[self.txn(t).kind];
             let slowest = m.in_hand.iter().map(usual).fold(0.0, f64::max) / m.in_hand.len().min(2) as f64;
             let heard = sent.max(m.last_answer).max(m.hushed).max(self.awake);
-            if now.saturating_sub(heard).as_secs_f64() <= SILENCE * slowest {
-                continue;
+            let silent = now.saturating_sub(heard).as_secs_f64() > SILENCE * slowest;
+            if silent {
+                fired = true;
+                let (least, m) = (self.part(ROOM_LEAST), &mut self.members[member]);
+                (m.hushed, m.failures, m.room) = (now, m.failures + 1, least);
+                let shunned = now + shun_for(m.failures);
+                (m.shunned, m.probe_failures, m.probe_due) = (shunned, m.probe_failures.max(1), now);
+                self.doubt(now, member);
             }
-            fired = true;
-            let least = self.part(ROOM_LEAST);
-            let m = &mut self.members[member];
-            (m.hushed, m.failures, m.room) = (now, m.failures + 1, least);
-            let shunned = now + shun_for(m.failures);
-            (m.shunned, m.probe_failures, m.probe_due) = (shunned, m.probe_failures.max(1), now);
-            self.doubt(now, member);
-            for &txn in &self.members[member].in_hand {
+            off.extend(self.members[member].in_hand.iter().copied().filter(|&txn| {
                 let t = self.txn(txn);
-                if self.may_cancel && self.types[t.kind].effect == Effect::Repeatable && !t.over {
-                    host.cancel(txn, t.submissions - 1);
-                }
-            }
+                let out = t.out.as_ref().map_or(now, |out| out.at.max(self.awake));
+                let passed = spare && out < self.members[member].passed_by && now < self.hope(t);
+                let out_for = (now - out).as_secs_f64() / self.usual[t.kind];
+                let again = match self.types[t.kind].effect {
+                    Effect::Repeatable => silent || passed && out_for > SILENCE,
+                    Effect::Referenced { window, .. } => passed && out_for > LOST && now < t.arrived + window,
+                    Effect::OnceOnly => false,
+                };
+                self.may_cancel && again && !t.over && !t.called_off
+            }));
+        }
+        for &txn in &off {
+            self.txn_mut(txn).called_off = true;
+            host.cancel(txn, self.txn(txn).submissions - 1);
         }
-        fired
+        fired || !off.is_empty()
     }
 
     /// The newest dated claim takes the writer slot; ties go to the highest index. No claim empties it.
@@ -487,8 +493,7 @@
         let writer = claims.max().map(|(_, i)| i);
         let changed = std::mem::replace(&mut self.groups[group].writer, writer) != writer;
         if let Some(w) = writer.filter(|_| changed) {
-            let first = self.part(ROOM_FIRST);
-            let m = &mut self.members[w];
+            let (first, m) = (self.part(ROOM_FIRST), &mut self.members[w]);
             (m.room, m.shunned) = (m.room.min(first), Duration::ZERO);
         }
         changed
@@ -532,8 +537,7 @@
             self.probe_every.is_some() && m.probe_due <= now && !m.probe_out && !m.stopped
         });
         if let Some(i) = due {
-            self.members[i].probe_out = true;
-            self.members[i].asked = Some(now);
+            (self.members[i].probe_out, self.members[i].asked) = (true, Some(now));
             host.probe(i);
             self.due = self.due.min(now + REPORT_AWAITED);
             host.remind(now + REPORT_AWAITED, i as u64 * 2 + 2);
@@ -549,7 +553,6 @@
         self.txn_mut(txn).weighed = true;
         let kind = self.txn(txn).kind;
         let dense: Vec<f64> = self.types.iter().zip(&self.typical).map(|(t, work)| t.value / work).collect();
-        // Where this front hears of each member often, what it knows of the members serves better.
         let heard = self.tallies.iter_mut().map(|t| t.in_time.sum(now)).sum::<f64>() / self.live();
         let dearer = dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max);
         let leeway = (LEEWAY + HALF * dearer).max(1.0) * (1.0 + (heard / HEARD).powi(2));
@@ -571,7 +574,6 @@
         true
     }
 
-    /// A held txn without hope is answered at once.
     fn give_up(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let mut held = std::mem::take(&mut self.groups[group].held);
         let before = held.len();
@@ -587,13 +589,15 @@
             }
             keep
         });
-        let fired = held.len() < before;
         self.groups[group].held = held;
-        fired
+        self.groups[group].held.len() < before
     }
 
     /// Places what can be placed: most value per work, then first tries, then newest; the rest is late.
     fn place(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
+        if !self.groups[group].members.iter().any(|&m| self.has_room(now, m, 1.0)) {
+            return false;
+        }
         let mut held = std::mem::take(&mut self.groups[group].held);
         held.sort_by(|&a, &b| {
             let (a, b) = (self.txn(a), self.txn(b));
@@ -605,9 +609,8 @@
             Some(member) => !self.submit(now, txn, member, host),
             None => true,
         });
-        let fired = held.len() < before;
         self.groups[group].held = held;
-        fired
+        self.groups[group].held.len() < before
     }
 
     /// The member for a txn: the writer for writes and fresh reads, else a random reader inside the bound.
@@ -616,8 +619,7 @@
         let fit = |w: &usize| self.has_room(now, *w, 1.0) && self.members[*w].shunned <= now;
         let writer = self.groups[group].writer.filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
-            // Exception: where answers tell positions and the writer's reports are older than the bound, a
-            // write calls first at a reader unheard of: turned away untouched, it brings the proof back.
+            // Exception: where reports come late a write calls first at a reader unheard of, for a proof.
             let bound = self.probe_every.unwrap_or_default() * PROBES_PER_BOUND;
             let late = writer.is_some_and(|w| self.members[w].barren > 0) && self.told_positions;
             let calls = late && self.types[kind].level == Level::Write && self.txn(txn).submissions == 0;
@@ -748,8 +750,7 @@
         self.open(now, t) && once && stays && current && self.within_cold_budget(now, member, t.kind)
     }
 
-    /// Rule 4. Each front sends a cold member on the mean a part of its present share of what the same front
-    /// gets done on a warm one: over all fronts, a part of what a warm one does. Txns are drawn by lot.
+    /// Rule 4. Each front sends a cold member a part of what the same front gets done on a warm one, by lot.
     fn within_cold_budget(&mut self, now: Duration, member: usize, kind: usize) -> bool {
         let left = self.members[member].warm_at.saturating_sub(now);
         if left.is_zero() {
@@ -785,8 +786,7 @@
         true
     }
 
-    /// Rules 1, 3 and 5 again: until when a submission that waits for a connection may still be written, as
-    /// far as is known by now. Meets connects and stalls of this front between a decision and its bytes.
+    /// Rules 1, 3 and 5 again: until when a submission that waits for a connection may be written.
     pub fn holds_until(&self, txn: usize) -> Duration {
         let Some(Some(t)) = self.txns.get(txn) else { return Duration::ZERO };
         let Some(out) = t.out.as_ref().filter(|_| !t.over) else { return Duration::ZERO };
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -42,6 +42,8 @@
     /// Txns with a submission out to it.
     pub in_hand: Vec<usize>,
     pub last_answer: Duration,
+    /// When the newest of those that it has answered was sent.
+    pub passed_by: Duration,
     pub hushed: Duration,
     pub room: f64,
     pub last_cut: Duration,
@@ -81,6 +83,7 @@
             barren: 0,
             in_hand: Vec::new(),
             last_answer: Duration::ZERO,
+            passed_by: Duration::ZERO,
             hushed: Duration::ZERO,
             room,
             last_cut: now,
@@ -142,6 +145,8 @@
     pub may_have_run: Option<(Duration, usize)>,
     pub over: bool,
     pub held: bool,
+    /// The submission that is out was called off.
+    pub called_off: bool,
     /// Was let through by the throttle.
     pub weighed: bool,
 }
@@ -170,6 +175,7 @@
             may_have_run: None,
             over: false,
             held: true,
+            called_off: false,
             weighed: false,
         }
     }
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -53,6 +53,26 @@
     assert!(s.sends(held).is_empty());
 }
 
+#[test]
+fn what_is_lost_on_the_way_is_called_off_in_time_for_another_submission() {
+    let mut s = Story::running();
+    let (lost, once, marked) = (s.arrive(LOOSE, 4000), s.arrive(ONCE, 4000), s.arrive(MARKED, 4000));
+    let to = s.sends(lost)[0];
+    for _ in 0..6 {
+        // Its member answers others all the time.
+        s.now += ms(200);
+        s.report_all(0);
+        for other in [s.arrive(LOOSE, 1000), s.arrive(LOOSE, 1000), s.arrive(ONCE, 1000)] {
+            let member = s.sends(other)[0];
+            s.end(other, member, Ending::Committed, 50);
+        }
+    }
+    assert!(s.did(&Act::Cancelled(lost, 0)) && !s.did(&Act::Cancelled(once, 0)));
+    assert!(!s.did(&Act::Cancelled(marked, 0)), "a write is waited for longer, its primary is alone");
+    s.end(lost, to, Ending::Cancelled, 1200);
+    assert_eq!(s.sends(lost).len(), 2);
+}
+
 #[test]
 fn members_that_left_are_forgotten_and_their_places_used_anew() {
     let mut s = Story::running();
