Count members that left of late in the throttle as before

At fault: state.rs live, which left gone members out and so loosened the throttle while members are lost.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -410,7 +410,7 @@
     fn plan_probe(&mut self, now: Duration, member: usize, host: &mut impl Host) {
         let Some(every) = self.probe_every else { return };
         let rate = self.first.sum(now) / now.min(RESEND_SPAN).as_secs_f64().max(1e-3);
-        self.apart = Duration::from_secs_f64(self.live() / rate.max(1.0));
+        self.apart = Duration::from_secs_f64(self.known() / rate.max(1.0));
         let poll = self.apart.div_f64(POLLS_PER_TXN);
         let g = &self.groups[self.members[member].group];
         let pause = match self.members[member].probe_failures {
@@ -553,7 +553,7 @@
         self.txn_mut(txn).weighed = true;
         let kind = self.txn(txn).kind;
         let dense: Vec<f64> = self.types.iter().zip(&self.typical).map(|(t, work)| t.value / work).collect();
-        let heard = self.tallies.iter_mut().map(|t| t.in_time.sum(now)).sum::<f64>() / self.live();
+        let heard = self.tallies.iter_mut().map(|t| t.in_time.sum(now)).sum::<f64>() / self.known();
         let dearer = dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max);
         let leeway = (LEEWAY + HALF * dearer).max(1.0) * (1.0 + (heard / HEARD).powi(2));
         let (mut sound, mut share) = (1.0, 1.0);
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -304,9 +304,9 @@
         host.forget(member);
     }
 
-    /// How many members there are by the list, one at least.
-    pub(crate) fn live(&self) -> f64 {
-        self.members.iter().filter(|m| m.listed && m.gone_at.is_none()).count().max(1) as f64
+    /// How many members there are or were of late, one at least.
+    pub(crate) fn known(&self) -> f64 {
+        self.members.iter().filter(|m| m.listed).count().max(1) as f64
     }
 
     pub(crate) fn forget(&mut self, txn: usize, host: &mut impl Host) {
