Close idle clients before clients run out of connections

Ruled out: throttle and hope (124 and 1 declines traced), CPU (0.13 of 0.2), members. Cause: clients may hold a third of the descriptors; ones that ask once and stay used that up, while client.rs asked idle ones to leave only when all seats (45%) were taken and another came; let_in counted a client when it ran, so hundreds waiting at a start were all accepted.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -25,6 +25,8 @@
 
 /// A client between txns for less than this is not asked to leave, nor one that came less long ago.
 const IDLE: Duration = Duration::from_millis(250);
+/// A connection without a txn may be closed after this.
+const IDLE_LONG: Duration = Duration::from_secs(2);
 /// How long a client may take over an opening or a message that it has begun.
 const UNFINISHED: Duration = Duration::from_secs(2);
 
@@ -46,6 +48,10 @@
     /// How many clients there may be, and how many more to be told that there is no room.
     pub most: usize,
     pub standing: usize,
+    /// Clients hold only so many connections in all, idle ones too: beyond the first number those that are
+    /// idle for long are closed to them, beyond the second those idle for less.
+    pub keep: usize,
+    pub crowd: usize,
     pub seats: Mutex<Seats>,
 }
 
@@ -68,9 +74,9 @@
 impl Seats {
     /// Asks a client to leave: one that has said nothing, or else the one longest between txns, if it is for
     /// so long that hardly a txn of its crosses the end of its connection.
-    fn ask_to_leave(&mut self, now: Duration) -> bool {
+    fn ask_to_leave(&mut self, now: Duration, least: Duration) -> bool {
         let idle = |seat: &&mut Seat| {
-            let rested = |since| since + IDLE <= now;
+            let rested = |since| since + least <= now;
             !seat.asked_to_leave && seat.idle_since.is_some_and(rested)
         };
         let leaves = self.taken.values_mut().filter(idle).min_by_key(|seat| (seat.open, seat.idle_since));
@@ -104,20 +110,29 @@
     fn sit(&self, bell: Bell) -> (u64, bool) {
         let now = self.clock.now();
         let mut seats = self.seats();
-        let found = seats.taken.len() < self.most || seats.ask_to_leave(now);
+        let found = seats.taken.len() < self.most || seats.ask_to_leave(now, IDLE);
         seats.next += 1;
         let id = seats.next;
         seats.taken.insert(id, Seat { bell, idle_since: Some(now), open: false, asked_to_leave: false });
         (id, found)
     }
 
-    /// Notes whether a client has no txn in hand, and whether it has its answers too; true if it is to leave.
-    fn rest(&self, id: u64, idle: bool, done: bool) -> bool {
+    /// Notes whether a client has no txn in hand, and whether it has its answers too. Gives when to look again
+    /// if nothing comes before; nothing if it is to leave.
+    fn rest(&self, id: u64, idle: bool, done: bool) -> Option<Duration> {
+        let now = self.clock.now();
         let mut seats = self.seats();
-        let Some(seat) = seats.taken.get_mut(&id) else { return true };
-        let since = seat.idle_since.unwrap_or_else(|| self.clock.now());
+        let present = seats.taken.len();
+        let seat = seats.taken.get_mut(&id)?;
+        let since = seat.idle_since.unwrap_or(now);
         seat.idle_since = idle.then_some(since);
-        idle && seat.asked_to_leave || done && self.closing.load(Ordering::Relaxed)
+        let leaves =
+            present > self.crowd && since + IDLE <= now || present > self.keep && since + IDLE_LONG <= now;
+        if idle && (seat.asked_to_leave || done && leaves) || done && self.closing.load(Ordering::Relaxed) {
+            return None;
+        }
+        let next = [since + IDLE, since + IDLE_LONG].into_iter().find(|&at| at > now);
+        Some(next.unwrap_or(now + IDLE_LONG)).map(|at| if idle { at } else { Duration::MAX })
     }
 
     /// Comes back a little later.
@@ -153,66 +168,74 @@
     lingers: Option<Duration>,
     /// Until when the opening or the message that has begun must be whole.
     due: Option<Duration>,
+    /// When it is to be looked at again, though nothing comes.
+    looks: Duration,
     /// When it is rung next, at the latest.
     rings: Duration,
 }
 
-fn run(stream: TcpStream, hall: Arc<Hall>) {
-    hall.counters.clients.add();
-    // What goes out is one answer at a time, as long as the member's.
-    match Link::new(stream, 2 * pg::LONGEST, usize::MAX) {
-        Ok(link) => {
-            let (mail, read) = channel();
-            let mailbox = Mailbox { mail, bell: link.bell() };
-            let (open, in_hand, skipping, last, lingers, due) = (false, None, false, false, None, None);
-            let (seat, seated) = hall.sit(link.bell());
-            let hall = hall.clone();
-            let mut client = Client {
-                hall,
-                seat,
-                seated,
-                link,
-                mail: read,
-                mailbox,
-                open,
-                in_hand,
-                skipping,
-                last,
-                lingers,
-                due,
-                rings: Duration::ZERO,
-            };
-            if catch_unwind(AssertUnwindSafe(|| client.live())).is_err() {
-                client.hall.counters.panics.add();
-                let mut out = Vec::new();
-                pg::error(&mut out, true, pg::INTERNAL, "the connection's actor failed", None);
-                let _ = client.link.queue(&out).and_then(|()| client.link.pump());
-            }
-            if let Some(in_hand) = client.in_hand.take() {
-                client.hall.counters.left.add();
-                let _ = client.hall.desk.send(Mail::Left(in_hand.ticket));
-            }
-            client.hall.seats().taken.remove(&seat);
-        }
-        Err(why) => slog::debug!(hall.log, "a client is gone at once"; "why" => %why),
+fn run(link: Link, seat: u64, seated: bool, hall: Arc<Hall>) {
+    let (mail, read) = channel();
+    let mailbox = Mailbox { mail, bell: link.bell() };
+    let (open, in_hand, skipping, last, lingers, due) = (false, None, false, false, None, None);
+    let mut client = Client {
+        hall,
+        seat,
+        seated,
+        link,
+        mail: read,
+        mailbox,
+        open,
+        in_hand,
+        skipping,
+        last,
+        lingers,
+        due,
+        looks: Duration::ZERO,
+        rings: Duration::ZERO,
+    };
+    if catch_unwind(AssertUnwindSafe(|| client.live())).is_err() {
+        client.hall.counters.panics.add();
+        let mut out = Vec::new();
+        pg::error(&mut out, true, pg::INTERNAL, "the connection's actor failed", None);
+        let _ = client.link.queue(&out).and_then(|()| client.link.pump());
+    }
+    if let Some(in_hand) = client.in_hand.take() {
+        client.hall.counters.left.add();
+        let _ = client.hall.desk.send(Mail::Left(in_hand.ticket));
     }
+    client.hall.seats().taken.remove(&seat);
 }
 
 impl Hall {
+    /// A client counts from here on, however late it comes to run.
+    fn seat(self: Arc<Self>, stream: TcpStream) {
+        self.counters.clients.add();
+        // What goes out is one answer at a time, as long as the member's.
+        let link = match Link::new(stream, 2 * pg::LONGEST, usize::MAX) {
+            Ok(link) => link,
+            Err(why) => {
+                slog::debug!(self.log, "a client is gone at once"; "why" => %why);
+                return;
+            }
+        };
+        let (seat, seated) = self.sit(link.bell());
+        let hall = self.clone();
+        if let Err(why) = spawn("client", STACK, move || run(link, seat, seated, hall)) {
+            slog::error!(self.log, "no client can be taken in"; "why" => why);
+            self.seats().taken.remove(&seat);
+        }
+    }
+
     /// Takes clients in as they come, for as long as the program runs.
     pub fn let_in(self: Arc<Self>, listener: &TcpListener) {
         loop {
             while self.present() >= self.most + self.standing {
-                self.seats().ask_to_leave(self.clock.now());
+                self.seats().ask_to_leave(self.clock.now(), IDLE);
                 self.pause();
             }
             match listener.accept() {
-                Ok((stream, _)) => {
-                    let hall = self.clone();
-                    if let Err(why) = spawn("client", STACK, move || run(stream, hall)) {
-                        slog::error!(self.log, "no client can be taken in"; "why" => why);
-                    }
-                }
+                Ok((stream, _)) => self.clone().seat(stream),
                 Err(why) => {
                     // Out of descriptors in spite of the budget: once more when some may be free.
                     slog::warn!(self.log, "a client was not taken in"; "why" => %why);
@@ -254,9 +277,9 @@
                 return;
             }
             if !moved && !read {
-                if self.hall.rest(self.seat, self.in_hand.is_none(), done && self.lingers.is_none()) {
-                    return;
-                }
+                let (idle, done) = (self.in_hand.is_none(), done && self.lingers.is_none());
+                let Some(looks) = self.hall.rest(self.seat, idle, done) else { return };
+                self.looks = looks;
                 if !self.link.flushed() {
                     // Queued since the last move; what can't go at once is waited for.
                     match self.link.pump() {
@@ -277,8 +300,9 @@
     /// theirs.
     fn wait(&mut self) {
         let expiry = self.in_hand.as_ref().map(|in_hand| in_hand.expiry + self.hall.grace);
-        let next = [expiry, self.due, self.lingers].into_iter().flatten().min();
-        if let Some(next) = next.filter(|&next| self.rings <= self.hall.clock.now() || next < self.rings) {
+        let next = [expiry, self.due, self.lingers].into_iter().flatten().fold(self.looks, Duration::min);
+        let rung = self.rings > self.hall.clock.now() && self.rings <= next;
+        if next < Duration::MAX && !rung {
             self.rings = next;
             let bell = self.link.bell();
             self.hall.clock.at(next, move || bell.ring());
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -174,6 +174,8 @@
         closing: AtomicBool::new(false),
         most,
         standing,
+        keep: sockets / 6,
+        crowd: sockets / 4,
         seats: Mutex::default(),
     });
     let doorman = hall.clone();
