--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -444,7 +444,7 @@
     /// passed by later answers, is called off. Meets hangs, lost answers; harms when one answers in bursts.
     fn hush(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let (mut fired, mut off) = (false, Vec::new());
-        let spare = RESEND_SHARE * self.first.sum(now) > self.again.sum(now);
+        let spare = HALF * RESEND_SHARE * self.first.sum(now) > self.again.sum(now);
         for i in 0..self.groups[group].members.len() {
             let member = self.groups[group].members[i];
             let m = &self.members[member];
