Where members check reads, judge lag as last told instead of asking for proof

Lines: routing.rs ask (unproven), choose (proven as the test of inside). A member that checks reads turns away untouched what it is too far behind for.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -325,6 +325,9 @@
         // known that another had followed. Meets primaries that are cut off with their clients.
         let (leads, holds) = (role == Some(Role::Primary), self.tenure.holder(group) == Some(m));
         let told = &mut self.members[m];
+        if at.is_some() {
+            told.told_at = date.max(told.told_at);
+        }
         if role.is_some() && std::mem::replace(&mut told.leads, leads) && !leads {
             told.position = at;
         } else if !leads || holds {
@@ -610,7 +613,7 @@
         let (Some(every), g) = (self.probe_every, &self.groups[group]) else { return false };
         let empty = self.tenure.writer(group).is_none();
         let unproven = |&(kind, _): &(usize, bool)| {
-            let bounded = matches!(self.types[kind].level, Level::Bounded(_));
+            let bounded = matches!(self.types[kind].level, Level::Bounded(_)) && !self.members_check;
             bounded && !g.members.iter().any(|&m| self.reads(now, m) && self.proven(now, kind, None, m))
         };
         let held = self.ranks(group);
@@ -746,7 +749,7 @@
             // Where members check reads the gate lets all pass; the design still wants them inside the bound.
             let fits = self.reads(now, m) && self.gate(now, txn, m);
             let room = self.has_room(now, m, share);
-            if fits && (!self.members_check || self.proven(now, kind, self.txn(txn).must_see, m)) {
+            if fits && (!self.members_check || self.inside(now, kind, self.txn(txn).must_see, m)) {
                 known = true;
                 inside.extend(room.then_some(m));
             } else if fits && room {
@@ -762,7 +765,7 @@
         let bounded = matches!(self.types[kind].level, Level::Bounded(_));
         let reader = match inside.len() {
             0 if known => None,
-            0 if bounded && self.awaits(now, group) => return None,
+            0 if bounded && !self.members_check && self.awaits(now, group) => return None,
             // Once: a member that turned the read away is as far behind a moment later.
             0 if self.txn(txn).fate.submissions() == 0 => least_behind.map(|(_, m)| m),
             0 => None,
@@ -822,6 +825,22 @@
         }
     }
 
+    /// Exception: where members turn away what they are too far behind for, the lag that one told last counts
+    /// until it tells another, for the read is its own probe; not while there is no primary: the log stands
+    /// still then. Meets fronts of few txns, whose proofs are all too old; harms by a turned away read a lag.
+    fn inside(&self, now: Duration, kind: usize, must_see: Option<Duration>, member: usize) -> bool {
+        let m = &self.members[member];
+        let still = self.tenure.writer(m.group).is_none();
+        let told = if still { now } else { m.told_at.min(now) };
+        let at = m.position.map(|position| now - told.saturating_sub(position).min(now));
+        self.proven(now, kind, must_see, member)
+            || match self.types[kind].level {
+                Level::Bounded(bound) => at.is_some_and(|at| at + bound > now),
+                Level::Session => must_see.is_none_or(|need| at >= Some(need)),
+                _ => false,
+            }
+    }
+
     /// Rule 1: nothing for a txn that has its answer, whose client has left, or whose time is up.
     fn open(&self, now: Duration, t: &Txn) -> bool {
         !t.over && now < t.expiry
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -28,6 +28,8 @@
     pub lot_until: Duration,
     /// Has every commit up to here: proven, and true for ever.
     pub position: Option<Duration>,
+    /// When it told its position last.
+    pub told_at: Duration,
     /// Said last that it is primary.
     pub leads: bool,
     /// Since when the list has it as gone.
@@ -72,6 +74,7 @@
             lot: 1.0,
             lot_until: Duration::ZERO,
             position: None,
+            told_at: Duration::ZERO,
             leads: false,
             gone_at: None,
             hinted: false,
