--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -240,10 +240,9 @@
             self.judge(now, member, kind, ending, took);
         }
         if !slept && !matches!(ending, Unreachable | Moot | Misplaced | Invalid | Spoilt) {
-            let TxnType { sla, level, .. } = self.types[kind];
+            let sla = self.types[kind].sla;
             let in_time = ending == Ending::Committed && !left && took <= sla.mul_f64(IN_TIME);
-            let write = usize::from(level == Level::Write);
-            for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[write]] {
+            for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[kind]] {
                 tally.ended.add(now, 1.0);
                 tally.in_time.add(now, f64::from(in_time));
             }
@@ -671,8 +670,7 @@
         let dearer = dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max);
         let leeway = (LEEWAY + HALF * dearer).max(1.0) * (1.0 + (heard / HEARD).powi(2));
         let (mut sound, mut share) = (1.0, 1.0);
-        let write = usize::from(self.types[kind].level == Level::Write);
-        for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[write]] {
+        for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[kind]] {
             let (ended, in_time) = (tally.ended.sum(now) + PRIOR, tally.in_time.sum(now));
             sound = (in_time + PRIOR * sound) / ended;
             // What was declined counts while answers are late; once they are in time the throttle opens.
@@ -681,7 +679,7 @@
         }
         if self.rng.rand_float() >= leeway * share {
             self.tallies[kind].declined.add(now, 1.0);
-            self.groups[group].tallies[write].declined.add(now, 1.0);
+            self.groups[group].tallies[kind].declined.add(now, 1.0);
             self.held.remove(txn);
             self.answer(now, txn, host);
         }
@@ -832,11 +830,11 @@
         let m = &self.members[member];
         let still = self.tenure.writer(m.group).is_none();
         let told = if still { now } else { m.told_at.min(now) };
-        let at = m.position.map(|position| now - told.saturating_sub(position).min(now));
+        let at = m.position.map_or(now, |position| now - told.saturating_sub(position).min(now));
         self.proven(now, kind, must_see, member)
             || match self.types[kind].level {
-                Level::Bounded(bound) => at.is_some_and(|at| at + bound > now),
-                Level::Session => must_see.is_none_or(|need| at >= Some(need)),
+                Level::Bounded(bound) => at + bound > now,
+                Level::Session => must_see.is_none_or(|need| at >= need),
                 _ => false,
             }
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -117,8 +117,8 @@
 #[derive(Debug)]
 pub(crate) struct Group {
     pub members: Vec<usize>,
-    /// Of reads and of writes.
-    pub tallies: [Tally; 2],
+    /// By txn type.
+    pub tallies: Vec<Tally>,
     pub touched: bool,
 }
 
@@ -323,10 +323,10 @@
     }
 
     pub(crate) fn make_place(&mut self, group: usize, txn: usize) {
-        let none = &self.blank;
+        let (none, kinds) = (&self.blank, self.types.len());
         self.groups.resize_with(self.groups.len().max(group + 1), || Group {
             members: Vec::new(),
-            tallies: [none.clone(), none.clone()],
+            tallies: vec![none.clone(); kinds],
             touched: false,
         });
         self.txns.resize_with(self.txns.len().max(txn + 1), || None);
