--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -19,6 +19,8 @@
 const PROBES_PER_BOUND: u32 = 2;
 /// Polls stay under this share of a front's first submissions; what it needs to know beyond that it asks for.
 const POLLS_PER_TXN: f64 = 0.5;
+/// So many times as often as txns come members are asked out of turn at most, or twice as often as polled.
+const ASKS_PER_TXN: f64 = 4.0;
 /// The writer is polled so many times less often: its answers tell as much.
 const WRITER_SELDOM: u32 = 4;
 /// A read waits so long for a report that may prove a reader.
@@ -616,10 +618,11 @@
             bounded && !g.members.iter().any(|&m| self.reads(now, m) && self.proven(now, kind, None, m))
         };
         let held = self.ranks(group);
+        let rest = (every / 2).max(self.apart.div_f64(ASKS_PER_TXN));
         let needs = empty && !held.is_empty() || held.iter().any(unproven) && !self.awaits(now, group);
         let asks = |&i: &usize| {
             let m = &self.members[i];
-            let rested = m.asked.map_or(now, |at| now.max(at + every / 2 * 2u32.pow(m.barren.min(5))));
+            let rested = m.asked.map_or(now, |at| now.max(at + rest * 2u32.pow(m.barren.min(5))));
             let due = !m.stopped && !m.probe_out && m.probe_due > rested;
             // What waits for a primary has nothing else to wake it.
             let asks = needs && due && (empty || rested == now && self.reads(now, i));
