Read tenants and quotas; decline first what is beyond a share while answers are late

Checked: Org, Tenants[] and OverShareWorth are on the wire and the adapter passed none of them on; nothing else tells tenants apart. Lines: door open, simhost JOB_IN, routing throttle.

--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -155,6 +155,15 @@
         }
     }
 
+    /// A number that is finite and not below 0, where it is told.
+    fn at_least_none(&self, path: &str) -> Result<Option<f64>, String> {
+        let number = self.opt::<f64>(path)?;
+        match number.filter(|n| !n.is_finite() || *n < 0.0) {
+            Some(n) => Err(format!("expected a number from 0 in {path}, found {n}")),
+            None => Ok(number),
+        }
+    }
+
     fn txn_type(&self, i: usize) -> Result<TxnType, String> {
         let path = |key: &str| format!("Services.{i}.{key}");
         let effect = match self.text(&path("Effect")).as_deref() {
@@ -224,5 +233,12 @@
     if terms.flag("Guarantees.GoneIsAdvice")? {
         router.gone_is_advice();
     }
+    let tenants: usize = terms.opt("Tenants.count")?.unwrap_or(0);
+    let quota = |i: usize| terms.at_least_none(&format!("Tenants.{i}.QuotaRps"));
+    let quotas: Option<Vec<f64>> = (0..tenants).map(quota).collect::<Result<_, _>>()?;
+    // A tenant without a quota leaves nothing to share out by.
+    if let Some(quotas) = quotas.filter(|quotas| !quotas.is_empty()) {
+        router.share_out(&quotas, terms.at_least_none("OverShareWorth")?.unwrap_or(1.0));
+    }
     Ok((router, kinds))
 }
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -374,7 +374,7 @@
         self.hands.tickets.insert(a.ticket, txn);
         self.hands.txns[txn] = Some(Held { arrival: a, answered: false, out: None, alarms: Vec::new() });
         let hands = &mut self.hands;
-        self.router.txn_arrived(now, txn, kind, group, left, retried, session, wrote_ago, bytes, hands);
+        self.router.txn_arrived(now, txn, kind, group, left, retried, None, session, wrote_ago, bytes, hands);
     }
 
     fn ended(&mut self, now: Duration, end: End) {
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -285,7 +285,7 @@
                 router.list_ended(now, None, &mut hands);
             }
             (&Out::Arrived { kind, group, left, retried, .. }, Some(index)) => {
-                router.txn_arrived(now, index, kind, group, left, retried, None, None, 0, &mut hands);
+                router.txn_arrived(now, index, kind, group, left, retried, None, None, None, 0, &mut hands);
             }
             (Out::Left { .. }, Some(index)) => router.client_left(now, index, &mut hands),
             (&Out::Ended { txn, member, ending, role, position, took, over, .. }, Some(index)) => {
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -164,6 +164,7 @@
         group: usize,
         left: Duration,
         retried: bool,
+        tenant: Option<usize>,
         session: Option<u64>,
         wrote_ago: Option<Duration>,
         bytes: usize,
@@ -180,7 +181,10 @@
             _ => None,
         };
         let (fate, expiry) = (Fate::new(self.types[kind].effect), now + left);
-        self.txns[txn] = Some(Txn::new(kind, group, now, retried, expiry, must_see, session, fate, bytes));
+        let beyond = tenant.is_some_and(|tenant| self.beyond_share(now, tenant, retried));
+        let mut t = Txn::new(kind, group, now, retried || beyond, expiry, must_see, session, fate, bytes);
+        t.beyond = beyond;
+        self.txns[txn] = Some(t);
         self.first.add(now, 1.0);
         self.hold(txn, host);
         // At arrival all may be placed: answer times of a bad time are unlearnt only by sending.
@@ -195,6 +199,15 @@
         }
     }
 
+    /// Whether a txn is beyond its tenant's share, by lot: a front counts the first tries that it sees against
+    /// an equal part of the quota.
+    fn beyond_share(&mut self, now: Duration, tenant: usize, retried: bool) -> bool {
+        let (span, lot) = (now.min(RESEND_SPAN).as_secs_f64(), self.rng.rand_float());
+        let Some((quota, seen)) = self.tenants.get_mut(tenant) else { return false };
+        seen.add(now, f64::from(!retried));
+        lot * seen.sum(now) > *quota * span / self.standing.fronts.max(1) as f64 + PRIOR
+    }
+
     /// A submission has ended. `over`: the client has its final answer.
     pub fn submission_ended(
         &mut self,
@@ -672,6 +685,7 @@
         let heard = self.tallies.iter_mut().map(|t| t.in_time.sum(now)).sum::<f64>() / self.known();
         let dearer = dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max);
         let leeway = (LEEWAY + HALF * dearer).max(1.0) * (1.0 + (heard / HEARD).powi(2));
+        let beyond = self.txn(txn).beyond;
         let (mut sound, mut share) = (1.0, 1.0);
         for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[kind]] {
             let (ended, in_time) = (tally.ended.sum(now) + PRIOR, tally.in_time.sum(now));
@@ -680,9 +694,12 @@
             let shut = (SHUT * (1.0 - sound)).min(1.0);
             share = (in_time + PRIOR * share) / (ended + shut * tally.declined.sum(now));
         }
-        if self.rng.rand_float() >= leeway * share {
-            self.tallies[kind].declined.add(now, 1.0);
-            self.groups[group].tallies[kind].declined.add(now, 1.0);
+        // What its tenant has no share for goes first, by as much as it is worth less.
+        let pass = if beyond { 1.0 - (1.0 - share) / self.beyond_value } else { leeway * share };
+        if self.rng.rand_float() >= pass {
+            let counts = f64::from(!beyond);
+            self.tallies[kind].declined.add(now, counts);
+            self.groups[group].tallies[kind].declined.add(now, counts);
             self.held.remove(txn);
             self.answer(now, txn, host);
         }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -127,8 +127,10 @@
     pub kind: usize,
     pub group: usize,
     pub arrived: Duration,
-    /// The client has tried before.
+    /// The client has tried before, or its tenant is beyond its share.
     pub retried: bool,
+    /// Beyond the share of its tenant.
+    pub beyond: bool,
     pub expiry: Duration,
     /// Commits up to here must be seen (fresh and session reads).
     pub must_see: Option<Duration>,
@@ -160,6 +162,7 @@
             group,
             arrived,
             retried,
+            beyond: false,
             expiry,
             must_see,
             session,
@@ -184,6 +187,10 @@
     /// A member that is gone but was never seen draining may still be used.
     pub(crate) gone_is_advice: bool,
     pub(crate) come_back_most: Option<Duration>,
+    /// Txns a second that all fronts together take of each tenant within its share, and first tries seen here.
+    pub(crate) tenants: Vec<(f64, Ring)>,
+    /// Worth of a txn beyond its tenant's share, as a share of its value; above 0.
+    pub(crate) beyond_value: f64,
     pub(crate) probe_every: Option<Duration>,
     /// What no member has had is given up after this share of its time.
     pub(crate) untaken: f64,
@@ -237,6 +244,8 @@
             members_check: false,
             gone_is_advice: false,
             come_back_most: None,
+            tenants: Vec::new(),
+            beyond_value: 1.0,
             probe_every: None,
             untaken: 1.0,
             apart: Duration::ZERO,
@@ -281,6 +290,13 @@
         self.come_back_most = Some(longest);
     }
 
+    /// What each tenant may ask of all fronts together, in txns a second, and what a txn beyond that is still
+    /// worth, as a share of its value.
+    pub fn share_out(&mut self, quotas: &[f64], beyond_value: f64) {
+        self.tenants = quotas.iter().map(|&quota| (quota, self.first.clone())).collect();
+        self.beyond_value = beyond_value.clamp(0.01, 1.0);
+    }
+
     /// Members hold or turn away reads that they are too far behind for.
     pub fn members_check_reads(&mut self) {
         self.members_check = true;
--- a/crates/router/tests/fake/mod.rs
+++ b/crates/router/tests/fake/mod.rs
@@ -124,7 +124,7 @@
     pub fn arrive_again(&mut self, kind: usize, left: u64, retried: bool) -> usize {
         self.next += 1;
         let (now, txn) = (self.now, self.next);
-        self.router.txn_arrived(now, txn, kind, 0, ms(left), retried, None, None, 100, &mut self.host);
+        self.router.txn_arrived(now, txn, kind, 0, ms(left), retried, None, None, None, 100, &mut self.host);
         txn
     }
 
--- a/crates/router/tests/primary.rs
+++ b/crates/router/tests/primary.rs
@@ -342,7 +342,7 @@
     // Another group has its own.
     let (now, txn) = (s.now, 50);
     s.router.listed(now, 7, 1, 0, Listed::Up, false, None);
-    s.router.txn_arrived(now, txn, ONCE, 1, ms(4000), false, None, None, 100, &mut s.host);
+    s.router.txn_arrived(now, txn, ONCE, 1, ms(4000), false, None, None, None, 100, &mut s.host);
     assert!(!s.did(&Act::Declined(txn)) && s.router.waiting() == 5);
 }
 
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -564,7 +564,7 @@
         s.now += ms(60);
         s.report_all(0);
         let group = txn % 2;
-        s.router.txn_arrived(s.now, txn, LOOSE, group, ms(2000), false, None, None, 0, &mut s.host);
+        s.router.txn_arrived(s.now, txn, LOOSE, group, ms(2000), false, None, None, None, 0, &mut s.host);
         if let Some(&at) = s.sends(txn).first() {
             sent[group] += 1;
             s.end(txn, at, Ending::Committed, if group == 0 { 900 } else { 50 });
--- a/crates/simhost/src/world.rs
+++ b/crates/simhost/src/world.rs
@@ -272,11 +272,12 @@
                 }
                 let left = line.span("Left")?.ok_or("JOB_IN: expected a field Left")?;
                 let retried = line.flag("IsRetry")?;
+                let tenant: Option<usize> = line.opt("Org")?;
                 let (session, wrote) = (line.opt("ClientKey")?, line.span("WroteMsAgo")?);
                 let txn = ids.new_txn(line.need("Corr")?)?;
                 let group = ids.cells.index(cell);
                 self.call(front, |router, now, host| {
-                    router.txn_arrived(now, txn, kind, group, left, retried, session, wrote, 0, host);
+                    router.txn_arrived(now, txn, kind, group, left, retried, tenant, session, wrote, 0, host);
                 })
             }
             "ATTEMPT_END" => {
