Take a lagging member to catch up; count declined txns for twice those that ended

Line: choose, inside. Declined txns outnumber answers by ten while slow answers come late, and the throttle shuts on a site that has room: throttle, share. It opens at four answers a member (2.5 before).

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -31,6 +31,8 @@
 /// Further submissions stay under this share of the first ones, counted over `RESEND_SPAN`.
 const RESEND_SHARE: f64 = 0.1;
 const RESEND_SPAN: Duration = Duration::from_secs(5);
+/// A member that lags is taken to apply the log so many times as fast as it grows, until it tells more.
+const CATCHES_UP: u32 = 2;
 /// Submissions a member may hold from this front at first, and at least; parted beyond so many fronts.
 const ROOM_FIRST: f64 = 4.0;
 const ROOM_LEAST: f64 = 2.0;
@@ -44,13 +46,15 @@
 /// A submission out for this many mean answer times, while its member answers others, is lost.
 const LOST: f64 = 8.0;
 /// So many answers a member within `RESEND_SPAN` double what the throttle lets through.
-const HEARD: f64 = 2.5;
+const HEARD: f64 = 4.0;
 /// What the throttle takes as in time, as a share of the SLA time: queues are to end before it.
 const IN_TIME: f64 = 0.7;
 /// How many times what was in time is let through of the least valuable type; the most valuable has one more.
 const LEEWAY: f64 = 0.8;
 /// Declined txns count in full in the throttle when one in so many answers is late, else less.
 const SHUT: f64 = 8.0;
+/// Declined txns count for no more than so many times those that ended: too few may come back to judge by.
+const DECLINED: f64 = 2.0;
 /// The throttle counts so many answers beforehand: of a type as in time, of a group as its type.
 const PRIOR: f64 = 2.0;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
@@ -692,7 +696,8 @@
             sound = (in_time + PRIOR * sound) / ended;
             // What was declined counts while answers are late; once they are in time the throttle opens.
             let shut = (SHUT * (1.0 - sound)).min(1.0);
-            share = (in_time + PRIOR * share) / (ended + shut * tally.declined.sum(now));
+            let declined = tally.declined.sum(now).min(DECLINED * ended);
+            share = (in_time + PRIOR * share) / (ended + shut * declined);
         }
         // What its tenant has no share for goes first, by as much as it is worth less.
         let pass = if beyond { 1.0 - (1.0 - share) / self.beyond_value } else { leeway * share };
@@ -849,8 +854,8 @@
     fn inside(&self, now: Duration, kind: usize, must_see: Option<Duration>, member: usize) -> bool {
         let m = &self.members[member];
         let still = self.tenure.writer(m.group).is_none();
-        let told = if still { now } else { m.told_at.min(now) };
-        let at = m.position.map_or(now, |position| now - told.saturating_sub(position).min(now));
+        let since = if still { Duration::ZERO } else { now.saturating_sub(m.told_at) };
+        let at = m.position.map_or(now, |position| now.min(position + since * CATCHES_UP));
         self.proven(now, kind, must_see, member)
             || match self.types[kind].level {
                 Level::Bounded(bound) => at + bound > now,
