--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -31,8 +31,8 @@
 /// Further submissions stay under this share of the first ones, counted over `RESEND_SPAN`.
 const RESEND_SHARE: f64 = 0.1;
 const RESEND_SPAN: Duration = Duration::from_secs(5);
-/// A member that lags is taken to apply the log so many times as fast as it grows, until it tells more.
-const CATCHES_UP: u32 = 2;
+/// A member that lags is taken to apply the log at so many times the pace of time, until it tells more.
+const CATCHES_UP: f64 = 1.5;
 /// Submissions a member may hold from this front at first, and at least; parted beyond so many fronts.
 const ROOM_FIRST: f64 = 4.0;
 const ROOM_LEAST: f64 = 2.0;
@@ -57,6 +57,8 @@
 const DECLINED: f64 = 2.0;
 /// The throttle counts so many answers beforehand: of a type as in time, of a group as its type.
 const PRIOR: f64 = 2.0;
+/// Reads spill to the writer while this share of what only it takes is in time.
+const IDLE: f64 = 0.8;
 /// Reads spill to the writer where it is cheaper by this factor than the reader drawn.
 const WRITER_DEARER: f64 = 2.0;
 /// A member that failed costs so many times more until it has answered a probe or a txn.
@@ -783,7 +785,7 @@
         // One just promoted has its writes first.
         let writes = |&(kind, _): &(usize, bool)| self.types[kind].level == Level::Write;
         let busy = self.tenure.phase(group) == Phase::Settling && self.ranks(group).iter().any(writes);
-        let spare = writer.filter(|&w| !busy && self.has_room(now, w, HALF));
+        let spare = writer.filter(|&w| !busy && self.has_room(now, w, HALF) && self.idles(now, group));
         let shortest = self.typical.iter().copied().fold(f64::MAX, f64::min);
         let bounded = matches!(self.types[kind].level, Level::Bounded(_));
         let reader = match inside.len() {
@@ -809,6 +811,17 @@
         }
     }
 
+    /// What only the primary takes comes in time there.
+    fn idles(&mut self, now: Duration, group: usize) -> bool {
+        let (mut in_time, mut ended) = (PRIOR, PRIOR);
+        for (kind, tally) in self.groups[group].tallies.iter_mut().enumerate() {
+            if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
+                (in_time, ended) = (in_time + tally.in_time.sum(now), ended + tally.ended.sum(now));
+            }
+        }
+        in_time >= IDLE * ended
+    }
+
     /// Submissions at work there; lost ones take no room. Meets links that swallow a share of all.
     fn at_work(&self, now: Duration, member: usize) -> usize {
         let at_work =
@@ -855,7 +868,7 @@
         let m = &self.members[member];
         let still = self.tenure.writer(m.group).is_none();
         let since = if still { Duration::ZERO } else { now.saturating_sub(m.told_at) };
-        let at = m.position.map_or(now, |position| now.min(position + since * CATCHES_UP));
+        let at = m.position.map_or(now, |position| now.min(position + since.mul_f64(CATCHES_UP)));
         self.proven(now, kind, must_see, member)
             || match self.types[kind].level {
                 Level::Bounded(bound) => at + bound > now,
