--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -31,8 +31,10 @@
 /// Further submissions stay under this share of the first ones, counted over `RESEND_SPAN`.
 const RESEND_SHARE: f64 = 0.1;
 const RESEND_SPAN: Duration = Duration::from_secs(5);
-/// A member that lags is taken to apply the log at so many times the pace of time, until it tells more.
-const CATCHES_UP: f64 = 1.5;
+/// A lag up to this one is the wire's and the log's usual one, and stays.
+const LAG_USUAL: Duration = Duration::from_millis(250);
+/// A lag that was told is taken to last for so many times itself, until the member tells more.
+const LAG_HOLDS: f64 = 2.0;
 /// Submissions a member may hold from this front at first, and at least; parted beyond so many fronts.
 const ROOM_FIRST: f64 = 4.0;
 const ROOM_LEAST: f64 = 2.0;
@@ -867,8 +869,10 @@
     fn inside(&self, now: Duration, kind: usize, must_see: Option<Duration>, member: usize) -> bool {
         let m = &self.members[member];
         let still = self.tenure.writer(m.group).is_none();
-        let since = if still { Duration::ZERO } else { now.saturating_sub(m.told_at) };
-        let at = m.position.map_or(now, |position| now.min(position + since.mul_f64(CATCHES_UP)));
+        let (since, position) = (now.saturating_sub(m.told_at), m.position.unwrap_or(now));
+        let lag = m.told_at.saturating_sub(position);
+        let over = since > lag.mul_f64(LAG_HOLDS) && lag > LAG_USUAL;
+        let at = if still { position } else if over { now } else { now - lag.min(now) };
         self.proven(now, kind, must_see, member)
             || match self.types[kind].level {
                 Level::Bounded(bound) => at + bound > now,
