--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -48,7 +48,7 @@
 /// A submission out for this many mean answer times, while its member answers others, is lost.
 const LOST: f64 = 8.0;
 /// So many answers a member within `RESEND_SPAN` double what the throttle lets through.
-const HEARD: f64 = 4.0;
+const HEARD: f64 = 3.0;
 /// What the throttle takes as in time, as a share of the SLA time: queues are to end before it.
 const IN_TIME: f64 = 0.7;
 /// How many times what was in time is let through of the least valuable type; the most valuable has one more.
@@ -872,7 +872,13 @@
         let (since, position) = (now.saturating_sub(m.told_at), m.position.unwrap_or(now));
         let lag = m.told_at.saturating_sub(position);
         let over = since > lag.mul_f64(LAG_HOLDS) && lag > LAG_USUAL;
-        let at = if still { position } else if over { now } else { now - lag.min(now) };
+        let at = if still {
+            position
+        } else if over {
+            now
+        } else {
+            now - lag.min(now)
+        };
         self.proven(now, kind, must_see, member)
             || match self.types[kind].level {
                 Level::Bounded(bound) => at + bound > now,
