Add juniperdock migrate: configuration files of the old shape into the new

Old files lack the terms that came with the move; they go on being served with the usual values. migrate carries what the front reads, as the router's own look-ups tell, writes the new terms with their usual values, names what it leaves out and why, writes whole or not at all, replaces nothing unasked, and leaves a file of the new shape as it is. crates/terms holds it without I/O. OverShareWorth and quotas are checked, with the field's name.

--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -236,9 +236,10 @@
     let tenants: usize = terms.opt("Tenants.count")?.unwrap_or(0);
     let quota = |i: usize| terms.at_least_none(&format!("Tenants.{i}.QuotaRps"));
     let quotas: Option<Vec<f64>> = (0..tenants).map(quota).collect::<Result<_, _>>()?;
+    let beyond = terms.at_least_none("OverShareWorth")?.unwrap_or(1.0);
     // A tenant without a quota leaves nothing to share out by.
     if let Some(quotas) = quotas.filter(|quotas| !quotas.is_empty()) {
-        router.share_out(&quotas, terms.at_least_none("OverShareWorth")?.unwrap_or(1.0));
+        router.share_out(&quotas, beyond);
     }
     Ok((router, kinds))
 }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -10,6 +10,7 @@
 mod mail;
 mod mailbox;
 mod member;
+mod migrate;
 mod serve;
 mod signals;
 mod told;
@@ -70,6 +71,20 @@
         #[command(subcommand)]
         what: Show,
     },
+    /// Brings a front's configuration from the old shape into the new, and tells what became of each field.
+    Migrate {
+        /// The file of the old shape; it stays as it is.
+        old: PathBuf,
+        /// Where the file of the new shape is to be written.
+        #[arg(long, value_name = "NEW", required_unless_present = "dry_run")]
+        output: Option<PathBuf>,
+        /// Replaces the output if it is there.
+        #[arg(long)]
+        force: bool,
+        /// Tells everything and writes nothing.
+        #[arg(long)]
+        dry_run: bool,
+    },
     /// Prints completions for a shell.
     Completions { shell: clap_complete::Shell },
 }
@@ -148,6 +163,16 @@
         clap_complete::generate(*shell, &mut Words::command(), "juniperdock", &mut std::io::stdout());
         return Ok(());
     }
+    if let Some(What::Migrate { old, output, force, dry_run }) = &words.what {
+        let output = output.as_deref().filter(|_| !dry_run);
+        let report = migrate::migrate(old, output, *force)?;
+        if words.json {
+            println!("{report}");
+        } else {
+            eprint!("{}", migrate::plain(&report));
+        }
+        return Ok(());
+    }
     let charter = read.map_err(|faults| named(&faults).join("; "))?;
     let ask = |asked: Value, wait| {
         let socket =
@@ -181,7 +206,7 @@
             let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
             memory.age(now.as_micros() as i64)?;
         }
-        Some(What::Check { .. } | What::Completions { .. }) => {}
+        Some(What::Check { .. } | What::Completions { .. } | What::Migrate { .. }) => {}
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/front/src/migrate.rs
@@ -0,0 +1,74 @@
+//! `juniperdock migrate`: reads a configuration of the old shape, writes one of the new beside it, whole or not
+//! at all.
+
+use crate::told::Told;
+use serde_json::{Value, json};
+use std::fs::{self, OpenOptions};
+use std::io::{ErrorKind, Write};
+use std::os::unix::fs::MetadataExt;
+use std::path::Path;
+
+/// Brings the file `old` into the new shape, and writes it to `output` if one is named. Tells what became of
+/// each field; the error names the file and the line or field that is wrong, and nothing was written then.
+pub fn migrate(old: &Path, output: Option<&Path>, force: bool) -> Result<Value, String> {
+    let at = |why: String| format!("{}: {why}", old.display());
+    let text = fs::read_to_string(old).map_err(|e| at(e.to_string()))?;
+    let brought = juniperdock_terms::bring(&text).map_err(at)?;
+    Told::of(brought.file.clone()).check().map_err(at)?;
+    let output = output.filter(|_| !brought.already);
+    if let Some(output) = output {
+        let same = |a: fs::Metadata, b: fs::Metadata| (a.dev(), a.ino()) == (b.dev(), b.ino());
+        if let (Ok(a), Ok(b)) = (fs::metadata(old), fs::metadata(output))
+            && same(a, b)
+        {
+            return Err(format!("{}: expected another file than the old one", output.display()));
+        }
+        let text = format!("{:#}\n", brought.file);
+        write(output, text.as_bytes(), force).map_err(|why| format!("{}: {why}", output.display()))?;
+    }
+    let defaulted: Vec<_> =
+        brought.defaulted.iter().map(|(f, v)| json!({ "field": f, "value": v })).collect();
+    let left_out: Vec<_> =
+        brought.left_out.iter().map(|(f, why)| json!({ "field": f, "why": why })).collect();
+    Ok(
+        json!({ "ok": true, "already": brought.already, "written": output.map(|path| path.display().to_string()),
+        "carried": brought.carried, "defaulted": defaulted, "left_out": left_out }),
+    )
+}
+
+/// Writes a file whole or not at all; one that is there already is replaced only by force.
+fn write(output: &Path, bytes: &[u8], force: bool) -> Result<(), String> {
+    let name = output.file_name().ok_or("expected the path of a file")?.to_string_lossy();
+    let draft = output.with_file_name(format!(".{name}.{}", std::process::id()));
+    let fill = || -> std::io::Result<()> {
+        let mut file = OpenOptions::new().write(true).create_new(true).open(&draft)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        // A link never replaces what is there, a rename does.
+        if force { fs::rename(&draft, output) } else { fs::hard_link(&draft, output) }
+    };
+    let filled = fill();
+    let _ = fs::remove_file(&draft);
+    filled.map_err(|e| match e.kind() {
+        ErrorKind::AlreadyExists => "is there already; --force replaces it".to_owned(),
+        _ => e.to_string(),
+    })
+}
+
+/// The report as lines.
+pub fn plain(report: &Value) -> String {
+    let mut lines = Vec::new();
+    let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+    let each = |name: &str| report[name].as_array().cloned().unwrap_or_default();
+    lines.extend(each("carried").iter().map(|field| format!("carried    {}", text(field))));
+    let defaulted = |d: &Value| format!("defaulted  {} = {}", text(&d["field"]), d["value"]);
+    lines.extend(each("defaulted").iter().map(defaulted));
+    let left_out = |l: &Value| format!("left out   {}: {}", text(&l["field"]), text(&l["why"]));
+    lines.extend(each("left_out").iter().map(left_out));
+    lines.push(match (&report["written"], report["already"] == json!(true)) {
+        (_, true) => "of the new shape already: nothing is written".to_owned(),
+        (Value::String(path), _) => format!("written to {path}"),
+        _ => "nothing is written".to_owned(),
+    });
+    lines.join("\n") + "\n"
+}
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -30,12 +30,7 @@
     let told = Told::read()?;
     told.address("GW_LISTEN", "listen")?;
     told.address("GW_DISCOVERY", "discovery")?;
-    told.routers().map(drop)?;
-    told.descriptors().map(drop)?;
-    ["Bounds.ConnectTimeout", "Bounds.ConnIdle", "Guarantees.GraceToAnswer"]
-        .iter()
-        .try_for_each(|term| told.millis(term).map(drop))?;
-    told.txn_types().map(drop)
+    told.check()
 }
 
 /// Reads what is told, wires the actors, and serves until SIGTERM.
--- a/crates/front/src/told.rs
+++ b/crates/front/src/told.rs
@@ -3,6 +3,7 @@
 
 use juniperdock_door::{self as door, Indices};
 use juniperdock_router::routing::Router;
+use juniperdock_terms::term;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,24 +30,6 @@
     pub crowd: usize,
 }
 
-/// Looks a term up by path; a list of plain values is joined by commas.
-fn term(terms: &Value, path: &str) -> Option<String> {
-    let mut at = terms;
-    for part in path.split('.') {
-        at = match (at, part.parse::<usize>()) {
-            (Value::Array(items), _) if part == "count" => return Some(items.len().to_string()),
-            (Value::Array(items), Ok(i)) => items.get(i)?,
-            _ => at.get(part)?,
-        };
-    }
-    let plain = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
-    Some(match at {
-        Value::Array(items) => items.iter().map(plain).collect::<Vec<_>>().join(","),
-        Value::Null => return None,
-        value => plain(value),
-    })
-}
-
 /// Reads the configuration's file.
 pub fn configuration(path: &str) -> Result<Value, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("GW_CONFIG: reading {path}: {e}"))?;
@@ -63,9 +46,31 @@
     pub fn read() -> Result<Told, String> {
         let path = std::env::var("GW_CONFIG").map_err(|e| format!("GW_CONFIG: {e}"))?;
         let whole = configuration(&path)?;
+        juniperdock_terms::is_new(&whole).map_err(|why| format!("GW_CONFIG: {path}: {why}"))?;
         Ok(Told { path, whole })
     }
 
+    /// A configuration that lies nowhere yet.
+    pub fn of(whole: Value) -> Told {
+        Told { path: String::new(), whole }
+    }
+
+    /// Every term and limit that the front reads has its form; addresses may still come from elsewhere.
+    pub fn check(&self) -> Result<(), String> {
+        for field in ["listen", "discovery"] {
+            match &self.whole[field] {
+                Value::Null => {}
+                found => drop(socket(field, found.as_str().unwrap_or(&found.to_string()))?),
+            }
+        }
+        self.routers().map(drop)?;
+        self.descriptors().map(drop)?;
+        ["Bounds.ConnectTimeout", "Bounds.ConnIdle", "Guarantees.GraceToAnswer"]
+            .iter()
+            .try_for_each(|term| self.millis(term).map(drop))?;
+        self.txn_types().map(drop)
+    }
+
     /// An address: the environment counts before the file.
     pub fn address(&self, variable: &str, field: &str) -> Result<SocketAddr, String> {
         let text = std::env::var(variable).ok().or_else(|| self.whole[field].as_str().map(str::to_owned));
--- /dev/null
+++ b/crates/front/tests/migrate.rs
@@ -0,0 +1,165 @@
+//! `juniperdock migrate` as an operator runs it: the built program, files in a folder of its own, and a front on
+//! loopback addresses among stand-ins.
+
+use juniperdock_standins::{Agent, Front, Member, WATCH, address, list, txn};
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperdock");
+
+/// A folder with a configuration of the old shape, gone with the story.
+struct Desk {
+    dir: PathBuf,
+}
+
+impl Desk {
+    fn with(name: &str, text: &str) -> Desk {
+        let dir = std::env::temp_dir().join(format!("juniperdock-migrate-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        std::fs::write(dir.join("old.json"), text).expect("a file");
+        Desk { dir }
+    }
+
+    fn at(&self, name: &str) -> PathBuf {
+        self.dir.join(name)
+    }
+
+    fn run(&self, words: &[&str]) -> Output {
+        Command::new(PROGRAM).current_dir(&self.dir).args(words).output().expect("the program runs")
+    }
+
+    fn files(&self) -> Vec<String> {
+        let files = std::fs::read_dir(&self.dir).expect("a folder").flatten();
+        let mut names: Vec<_> = files.map(|f| f.file_name().to_string_lossy().into_owned()).collect();
+        names.sort();
+        names
+    }
+
+    fn text(&self, name: &str) -> String {
+        std::fs::read_to_string(self.at(name)).expect("a file")
+    }
+}
+
+impl Drop for Desk {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn old(known: &str) -> String {
+    format!(
+        r#"{{"seed":"8c1f30d27a5be964","limits":{{"memory_mb":192,"sockets":1024}},"known":{known},"peers_all":"127.0.0.1:9",
+        "settings":{{"Balancers":1,"Me":0,"Zone":0,"Zones":["a"],"Deductions":{{"Probe":0.02}},
+        "Services":[{{"DedupScope":"cell","Effect":"pure","HardLimit":5000.0,"LateWorth":0.5,"Name":"lookup",
+        "Objective":1500.0,"Value":1.0,"Window":2000.0}}],
+        "Bounds":{{"Cancel":true,"ConnIdle":15000.0,"ConnectTimeout":250.0,"MaxRetryAfter":500.0,"MayProbe":true,
+        "RetryAfter":true,"TryLimit":10}},"Guarantees":{{"ColdFrom":0.2,"GraceToAnswer":20.0,"OverloadFor":1500.0,
+        "TipMultiple":2.5,"WarmUp":1000.0}},"Specifics":{{"MaxAge":[300.0],"ReadLevel":["recent"],
+        "SessionMarks":"client"}}}}}}"#
+    )
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn an_old_file_goes_through_migrate_and_check_to_a_front_that_serves() {
+    let members: Vec<Member> = (0..2).map(|i| Member::start(i == 0)).collect();
+    let known = list(1, true, &[("m-0", members[0].at, "up"), ("m-1", members[1].at, "up")]);
+    let agent = Agent::start(WATCH);
+    let desk = Desk::with("serves", &old(&known));
+    let done = desk.run(&["migrate", "old.json", "--output", "new.json"]);
+    assert!(done.status.success(), "{}", said(&done));
+    let told = said(&done);
+    for line in [
+        "carried    settings.Bounds.TryLimit",
+        "defaulted  settings.Tenants = []",
+        "left out   settings.Deductions.Probe: the front reads no such term",
+        "left out   peers_all: fronts tell each other nothing",
+        "written to new.json",
+    ] {
+        assert!(told.lines().any(|l| l == line), "{line} in {told}");
+    }
+    assert_eq!(desk.text("old.json"), old(&known), "the old file stays as it is");
+    let at = address();
+    let check = Command::new(PROGRAM)
+        .arg("check")
+        .env("GW_LISTEN", at.to_string())
+        .env("GW_DISCOVERY", agent.at.to_string())
+        .env("GW_CONFIG", desk.at("new.json"))
+        .output()
+        .expect("the program runs");
+    assert!(check.status.success(), "{}", said(&check));
+    let front = Front::with(PROGRAM, at, agent.at, &desk.text("new.json"), None);
+    assert!(front.client().ask(&txn("lookup", 2000, "r")).value.is_some());
+    // And the old one serves as ever.
+    let before = Front::with(PROGRAM, address(), agent.at, &desk.text("old.json"), None);
+    assert!(before.client().ask(&txn("lookup", 2000, "r")).value.is_some());
+}
+
+#[test]
+fn nothing_is_replaced_unasked_and_a_dry_run_writes_nothing() {
+    let desk = Desk::with("files", &old("{}"));
+    let dry = desk.run(&["--json", "migrate", "old.json", "--dry-run"]);
+    let report: Value = serde_json::from_slice(&dry.stdout).expect("one line of JSON");
+    assert!(dry.status.success() && report["written"].is_null() && desk.files() == ["old.json"], "{report}");
+    assert_eq!(report["defaulted"].as_array().map(Vec::len), Some(4));
+    std::fs::write(desk.at("new.json"), "mine").expect("a file");
+    let refused = desk.run(&["migrate", "old.json", "--output", "new.json"]);
+    assert_eq!((refused.status.code(), desk.text("new.json").as_str()), (Some(1), "mine"));
+    assert!(said(&refused).contains("--force"), "{}", said(&refused));
+    std::fs::hard_link(desk.at("old.json"), desk.at("same.json")).expect("a link");
+    for own in ["old.json", "same.json"] {
+        let refused = desk.run(&["migrate", "old.json", "--output", own, "--force"]);
+        assert_eq!((refused.status.code(), desk.text("old.json")), (Some(1), old("{}")));
+    }
+    assert!(desk.run(&["migrate", "old.json", "--output", "new.json", "--force"]).status.success());
+    let written = desk.text("new.json");
+    let again = desk.run(&["migrate", "new.json", "--output", "newer.json"]);
+    assert!(again.status.success() && said(&again).contains("already"), "{}", said(&again));
+    assert_eq!((desk.text("new.json"), desk.at("newer.json").exists()), (written, false));
+    assert_eq!(desk.files(), ["new.json", "old.json", "same.json"], "no draft is left behind");
+}
+
+#[test]
+fn wrong_files_are_told_plainly_and_leave_nothing_behind() {
+    let good = old("{}");
+    let cut = &good[..good.len() / 2];
+    let foreign = "{ log: { form: \"text\" } }";
+    let cases = [
+        (cut.to_owned(), "line "),
+        (foreign.to_owned(), "expected JSON"),
+        ("{}".to_owned(), "settings: expected an object"),
+        (good.replace("\"TryLimit\":10", "\"TryLimit\":\"many\""), "Bounds.TryLimit"),
+        (good.replace("\"sockets\":1024", "\"sockets\":\"all\""), "limits.sockets"),
+        (good.replace("\"seed\"", "\"shape\":9,\"seed\""), "shape: expected 2"),
+        (good.replace("\"seed\"", "\"listen\":7,\"seed\""), "listen: expected an address"),
+        (good.replace("\"Balancers\":1", "\"OverShareWorth\":-1"), "from 0 in OverShareWorth"),
+    ];
+    for (text, word) in cases {
+        let desk = Desk::with("wrong", &text);
+        let refused = desk.run(&["migrate", "old.json", "--output", "new.json"]);
+        let told = said(&refused);
+        assert_eq!(refused.status.code(), Some(1), "{word}: {told}");
+        assert!(told.contains("old.json") && told.contains(word), "{word} in {told}");
+        assert_eq!(desk.files(), ["old.json"]);
+    }
+    let desk = Desk::with("missing", "{}");
+    let refused = desk.run(&["migrate", "none.json", "--output", "new.json"]);
+    assert!(refused.status.code() == Some(1) && said(&refused).contains("none.json"), "{}", said(&refused));
+}
+
+#[test]
+fn a_shape_that_is_not_known_does_not_start() {
+    let desk = Desk::with("shape", &old("{}").replace("\"seed\"", "\"shape\":9,\"seed\""));
+    let check = Command::new(PROGRAM)
+        .arg("check")
+        .env("GW_LISTEN", "127.0.0.1:1")
+        .env("GW_DISCOVERY", "127.0.0.1:2")
+        .env("GW_CONFIG", Path::new(&desk.at("old.json")))
+        .output()
+        .expect("the program runs");
+    assert!(check.status.code() == Some(1) && said(&check).contains("shape: expected 2"), "{}", said(&check));
+}
