--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -19,8 +19,10 @@
 const PROBES_PER_BOUND: u32 = 2;
 /// Polls stay under this share of a front's first submissions; what it needs to know beyond that it asks for.
 const POLLS_PER_TXN: f64 = 0.5;
-/// So many times as often as txns come members are asked out of turn at most, or twice as often as polled.
+/// Among many fronts members are asked out of turn at most so many times as often as txns come; among fewer
+/// than half of so many, twice as often as they are polled.
 const ASKS_PER_TXN: f64 = 4.0;
+const ASK_FRONTS: f64 = 32.0;
 /// The writer is polled so many times less often: its answers tell as much.
 const WRITER_SELDOM: u32 = 4;
 /// A read waits so long for a report that may prove a reader.
@@ -31,10 +33,6 @@
 /// Further submissions stay under this share of the first ones, counted over `RESEND_SPAN`.
 const RESEND_SHARE: f64 = 0.1;
 const RESEND_SPAN: Duration = Duration::from_secs(5);
-/// A lag up to this one is the wire's and the log's usual one, and stays.
-const LAG_USUAL: Duration = Duration::from_millis(250);
-/// A lag that was told is taken to last for so many times itself, until the member tells more.
-const LAG_HOLDS: f64 = 2.0;
 /// Submissions a member may hold from this front at first, and at least; parted beyond so many fronts.
 const ROOM_FIRST: f64 = 4.0;
 const ROOM_LEAST: f64 = 2.0;
@@ -71,8 +69,6 @@
 const FORGOTTEN: Duration = Duration::from_secs(60);
 /// Reminder handles: this one, even ones for members, odd ones for txns.
 const ASK_FOR_LIST: u64 = 0;
-/// A txn type is long if its typical answer time is this multiple of the shortest.
-const LONG: f64 = 4.0;
 /// What no member has had is given up after this share of its time: its client can still try elsewhere.
 const UNTAKEN: f64 = 0.45;
 /// Part of a cold member's budget that is used; the rest is for chance, probes and handshakes.
@@ -238,6 +234,12 @@
         t.over |= over;
         let (kind, group, session, called_off) =
             (t.kind, t.group, t.session, std::mem::take(&mut t.called_off));
+        let fresh = if let Level::Bounded(most) = self.types[kind].level {
+            Some(now.saturating_sub(most))
+        } else {
+            t.must_see
+        }
+        .unwrap_or(now);
         self.members[member].in_hand.retain(|&held| held != txn);
         if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Moot | Unreachable) {
             self.members[member].last_answer = now;
@@ -247,8 +249,12 @@
         if heard || role.is_some() {
             self.heard(now, member, role, position, Some(out.map_or(now, |out| out.at)));
         }
-        self.told_positions |= role == Some(Role::Replica) && position.is_some();
         let wrote = ending == Ending::Committed && self.types[kind].level == Level::Write;
+        if ending == Misplaced && position.is_none() && self.types[kind].level != Level::Write {
+            // It lags by what was asked of it, if it doesn't say by how much.
+            let m = &mut self.members[member];
+            (m.told_at, m.lag) = (now, m.lag.max(now - fresh));
+        }
         if wrote {
             self.tenure.committed(member);
         }
@@ -347,8 +353,9 @@
         // known that another had followed. Meets primaries that are cut off with their clients.
         let (leads, holds) = (role == Some(Role::Primary), self.tenure.holder(group) == Some(m));
         let told = &mut self.members[m];
-        if at.is_some() {
-            told.told_at = date.max(told.told_at);
+        // A report is some time old by itself: it can only show that a lag is shorter.
+        if let Some(lag) = at.map(|at| read.saturating_sub(at)).filter(|&l| sent.is_some() || l < told.lag) {
+            (told.told_at, told.lag) = (read, lag);
         }
         if role.is_some() && std::mem::replace(&mut told.leads, leads) && !leads {
             told.position = at;
@@ -639,7 +646,8 @@
             bounded && !g.members.iter().any(|&m| self.reads(now, m) && self.proven(now, kind, None, m))
         };
         let held = self.ranks(group);
-        let rest = (every / 2).max(self.apart.div_f64(ASKS_PER_TXN));
+        let among = every.mul_f64(self.standing.fronts as f64 / ASK_FRONTS);
+        let rest = (every / 2).max(among.min(self.apart.div_f64(ASKS_PER_TXN)));
         let needs = empty && !held.is_empty() || held.iter().any(unproven) && !self.awaits(now, group);
         let asks = |&i: &usize| {
             let m = &self.members[i];
@@ -689,10 +697,9 @@
     fn throttle(&mut self, now: Duration, host: &mut impl Host) -> bool {
         let Some(txn) = self.unweighed.pop() else { return false };
         let Some(Wait { kind, group, .. }) = self.held.get(txn).copied() else { return true };
-        let dense: Vec<f64> = self.types.iter().zip(&self.typical).map(|(t, work)| t.value / work).collect();
+        let dearest = (0..self.types.len()).map(|kind| self.dense(kind)).fold(f64::MIN, f64::max);
         let heard = self.tallies.iter_mut().map(|t| t.in_time.sum(now)).sum::<f64>() / self.known();
-        let dearer = dense[kind] / dense.iter().copied().fold(f64::MIN, f64::max);
-        let leeway = (LEEWAY + HALF * dearer).max(1.0) * (1.0 + (heard / HEARD).powi(2));
+        let leeway = (LEEWAY + HALF * self.dense(kind) / dearest).max(1.0) * (1.0 + (heard / HEARD).powi(2));
         let beyond = self.txn(txn).beyond;
         let (mut sound, mut share) = (1.0, 1.0);
         for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[kind]] {
@@ -755,18 +762,7 @@
         let fit = |w: &usize| self.has_room(now, *w, 1.0) && self.members[*w].shunned <= now;
         let writer = self.tenure.holder(group).filter(fit);
         if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
-            let writer = writer.filter(|_| self.tenure.writer(group) == writer);
-            // Exception: where reports come late a write calls first at a reader unheard of, for a proof.
-            let bound = self.probe_every.unwrap_or_default() * PROBES_PER_BOUND;
-            let late = writer.is_some_and(|w| self.members[w].barren > 0) && self.told_positions;
-            let calls =
-                late && self.types[kind].level == Level::Write && self.txn(txn).fate.submissions() == 0;
-            let unheard = self.groups[group].members.iter().copied().filter(|_| calls).find(|&i| {
-                let m = &self.members[i];
-                let unheard = m.in_hand.is_empty() && m.last_answer + bound < now;
-                unheard && m.probe_failures == 0 && self.reads(now, i)
-            });
-            return unheard.or(writer);
+            return writer.filter(|_| self.tenure.writer(group) == writer);
         }
         // A later try that is worth nothing late leaves half of the room to first tries still to come.
         let share = if self.txn(txn).retried && self.types[kind].late_value == 0.0 { HALF } else { 1.0 };
@@ -787,8 +783,8 @@
         // One just promoted has its writes first.
         let writes = |&(kind, _): &(usize, bool)| self.types[kind].level == Level::Write;
         let busy = self.tenure.phase(group) == Phase::Settling && self.ranks(group).iter().any(writes);
-        let spare = writer.filter(|&w| !busy && self.has_room(now, w, HALF) && self.idles(now, group));
-        let shortest = self.typical.iter().copied().fold(f64::MAX, f64::min);
+        let spare = !busy && (!known || self.idles(now, group));
+        let spare = writer.filter(|&w| spare && self.has_room(now, w, HALF));
         let bounded = matches!(self.types[kind].level, Level::Bounded(_));
         let reader = match inside.len() {
             0 if known => None,
@@ -796,10 +792,6 @@
             // Once: a member that turned the read away is as far behind a moment later.
             0 if self.txn(txn).fate.submissions() == 0 => least_behind.map(|(_, m)| m),
             0 => None,
-            // A long loose read goes where a bounded read is least at home: it may stall log apply there.
-            _ if self.types[kind].level == Level::Loose && self.typical[kind] > LONG * shortest => {
-                inside.iter().copied().min_by_key(|&m| (self.members[m].position, m))
-            }
             n => {
                 let a = self.rng.rand_range(0..n as u64) as usize;
                 let b = (a + 1 + self.rng.rand_range(0..n.max(2) as u64 - 1) as usize) % n;
@@ -863,28 +855,18 @@
         }
     }
 
-    /// Exception: where members turn away what they are too far behind for, the lag that one told last counts
-    /// until it tells another, for the read is its own probe; not while there is no primary: the log stands
-    /// still then. Meets fronts of few txns, whose proofs are all too old; harms by a turned away read a lag.
+    /// Exception: where members turn away what they are too far behind for, a read is its own probe: the lag
+    /// told last counts for twice as long as it is, or until another is told; with no primary the log stands
+    /// still. Meets fronts whose proofs are all too old; harms by a turned away read for each lag.
     fn inside(&self, now: Duration, kind: usize, must_see: Option<Duration>, member: usize) -> bool {
-        let m = &self.members[member];
-        let still = self.tenure.writer(m.group).is_none();
-        let (since, position) = (now.saturating_sub(m.told_at), m.position.unwrap_or(now));
-        let lag = m.told_at.saturating_sub(position);
-        let over = since > lag.mul_f64(LAG_HOLDS) && lag > LAG_USUAL;
-        let at = if still {
-            position
-        } else if over {
-            now
-        } else {
-            now - lag.min(now)
-        };
-        self.proven(now, kind, must_see, member)
-            || match self.types[kind].level {
-                Level::Bounded(bound) => at + bound > now,
-                Level::Session => must_see.is_none_or(|need| at >= need),
-                _ => false,
-            }
+        let (m, still) = (&self.members[member], self.tenure.writer(self.members[member].group).is_none());
+        let lag = if now > m.told_at + 2 * m.lag { Duration::ZERO } else { m.lag };
+        let at = if still { m.position.unwrap_or(now) } else { now.saturating_sub(lag) };
+        match self.types[kind].level {
+            Level::Bounded(bound) => at + bound > now,
+            Level::Session => must_see.is_none_or(|need| at >= need),
+            _ => self.proven(now, kind, must_see, member),
+        }
     }
 
     /// Rule 1: nothing for a txn that has its answer, whose client has left, or whose time is up.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -28,8 +28,9 @@
     pub lot_until: Duration,
     /// Has every commit up to here: proven, and true for ever.
     pub position: Option<Duration>,
-    /// When it told its position last.
+    /// When it told its position last, and how far it was behind then.
     pub told_at: Duration,
+    pub lag: Duration,
     /// Said last that it is primary.
     pub leads: bool,
     /// Since when the list has it as gone.
@@ -75,6 +76,7 @@
             lot_until: Duration::ZERO,
             position: None,
             told_at: Duration::ZERO,
+            lag: Duration::ZERO,
             leads: false,
             gone_at: None,
             hinted: false,
@@ -216,8 +218,6 @@
     pub(crate) usual: Vec<f64>,
     /// Work done per warm member in the cold window.
     pub(crate) warm_work: f64,
-    /// Answers of replicas tell positions here.
-    pub(crate) told_positions: bool,
     /// The next reminder, when this front last found that it had stood still, and since when it had.
     pub(crate) due: Duration,
     pub(crate) awake: Duration,
@@ -261,7 +261,6 @@
             typical: Vec::new(),
             usual: Vec::new(),
             warm_work: 0.0,
-            told_positions: false,
             due: Duration::MAX,
             awake: Duration::ZERO,
             stood: Duration::ZERO,
