--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -19,8 +19,7 @@
 const PROBES_PER_BOUND: u32 = 2;
 /// Polls stay under this share of a front's first submissions; what it needs to know beyond that it asks for.
 const POLLS_PER_TXN: f64 = 0.5;
-/// Among many fronts members are asked out of turn at most so many times as often as txns come; among fewer
-/// than half of so many, twice as often as they are polled.
+/// Asked out of turn is so many times as often as txns come; more often where fronts are fewer than this.
 const ASKS_PER_TXN: f64 = 4.0;
 const ASK_FRONTS: f64 = 32.0;
 /// The writer is polled so many times less often: its answers tell as much.
@@ -203,8 +202,7 @@
         }
     }
 
-    /// Whether a txn is beyond its tenant's share, by lot: a front counts the first tries that it sees against
-    /// an equal part of the quota.
+    /// By lot, whether a txn is beyond its tenant's share: first tries here against an equal part of it.
     fn beyond_share(&mut self, now: Duration, tenant: usize, retried: bool) -> bool {
         let (span, lot) = (now.min(RESEND_SPAN).as_secs_f64(), self.rng.rand_float());
         let Some((quota, seen)) = self.tenants.get_mut(tenant) else { return false };
@@ -234,12 +232,6 @@
         t.over |= over;
         let (kind, group, session, called_off) =
             (t.kind, t.group, t.session, std::mem::take(&mut t.called_off));
-        let fresh = if let Level::Bounded(most) = self.types[kind].level {
-            Some(now.saturating_sub(most))
-        } else {
-            t.must_see
-        }
-        .unwrap_or(now);
         self.members[member].in_hand.retain(|&held| held != txn);
         if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Moot | Unreachable) {
             self.members[member].last_answer = now;
@@ -251,9 +243,9 @@
         }
         let wrote = ending == Ending::Committed && self.types[kind].level == Level::Write;
         if ending == Misplaced && position.is_none() && self.types[kind].level != Level::Write {
-            // It lags by what was asked of it, if it doesn't say by how much.
+            // It lags by more than was known, where it doesn't say by how much.
             let m = &mut self.members[member];
-            (m.told_at, m.lag) = (now, m.lag.max(now - fresh));
+            (m.told_at, m.lag) = (now, (m.lag.max(SHUN_FIRST) * 2).min(SHUN_LONGEST));
         }
         if wrote {
             self.tenure.committed(member);
@@ -334,7 +326,7 @@
 
     /// Records a claim of role: an answer's is as new as now, but proves no more than that it was made since
     /// its txn was sent; a report's is at least as new as its position. What a front reads right after it
-    /// stood still may have waited since. Only of the one that holds the slot is the word as a primary a proof of data.
+    /// stood still may have waited since. Only of the slot's holder is the word as a primary a proof of data.
     fn heard(
         &mut self,
         now: Duration,
@@ -713,9 +705,8 @@
         // What its tenant has no share for goes first, by as much as it is worth less.
         let pass = if beyond { 1.0 - (1.0 - share) / self.beyond_value } else { leeway * share };
         if self.rng.rand_float() >= pass {
-            let counts = f64::from(!beyond);
-            self.tallies[kind].declined.add(now, counts);
-            self.groups[group].tallies[kind].declined.add(now, counts);
+            self.tallies[kind].declined.add(now, f64::from(!beyond));
+            self.groups[group].tallies[kind].declined.add(now, f64::from(!beyond));
             self.held.remove(txn);
             self.answer(now, txn, host);
         }
@@ -742,7 +733,6 @@
         for (kind, retried) in self.ranks(group) {
             let alike = self.types[kind].level != Level::Session;
             let mut next = both(kind, retried).map(|rank| self.held.newest(rank, group));
-            // The newest of those that were sent before and those that were not.
             while let Some(txn) = next.iter().flatten().copied().max_by_key(|&t| (self.txn(t).arrived, t)) {
                 let of = usize::from(next[0] != Some(txn));
                 next[of] = self.held.older(txn);
@@ -769,7 +759,6 @@
         let (mut inside, mut known, mut least_behind) = (Vec::new(), false, None);
         for i in 0..self.groups[group].members.len() {
             let m = self.groups[group].members[i];
-            // Where members check reads the gate lets all pass; the design still wants them inside the bound.
             let fits = self.reads(now, m) && self.gate(now, txn, m);
             let room = self.has_room(now, m, share);
             if fits && (!self.members_check || self.inside(now, kind, self.txn(txn).must_see, m)) {
@@ -855,9 +844,8 @@
         }
     }
 
-    /// Exception: where members turn away what they are too far behind for, a read is its own probe: the lag
-    /// told last counts for twice as long as it is, or until another is told; with no primary the log stands
-    /// still. Meets fronts whose proofs are all too old; harms by a turned away read for each lag.
+    /// Exception: where members check reads, a read is its own probe: a told lag counts twice as long as it
+    /// is. With no primary the log stands still. Meets proofs that are too old; harms by reads turned away.
     fn inside(&self, now: Duration, kind: usize, must_see: Option<Duration>, member: usize) -> bool {
         let (m, still) = (&self.members[member], self.tenure.writer(self.members[member].group).is_none());
         let lag = if now > m.told_at + 2 * m.lag { Duration::ZERO } else { m.lag };
