--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -529,7 +529,9 @@
         let group = self.members[member].group;
         let pause = match self.members[member].probe_failures {
             0 if self.tenure.writer(group).is_none() && !self.held.is_empty(group) => every / 2,
-            0 if self.tenure.holder(group) == Some(member) => poll.max(every) * WRITER_SELDOM,
+            0 if self.tenure.holder(group) == Some(member) || self.members_check => {
+                poll.max(every) * WRITER_SELDOM
+            }
             0 => poll.max(every),
             n => every * 2u32.pow(n.min(5)),
         };
