--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -71,7 +71,7 @@
 /// What no member has had is given up after this share of its time: its client can still try elsewhere.
 const UNTAKEN: f64 = 0.45;
 /// Part of a cold member's budget that is used; the rest is for chance, probes and handshakes.
-const COLD_PART: f64 = 0.4;
+const COLD_PART: f64 = 0.5;
 
 impl Router {
     pub fn new(seed: u64, standing: Standing, types: Vec<TxnType>, cold: ColdStart) -> Self {
