--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -22,7 +22,7 @@
 /// Asked out of turn is so many times as often as txns come; more often where fronts are fewer than this.
 const ASKS_PER_TXN: f64 = 4.0;
 const ASK_FRONTS: f64 = 32.0;
-/// The writer is polled so many times less often: its answers tell as much.
+/// The writer, or whoever checks reads, is polled so many times less often: answers tell as much.
 const WRITER_SELDOM: u32 = 4;
 /// A read waits so long for a report that may prove a reader.
 const REPORT_AWAITED: Duration = Duration::from_millis(40);
@@ -527,11 +527,10 @@
         self.apart = Duration::from_secs_f64(self.known() / rate.max(1.0));
         let poll = self.apart.div_f64(POLLS_PER_TXN);
         let group = self.members[member].group;
+        let told = self.members_check || self.tenure.holder(group) == Some(member);
         let pause = match self.members[member].probe_failures {
             0 if self.tenure.writer(group).is_none() && !self.held.is_empty(group) => every / 2,
-            0 if self.tenure.holder(group) == Some(member) || self.members_check => {
-                poll.max(every) * WRITER_SELDOM
-            }
+            0 if told => poll.max(every) * WRITER_SELDOM,
             0 => poll.max(every),
             n => every * 2u32.pow(n.min(5)),
         };
@@ -770,8 +769,7 @@
                 least_behind = least_behind.max(Some((self.members[m].position, m)));
             }
         }
-        // Exception: reads spill into half of the writer's room while the reader drawn costs twice as much.
-        // One just promoted has its writes first.
+        // Exception: reads spill into half of the writer's room; one just promoted has its writes first.
         let writes = |&(kind, _): &(usize, bool)| self.types[kind].level == Level::Write;
         let busy = self.tenure.phase(group) == Phase::Settling && self.ranks(group).iter().any(writes);
         let spare = !busy && (!known || self.idles(now, group));
