--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -818,3 +818,40 @@
     }
     assert!(polls[0] > 0 && polls[0] * 3 < polls[1] && polls[1] == polls[2], "{polls:?}");
 }
+
+#[test]
+fn among_hundreds_of_fronts_a_vacancy_is_no_storm_of_probes() {
+    let probes = |fronts: usize| {
+        let mut s = Story::of(Standing { me: 0, fronts, zone: 0 });
+        let write = s.arrive(ONCE, 9000);
+        for _ in 0..40 {
+            s.wait(50, write);
+            (0..3).for_each(|m| s.report(m, Role::Replica, s.now - ms(1)));
+        }
+        s.host.0.iter().filter(|act| matches!(act, Act::Probed(_))).count()
+    };
+    // Two seconds; twice a poll's pace is one in 75 ms for each of three members.
+    assert!(probes(2) >= 50, "{}", probes(2));
+    assert!(probes(400) <= 20, "{}", probes(400));
+}
+
+#[test]
+fn late_answers_of_one_type_decline_no_other_type_of_the_group() {
+    let mut s = Story::running();
+    let mut declined = [0, 0];
+    for i in 0..600 {
+        s.report_all(0);
+        // Bounded reads are late, loose ones are not.
+        for (kind, took) in [(READ, 395), (LOOSE, 5)] {
+            let txn = s.arrive(kind, 900);
+            if let Some(&at) = s.sends(txn).first() {
+                s.end(txn, at, Ending::Committed, took);
+            } else if i >= 300 && s.did(&Act::Declined(txn)) {
+                declined[kind] += 1;
+            }
+        }
+        s.now += ms(120);
+    }
+    assert!(declined[READ] > 30, "{declined:?}");
+    assert!(declined[LOOSE] * 10 < declined[READ], "{declined:?}");
+}
