--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -50,7 +50,7 @@
 const IN_TIME: f64 = 0.7;
 /// How many times what was in time is let through of the least valuable type; the most valuable has one more.
 const LEEWAY: f64 = 0.8;
-/// Declined txns count in full in the throttle when one in so many answers is late, else less.
+/// Declined txns count in full in the throttle when one in so many answers is late, else less: it opens then.
 const SHUT: f64 = 8.0;
 /// Declined txns count for no more than so many times those that ended: too few may come back to judge by.
 const DECLINED: f64 = 2.0;
@@ -698,14 +698,14 @@
         for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[kind]] {
             let (ended, in_time) = (tally.ended.sum(now) + PRIOR, tally.in_time.sum(now));
             sound = (in_time + PRIOR * sound) / ended;
-            // What was declined counts while answers are late; once they are in time the throttle opens.
             let shut = (SHUT * (1.0 - sound)).min(1.0);
             let declined = tally.declined.sum(now).min(DECLINED * ended);
             share = (in_time + PRIOR * share) / (ended + shut * declined);
         }
         let lot = self.rng.rand_float();
         // What its tenant has no share for goes first, by as much as it is worth less.
-        if if beyond { (1.0 - lot) * self.beyond_value < 1.0 - share } else { lot >= leeway * share } {
+        let goes = if beyond { (1.0 - lot) * self.beyond_value < 1.0 - share } else { lot >= leeway * share };
+        if goes {
             self.tallies[kind].declined.add(now, f64::from(!beyond));
             self.groups[group].tallies[kind].declined.add(now, f64::from(!beyond));
             self.held.remove(txn);
