Let fronts know each other: membership without I/O, its datagrams, and the program's actor

Need: fronts share nothing; `peers`, `peers_all` and `peer_listen` were read by nobody. `juniperdock-lab circle` plays the same core at size. Thirteen stories; nothing changes where it is off.

--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -38,6 +38,9 @@
     /// A file for what the front knows, read at the next start. Off unless it is there.
     #[garde(dive)]
     pub snapshot: Option<Snapshot>,
+    /// The fronts know each other. Off unless it is there; `peer_listen` and `peers` of GW_CONFIG say where.
+    #[garde(dive)]
+    pub fellows: Option<Fellows>,
 }
 
 /// The form of a line.
@@ -107,6 +110,30 @@
     5
 }
 
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Fellows {
+    /// Files with one key each, 64 hex digits: the first seals what goes out, both open what comes in.
+    #[garde(length(min = 1, max = 2), inner(custom(named)))]
+    pub keys: Vec<PathBuf>,
+    /// Each front asks one other so often, in milliseconds. The same at all fronts.
+    #[garde(range(min = 50, max = 10_000))]
+    #[serde(default = "every")]
+    pub every_ms: u64,
+    /// Which version is spoken: the older one while fronts are there that know no other.
+    #[garde(range(min = 1, max = 2))]
+    #[serde(default = "newest")]
+    pub speaks: u8,
+}
+
+fn every() -> u64 {
+    500
+}
+
+fn newest() -> u8 {
+    2
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(default, deny_unknown_fields)]
 pub struct Upgrade {
--- /dev/null
+++ b/crates/fellows/src/dice.rs
@@ -0,0 +1,27 @@
+//! The project's source of chance, as the membership library wants it.
+
+use oorandom::Rand64;
+use rand_core::TryRng;
+use std::convert::Infallible;
+
+#[derive(Debug)]
+pub struct Dice(pub Rand64);
+
+impl TryRng for Dice {
+    type Error = Infallible;
+
+    fn try_next_u32(&mut self) -> Result<u32, Infallible> {
+        Ok((self.0.rand_u64() >> 32) as u32)
+    }
+
+    fn try_next_u64(&mut self) -> Result<u64, Infallible> {
+        Ok(self.0.rand_u64())
+    }
+
+    fn try_fill_bytes(&mut self, bytes: &mut [u8]) -> Result<(), Infallible> {
+        for piece in bytes.chunks_mut(8) {
+            piece.copy_from_slice(&self.0.rand_u64().to_le_bytes()[..piece.len()]);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fellows/src/who.rs
@@ -0,0 +1,49 @@
+//! One life of a front: which place of the tier it has, and when that life began.
+
+use foca::Identity;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Lives count in this unit since 2026 began: 2^32 of them are 8.7 years.
+const UNIT_MS: u128 = 64;
+const FROM_MS: u128 = 1_767_225_600_000;
+/// A life that seems to begin later than this from now is a lie, or its clock is far off.
+pub const AHEAD: u32 = 10 * 60 * 1000 / UNIT_MS as u32;
+
+/// A front in one of its lives. A later life of the same place takes over from an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Who {
+    pub index: u16,
+    pub life: u32,
+}
+
+/// The life that begins at this time since 1970.
+///
+/// ```
+/// use juniperdock_fellows::life_at;
+/// use std::time::Duration;
+/// let early = life_at(Duration::from_secs(1_767_225_700));
+/// assert!(early > 0 && life_at(Duration::from_secs(1_767_225_701)) > early);
+/// assert_eq!(life_at(Duration::ZERO), 1);
+/// ```
+pub fn life_at(unix: Duration) -> u32 {
+    let units = unix.as_millis().saturating_sub(FROM_MS) / UNIT_MS;
+    u32::try_from(units).unwrap_or(u32::MAX - AHEAD).clamp(1, u32::MAX - AHEAD)
+}
+
+impl Identity for Who {
+    type Addr = u16;
+
+    /// Declared dead, it goes on under a later life.
+    fn renew(&self) -> Option<Self> {
+        Some(Who { life: self.life.checked_add(1)?, ..*self })
+    }
+
+    fn addr(&self) -> u16 {
+        self.index
+    }
+
+    fn win_addr_conflict(&self, other: &Self) -> bool {
+        self.life > other.life
+    }
+}
--- /dev/null
+++ b/crates/fellows/tests/stories.rs
@@ -0,0 +1,365 @@
+//! Short stories of two or a few fronts, each with a guard that it fails without.
+
+use juniperdock_fellows::{Event, Fellows, Host, Keys, LONGEST, Liveness, Refused, Standing, Times};
+use proptest::prelude::*;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+const EVERY: Duration = Duration::from_millis(500);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn key(digit: char) -> String {
+    digit.to_string().repeat(64)
+}
+
+fn keys(digits: &str) -> Keys {
+    Keys::read(&digits.chars().map(key).collect::<Vec<_>>()).expect("good keys")
+}
+
+#[derive(Default)]
+struct Out(Vec<(usize, Vec<u8>)>, Vec<Event>);
+
+impl Host for Out {
+    fn send(&mut self, to: usize, datagram: &[u8]) {
+        self.0.push((to, datagram.to_vec()));
+    }
+    fn event(&mut self, event: Event) {
+        self.1.push(event);
+    }
+}
+
+fn front(me: usize, tier: usize, life: u32, version: u8) -> Fellows {
+    Fellows::new(me, tier, life, 7 + me as u64, version, Times { every: EVERY, suspicion: 3 }, keys("a"))
+}
+
+/// A few fronts in one place: whatever one sends comes at once, unless the story cuts it off.
+struct Town {
+    now: Duration,
+    fronts: Vec<Fellows>,
+    events: Vec<Vec<Event>>,
+    /// Ways on which nothing comes.
+    cut: Vec<(usize, usize)>,
+    /// Fronts that do not run.
+    still: Vec<usize>,
+    /// Everything that was sent, and by whom to whom.
+    sent: Vec<(usize, usize, Vec<u8>)>,
+}
+
+impl Town {
+    fn of(tier: usize) -> Town {
+        Town::speaking(&vec![2; tier])
+    }
+
+    fn speaking(versions: &[u8]) -> Town {
+        let tier = versions.len();
+        Town {
+            now: Duration::ZERO,
+            fronts: versions.iter().enumerate().map(|(i, &v)| front(i, tier, 1000, v)).collect(),
+            events: vec![Vec::new(); tier],
+            cut: Vec::new(),
+            still: Vec::new(),
+            sent: Vec::new(),
+        }
+    }
+
+    fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += ms(5);
+            let mut posted = VecDeque::new();
+            for i in 0..self.fronts.len() {
+                if !self.still.contains(&i) && self.fronts[i].next() <= self.now {
+                    let mut out = Out::default();
+                    self.fronts[i].due(self.now, &mut out);
+                    self.events[i].extend(out.1);
+                    posted.extend(out.0.into_iter().map(|(to, bytes)| (i, to, bytes)));
+                }
+            }
+            while let Some((from, to, bytes)) = posted.pop_front() {
+                assert!(bytes.len() <= LONGEST);
+                self.sent.push((from, to, bytes.clone()));
+                if self.cut.contains(&(from, to)) || self.still.contains(&to) {
+                    continue;
+                }
+                let mut out = Out::default();
+                let _ = self.fronts[to].heard(self.now, from, &bytes, &mut out);
+                self.events[to].extend(out.1);
+                posted.extend(out.0.into_iter().map(|(next, bytes)| (to, next, bytes)));
+            }
+        }
+    }
+
+    fn cut_off(&mut self, one: &[usize]) {
+        for a in 0..self.fronts.len() {
+            for b in 0..self.fronts.len() {
+                if one.contains(&a) != one.contains(&b) {
+                    self.cut.push((a, b));
+                }
+            }
+        }
+    }
+
+    fn stands(&self, i: usize) -> Standing {
+        self.fronts[i].standing().0
+    }
+
+    fn sees(&self, i: usize, other: usize) -> Liveness {
+        self.fronts[i].fellows()[other].liveness
+    }
+}
+
+#[test]
+fn all_find_each_other_and_one_that_ends_is_found_missing() {
+    let mut town = Town::of(5);
+    town.pass(ms(3000));
+    assert!((0..5).all(|i| town.stands(i) == Standing::Whole && town.fronts[i].present() == [0, 1, 2, 3, 4]));
+    town.still.push(3);
+    town.pass(ms(8000));
+    for i in [0, 1, 2, 4] {
+        assert_eq!((town.sees(i, 3), town.stands(i)), (Liveness::Dead, Standing::Whole), "front {i}");
+        assert!(town.events[i].contains(&Event::Down(3)));
+    }
+}
+
+#[test]
+fn a_minority_knows_itself_for_one_and_calls_nobody_dead() {
+    let mut town = Town::of(5);
+    town.pass(ms(3000));
+    town.cut_off(&[0, 1]);
+    town.pass(ms(8000));
+    assert_eq!((town.stands(0), town.stands(1)), (Standing::Part, Standing::Part));
+    assert!((2..5).all(|i| town.stands(i) == Standing::Whole && town.sees(i, 0) == Liveness::Dead));
+    // Whoever is itself cut off has no ground to call others dead, nor a wrong word to spread later.
+    assert!((2..5).all(|i| town.sees(0, i) == Liveness::Suspect));
+    town.cut.clear();
+    town.pass(ms(5000));
+    assert!((0..5).all(|i| town.stands(i) == Standing::Whole && town.fronts[i].present().len() == 5));
+    let wrong = (2..5).flat_map(|i| &town.events[i]).any(|e| matches!(e, Event::Down(2..)));
+    assert!(!wrong, "nobody of the majority was taken for dead");
+}
+
+#[test]
+fn one_alone_says_so_and_half_of_a_tier_is_no_majority() {
+    let mut town = Town::of(4);
+    town.pass(ms(3000));
+    town.cut_off(&[0]);
+    town.pass(ms(6000));
+    assert_eq!(town.stands(0), Standing::Alone);
+    town.cut.clear();
+    town.pass(ms(5000));
+    town.cut_off(&[0, 1]);
+    town.pass(ms(8000));
+    assert!((0..4).all(|i| town.stands(i) == Standing::Part), "two of four");
+}
+
+#[test]
+fn what_goes_lost_one_way_between_two_harms_neither() {
+    let mut town = Town::of(5);
+    town.cut = vec![(0, 1)];
+    town.pass(ms(20_000));
+    assert!((0..5).all(|i| town.fronts[i].present().len() == 5 && town.stands(i) == Standing::Whole));
+    let down = town.events.iter().flatten().any(|e| matches!(e, Event::Down(_)));
+    assert!(!down, "others ask for them");
+}
+
+#[test]
+fn who_stood_still_knows_nothing_for_sure_until_asked_anew() {
+    let mut town = Town::of(5);
+    town.pass(ms(3000));
+    town.still.push(0);
+    town.pass(ms(10_000));
+    town.still.clear();
+    // It runs again; not a single answer has come yet.
+    let mut out = Out::default();
+    town.fronts[0].due(town.now, &mut out);
+    assert_eq!(town.stands(0), Standing::Alone, "the old view is no view");
+    assert!(out.1.iter().any(|e| matches!(e, Event::Stood(span) if *span > ms(9000))));
+    assert!(!out.1.iter().any(|e| matches!(e, Event::Down(_))), "its own silence is held against nobody");
+    assert!(!out.0.is_empty(), "it asks at once");
+    town.pass(ms(5000));
+    assert!((0..5).all(|i| town.stands(i) == Standing::Whole && town.fronts[i].present().len() == 5));
+    assert!(!(1..5).any(|i| town.events[0].contains(&Event::Down(i))));
+}
+
+#[test]
+fn a_later_life_takes_over_and_an_earlier_one_gets_nothing() {
+    let mut town = Town::of(3);
+    town.pass(ms(3000));
+    let old: Vec<_> = town.sent.iter().filter(|(from, ..)| *from == 0).cloned().collect();
+    town.fronts[0] = front(0, 3, 2000, 2);
+    town.pass(ms(4000));
+    assert_eq!(town.fronts[1].fellows()[0].incarnation, 2000);
+    // Datagrams of the earlier life that were under way.
+    for (_, to, bytes) in old {
+        let taken = town.fronts[to].heard(town.now, 0, &bytes, &mut Out::default());
+        assert!(matches!(taken, Err(Refused::Outlived | Refused::Elsewhere)), "{taken:?}");
+    }
+    assert_eq!(town.fronts[1].fellows()[0].incarnation, 2000);
+}
+
+#[test]
+fn a_clock_set_back_keeps_nobody_out() {
+    let mut town = Town::of(3);
+    town.pass(ms(3000));
+    let now = town.now;
+    town.fronts[0] = front(0, 3, 500, 2);
+    town.pass(ms(6000));
+    assert!((0..3).all(|i| town.stands(i) == Standing::Whole), "at {now:?}");
+    assert!(town.fronts[1].fellows()[0].incarnation > 1000, "a life above the one that they remember");
+}
+
+/// A datagram that front 1 of 3 has just taken from front 0, and the two.
+fn taken() -> (Town, Vec<u8>) {
+    let mut town = Town::of(3);
+    town.pass(ms(3000));
+    let (_, _, bytes) = town.sent.iter().rev().find(|(f, t, _)| (*f, *t) == (0, 1)).expect("one").clone();
+    (town, bytes)
+}
+
+#[test]
+fn a_replay_a_bend_a_forgery_and_what_is_for_others_are_refused() {
+    let (mut town, bytes) = taken();
+    let now = town.now;
+    let hear = |town: &mut Town, at: usize, from: usize, bytes: &[u8]| {
+        town.fronts[at].heard(now, from, bytes, &mut Out::default())
+    };
+    assert_eq!(hear(&mut town, 1, 0, &bytes), Err(Refused::Replayed));
+    assert_eq!(hear(&mut town, 2, 0, &bytes), Err(Refused::Elsewhere));
+    assert_eq!(hear(&mut town, 1, 2, &bytes), Err(Refused::Stranger), "from the address of another");
+    for at in 0..bytes.len() {
+        let mut bent = bytes.clone();
+        bent[at] ^= 1;
+        assert_eq!(hear(&mut town, 1, 0, &bent), Err(Refused::Forged), "byte {at}");
+    }
+    for length in 0..bytes.len() {
+        let cut = hear(&mut town, 1, 0, &bytes[..length]);
+        assert!(matches!(cut, Err(Refused::Forged | Refused::Malformed)), "{length} bytes: {cut:?}");
+    }
+    let long = [&bytes[..], &[0; 300]].concat();
+    assert_eq!(hear(&mut town, 1, 0, &long), Err(Refused::Malformed));
+    // Another tier's fronts, a life of the far future, and one without the key.
+    let from = |mut stranger: Fellows| {
+        let mut out = Out::default();
+        stranger.due(ms(400), &mut out);
+        out.0.into_iter().find(|(to, _)| *to == 1).map(|(_, bytes)| bytes)
+    };
+    let of = |tier, life, digits| {
+        (0..50).find_map(|seed| {
+            let times = Times { every: EVERY, suspicion: 3 };
+            from(Fellows::new(0, tier, life, seed, 2, times, keys(digits)))
+        })
+    };
+    let hello = |tier, life, digits| of(tier, life, digits).expect("a hello to front 1");
+    assert_eq!(hear(&mut town, 1, 0, &hello(4, 3000, "a")), Err(Refused::Tier));
+    assert_eq!(hear(&mut town, 1, 0, &hello(3, 3000, "b")), Err(Refused::Forged));
+    assert_eq!(hear(&mut town, 1, 0, &hello(3, u32::MAX, "a")), Err(Refused::Future));
+    assert_eq!(hear(&mut town, 1, 0, &hello(3, 3000, "a")), Ok(()));
+    assert_eq!(town.fronts[1].refused.iter().sum::<u64>() as usize, 6 + 2 * bytes.len());
+}
+
+#[test]
+fn keys_are_replaced_while_all_speak() {
+    let mut town = Town::of(3);
+    town.pass(ms(3000));
+    for (i, digits) in [(0, "ab"), (1, "ab"), (2, "ab"), (0, "ba"), (1, "ba"), (2, "ba"), (0, "b"), (1, "b")]
+    {
+        town.fronts[i].rekey(keys(digits));
+        town.pass(ms(1500));
+        assert!((0..3).all(|i| town.stands(i) == Standing::Whole), "{digits} at front {i}");
+    }
+    let forged = |town: &Town| town.fronts.iter().map(|f| f.refused[Refused::Forged as usize]).sum::<u64>();
+    assert_eq!(forged(&town), 0);
+    // One that was left behind with the old key alone is alone.
+    town.fronts[2].rekey(keys("a"));
+    town.pass(ms(8000));
+    assert!(forged(&town) > 0 && town.stands(2) == Standing::Alone && town.stands(0) == Standing::Whole);
+    for (wrong, says) in [("", "one key or two"), ("abc", "one key or two")] {
+        let texts: Vec<String> = wrong.chars().map(key).collect();
+        assert!(Keys::read(&texts).is_err_and(|why| why.contains(says)));
+    }
+    for (wrong, says) in [("abc".to_owned(), "found 3 characters"), (key('x'), "others at place 0")] {
+        assert!(Keys::read(&[wrong]).is_err_and(|why| why.contains(says)));
+    }
+}
+
+#[test]
+fn neighbouring_versions_understand_each_other_and_others_are_refused() {
+    let mut town = Town::speaking(&[1, 2, 1]);
+    town.pass(ms(4000));
+    assert!((0..3).all(|i| town.stands(i) == Standing::Whole));
+    assert_eq!(town.fronts[1].fellows()[0].says, None, "version 1 says nothing of itself");
+    let mut town = Town::speaking(&[2, 3, 2]);
+    town.pass(ms(4000));
+    assert!((0..3).all(|i| town.stands(i) == Standing::Whole));
+    assert_eq!(town.fronts[0].fellows()[2].says, Some(Standing::Whole));
+    let mut town = Town::speaking(&[1, 1, 3]);
+    town.pass(ms(6000));
+    assert_eq!((town.stands(0), town.stands(2)), (Standing::Whole, Standing::Alone));
+    assert!(town.fronts[0].refused[Refused::Version as usize] > 0);
+}
+
+#[test]
+fn who_leaves_is_gone_at_once_and_sends_nothing_more() {
+    let mut town = Town::of(3);
+    town.pass(ms(3000));
+    let mut out = Out::default();
+    town.fronts[0].leave(town.now, &mut out);
+    for (to, bytes) in out.0 {
+        let _ = town.fronts[to].heard(town.now, 0, &bytes, &mut Out::default());
+    }
+    town.pass(ms(600));
+    assert_eq!((town.sees(1, 0), town.sees(2, 0)), (Liveness::Dead, Liveness::Dead));
+    let before = town.sent.iter().filter(|(from, ..)| *from == 0).count();
+    town.pass(ms(5000));
+    assert_eq!(town.sent.iter().filter(|(from, ..)| *from == 0).count(), before);
+}
+
+#[test]
+fn a_flood_with_the_right_key_is_bounded() {
+    let (mut town, _) = taken();
+    let mut liar = Fellows::new(0, 3, 4000, 5, 2, Times { every: EVERY, suspicion: 3 }, keys("a"));
+    let (mut taken, mut refused) = (0, 0);
+    for step in 0..20_000u64 {
+        // It lets time fly, to have much to say.
+        let mut out = Out::default();
+        liar.due(EVERY * step as u32, &mut out);
+        for (_, bytes) in out.0.into_iter().filter(|(to, _)| *to == 1) {
+            match town.fronts[1].heard(town.now, 0, &bytes, &mut Out::default()) {
+                Ok(()) => taken += 1,
+                Err(Refused::TooMany) => refused += 1,
+                Err(_) => {}
+            }
+        }
+    }
+    assert!(taken <= 200 && refused > 1000, "{taken} taken, {refused} refused");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    /// Sealed with the right key or not: whatever comes, nothing panics, and no place outside the tier gets in.
+    #[test]
+    fn any_bytes_are_borne(body in proptest::collection::vec(any::<u8>(), 0..260), kind in 0u8..8, tier in 2usize..6) {
+        let mut one = front(1, tier, 1000, 2);
+        let mut out = Out::default();
+        let _ = one.heard(ms(10), 0, &body, &mut out);
+        let (head, from) = (kind, 0u16);
+        // As the format tells it: kind, from, to, number, tier.
+        let mut bytes = vec![2, 0];
+        let written = [&[head, from as u8, 0xe8, 0x07, 1, 0xe8, 0x07, 1, tier as u8][..]].concat();
+        bytes[1] = written.len() as u8;
+        bytes.extend(written);
+        bytes.extend(&body[..body.len().min(200)]);
+        use hmac::{Hmac, KeyInit, Mac};
+        let mac = Hmac::<sha2::Sha256>::new_from_slice(&[0xaa; 32]).expect("a key").chain_update(&bytes);
+        bytes.extend(&mac.finalize().into_bytes()[..16]);
+        let taken = one.heard(ms(10), 0, &bytes, &mut out);
+        prop_assert!(taken != Err(Refused::Forged) && taken != Err(Refused::Version), "{:?}", taken);
+        one.due(ms(700), &mut out);
+        prop_assert!(one.present().iter().all(|&place| place < tier));
+        prop_assert!(out.0.iter().all(|(to, bytes)| *to < tier && bytes.len() <= LONGEST));
+    }
+}
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::fellows;
 use crate::mail::{Answer, Arrival, ToDesk};
 use crate::mailbox::Mailbox;
 use juniperdock_door::Indices;
@@ -63,6 +64,8 @@
     pub shut: AtomicBool,
     /// The doorman is at work.
     pub doorman: AtomicBool,
+    /// The actor that speaks with the other fronts, where it is turned on.
+    pub fellows: Option<fellows::Mail>,
 }
 
 /// A client on its way to another process.
--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -1,7 +1,8 @@
 //! The control socket: the other commands of this program ask the front here. Threads of its own serve it, a
 //! few at a time and each only for a while, so that whatever comes in disturbs nothing.
 
-use crate::mail::ToDesk;
+use crate::fellows;
+use crate::mail::{ToDesk, ToFellows};
 use juniperdock_control::{Frames, fault, frame, good};
 use may::sync::mpsc::Sender;
 use serde_json::{Value, json};
@@ -28,6 +29,7 @@
     pub desk: Sender<ToDesk>,
     pub counters: Arc<crate::counters::Counters>,
     pub upgrade: Upgrade,
+    pub fellows: Option<fellows::Mail>,
 }
 
 /// Opens the socket, for its owner alone. One that lies there is replaced at once and whole.
@@ -112,8 +114,18 @@
                 let answer = told.recv_timeout(PATIENCE).map_err(|_| "the desk is late".to_owned())?;
                 answer.map(Value::from)
             }
+            Some("fleet") => {
+                let fellows =
+                    self.fellows.as_ref().ok_or("fellows are off: see fellows in the operators' file")?;
+                let (tell, told) = sync_channel(1);
+                fellows.post(ToFellows::Status(tell));
+                told.recv_timeout(PATIENCE)
+                    .map_err(|_| "it has no socket yet: its address may be taken".to_owned())
+            }
             Some("upgrade") => (self.upgrade)(asked["program"].as_str()).map(|pid| json!({ "pid": pid })),
-            Some(other) => Err(format!("expected status, move, cancel or upgrade in do, found {other:?}")),
+            Some(other) => {
+                Err(format!("expected status, move, cancel, fleet or upgrade in do, found {other:?}"))
+            }
             None => Err("expected a text in do".to_owned()),
         }
     }
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -52,5 +52,6 @@
     probes, probes_failed, members_ended, members_forgotten, lists, lists_failed, reloads, reloads_failed, reminders, reminders_late, panics,
     primary_changes, vacancies, vacant_most_ms, plans, plans_undone,
     groups_vacant, groups_settling, groups_steady, groups_doubted, groups_handing_over, waiting,
+    fellows_in, fellows_out, fellows_refused, fellows_late, fellow_ups, fellow_downs, standstills,
     held_up_most_us, connect_most_us,
 }
--- /dev/null
+++ b/crates/front/src/fellows.rs
@@ -0,0 +1,252 @@
+//! The actor that speaks with the other fronts, over one socket for datagrams. Who is there is found out by
+//! `juniperdock_fellows`; here it meets the socket, the clock, the log and the operators.
+
+use crate::clock::{Alarm, Clock};
+use crate::counters::Counters;
+use crate::mail::ToFellows;
+use juniperdock_charter as charter;
+use juniperdock_fellows::{Event, Fellows, Host, Keys, Refused, Standing, Times, life_at};
+use juniperdock_link::{Bell, Post, give_way, spawn};
+use may::sync::mpsc::{Receiver, Sender, channel};
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime};
+
+/// Datagrams read before others get their turn.
+const A_FEW: usize = 32;
+/// A suspect has so many periods to answer.
+const SUSPICION: u32 = 3;
+/// How often an address that is taken is tried again.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// Reads the keys' files.
+pub fn keys(paths: &[PathBuf]) -> Result<Keys, String> {
+    let text = |path: &PathBuf| {
+        std::fs::read_to_string(path).map_err(|e| format!("fellows.keys: {}: {e}", path.display()))
+    };
+    let texts = paths.iter().map(text).collect::<Result<Vec<_>, _>>()?;
+    Keys::read(&texts).map_err(|why| format!("fellows.keys: {why}"))
+}
+
+/// Posts to the actor; before it has a socket its mail waits.
+#[derive(Clone)]
+pub struct Mail(Sender<ToFellows>, Arc<Mutex<Option<Bell>>>);
+
+impl Mail {
+    pub fn post(&self, mail: ToFellows) {
+        let _ = self.0.send(mail);
+        let bell = self.1.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        bell.iter().for_each(Bell::ring);
+    }
+}
+
+/// What the actor needs to speak; where each place of the tier is, unless its name is not known.
+pub struct Circle {
+    pub me: usize,
+    pub name: String,
+    pub listen: SocketAddr,
+    pub peers: Vec<Option<SocketAddr>>,
+    pub laid_down: charter::Fellows,
+    pub keys: Keys,
+    pub seed: u64,
+}
+
+struct Actor {
+    circle: Circle,
+    places: HashMap<SocketAddr, usize>,
+    clock: Clock,
+    counters: Arc<Counters>,
+    log: slog::Logger,
+    mail: Receiver<ToFellows>,
+    bell: Arc<Mutex<Option<Bell>>>,
+    /// Lives of this process so far.
+    life: u32,
+}
+
+/// Carries out what the membership wants done.
+struct Hands<'a> {
+    post: &'a Post,
+    peers: &'a [Option<SocketAddr>],
+    counters: &'a Counters,
+    log: &'a slog::Logger,
+}
+
+impl Host for Hands<'_> {
+    fn send(&mut self, to: usize, datagram: &[u8]) {
+        if let Some(Some(at)) = self.peers.get(to) {
+            self.counters.fellows_out.add();
+            self.post.send(*at, datagram);
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Up(front) => {
+                self.counters.fellow_ups.add();
+                slog::info!(self.log, "fellow up"; "front" => front);
+            }
+            Event::Down(front) => {
+                self.counters.fellow_downs.add();
+                slog::warn!(self.log, "fellow down"; "front" => front);
+            }
+            Event::Back(front) => slog::info!(self.log, "fellow back in a later life"; "front" => front),
+            Event::Rejoined => slog::warn!(self.log, "fellows took this front for dead"),
+            Event::Stands(standing) => slog::info!(self.log, "standing"; "standing" => standing.name()),
+            Event::Stood(span) => {
+                self.counters.standstills.add();
+                slog::warn!(self.log, "this front stood still"; "ms" => span.as_millis() as u64);
+            }
+        }
+    }
+}
+
+/// Starts the actor.
+pub fn start(
+    circle: Circle,
+    clock: Clock,
+    counters: Arc<Counters>,
+    log: slog::Logger,
+    stack: usize,
+) -> Result<Mail, String> {
+    let (send, mail) = channel();
+    let bell = Arc::new(Mutex::new(None));
+    let places = circle.peers.iter().enumerate().filter_map(|(i, at)| Some(((*at)?, i))).collect();
+    let actor = Actor { circle, places, clock, counters, log, mail, bell: bell.clone(), life: 0 };
+    spawn("fellows", stack, move || actor.run())?;
+    Ok(Mail(send, bell))
+}
+
+impl Actor {
+    fn run(mut self) {
+        let mut told = false;
+        loop {
+            let post = match Post::open(self.circle.listen) {
+                Ok(post) => post,
+                Err(why) => {
+                    // The process before this one may still have it.
+                    if !std::mem::replace(&mut told, true) {
+                        slog::error!(self.log, "fellows can't be heard, tried again"; "why" => why);
+                    }
+                    let (wake, woken) = channel();
+                    self.clock.at(self.clock.now() + AGAIN, move || {
+                        let _ = wake.send(());
+                    });
+                    let _ = woken.recv();
+                    continue;
+                }
+            };
+            told = false;
+            *self.bell.lock().unwrap_or_else(PoisonError::into_inner) = Some(post.bell());
+            let done = catch_unwind(AssertUnwindSafe(|| self.speak(&post)));
+            *self.bell.lock().unwrap_or_else(PoisonError::into_inner) = None;
+            drop(post);
+            match done {
+                // Has left: until it is asked in again, or for good.
+                Ok(()) => loop {
+                    match self.mail.recv() {
+                        Ok(ToFellows::Enter) => break,
+                        Ok(ToFellows::Status(tell)) => drop(tell.try_send(json!({ "left": true }))),
+                        Ok(ToFellows::Keys(keys)) => self.circle.keys = keys,
+                        Ok(ToFellows::Leave) => {}
+                        Err(_) => return,
+                    }
+                },
+                Err(_) => self.counters.panics.add(),
+            }
+        }
+    }
+
+    fn core(&mut self) -> Fellows {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        self.life = life_at(unix).max(self.life + 1);
+        let Circle { me, peers, laid_down, keys, seed, .. } = &self.circle;
+        let times = Times { every: Duration::from_millis(laid_down.every_ms), suspicion: SUSPICION };
+        Fellows::new(*me, peers.len(), self.life, *seed, laid_down.speaks, times, keys.clone())
+    }
+
+    /// Speaks until it is to leave.
+    fn speak(&mut self, post: &Post) {
+        let mut core = self.core();
+        let begun = self.clock.now();
+        let bell = post.bell();
+        let mut alarm: Option<(Duration, Alarm)> = None;
+        // One byte more than the longest, so that a longer one is seen to be longer.
+        let mut buffer = [0; juniperdock_fellows::LONGEST + 1];
+        loop {
+            let Actor { circle, counters, log, .. } = &*self;
+            let mut hands = Hands { post, peers: &circle.peers, counters, log };
+            let mut read = 0;
+            while read < A_FEW
+                && let Some((length, from)) = post.receive(&mut buffer)
+            {
+                read += 1;
+                counters.fellows_in.add();
+                let now = self.clock.now() - begun;
+                let taken = match self.places.get(&from) {
+                    Some(&place) => core.heard(now, place, &buffer[..length], &mut hands),
+                    None => {
+                        core.stranger();
+                        Err(Refused::Stranger)
+                    }
+                };
+                if let Err(why) = taken {
+                    counters.fellows_refused.add();
+                    slog::debug!(log, "a datagram is refused"; "from" => %from, "why" => why.name());
+                }
+            }
+            let mut leaves = false;
+            while let Ok(mail) = self.mail.try_recv() {
+                let now = self.clock.now() - begun;
+                match mail {
+                    ToFellows::Status(tell) => drop(tell.try_send(status(&core, &self.circle.name, now))),
+                    ToFellows::Keys(keys) => {
+                        self.circle.keys = keys.clone();
+                        core.rekey(keys);
+                    }
+                    ToFellows::Leave => leaves = true,
+                    ToFellows::Enter => {}
+                }
+            }
+            let Actor { circle, counters, log, .. } = &*self;
+            let mut hands = Hands { post, peers: &circle.peers, counters, log };
+            let now = self.clock.now() - begun;
+            if leaves {
+                core.leave(now, &mut hands);
+                return;
+            }
+            core.due(now, &mut hands);
+            // One alarm at a time.
+            let next = core.next().saturating_add(begun);
+            if alarm.as_ref().is_none_or(|(at, _)| *at != next) {
+                alarm.iter().for_each(|(_, old)| self.clock.cancel(old));
+                let bell = bell.clone();
+                alarm = Some((next, self.clock.at(next, move || bell.ring())));
+            }
+            if read == A_FEW { give_way() } else { post.wait() }
+        }
+    }
+}
+
+/// What `fleet status` tells.
+fn status(core: &Fellows, name: &str, now: Duration) -> Value {
+    let (standing, since) = core.standing();
+    let ago = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+    let front = |f: &juniperdock_fellows::Fellow| {
+        json!({ "index": f.index, "state": f.liveness.name(), "incarnation": f.incarnation,
+            "heard_ms_ago": f.heard.map(ago), "says": f.says.map(Standing::name) })
+    };
+    let refused: serde_json::Map<String, Value> = Refused::ALL
+        .iter()
+        .filter(|why| core.refused[**why as usize] > 0)
+        .map(|why| (why.name().to_owned(), core.refused[*why as usize].into()))
+        .collect();
+    json!({ "me": core.me(), "name": name, "incarnation": core.incarnation(),
+        "standing": standing.name(), "since_ms": ago(since), "view": core.view(),
+        "present": core.present(), "fronts": core.fellows().iter().map(front).collect::<Vec<_>>(),
+        "datagrams_in": core.datagrams_in, "datagrams_out": core.datagrams_out, "bytes_out": core.bytes_out,
+        "longest": core.longest, "refused": refused })
+}
--- a/crates/front/src/mail.rs
+++ b/crates/front/src/mail.rs
@@ -1,6 +1,7 @@
 //! The mail between actors. It stands below them all, so that none of them needs to know another.
 
 use crate::mailbox::Mailbox;
+use juniperdock_fellows::Keys;
 use juniperdock_held::Most;
 use juniperdock_link::Bell;
 use juniperdock_router::host::{Ending, Report, Role};
@@ -101,6 +102,17 @@
     },
 }
 
+/// To the actor that speaks with the other fronts.
+pub enum ToFellows {
+    /// How they stand.
+    Status(SyncSender<Value>),
+    /// Other keys count from now on.
+    Keys(Keys),
+    /// Says farewell and lets go of the address; `Enter` takes it up again.
+    Leave,
+    Enter,
+}
+
 #[derive(Clone)]
 pub struct Submit {
     pub ticket: u64,
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod counters;
 mod desk;
+mod fellows;
 mod keep;
 mod list;
 mod mail;
@@ -61,6 +62,11 @@
         #[command(subcommand)]
         what: Change,
     },
+    /// The fronts together.
+    Fleet {
+        #[command(subcommand)]
+        what: Fleet,
+    },
     /// Hands the running front's clients over to a new process.
     Upgrade {
         /// The program to be started; the one that runs unless it is named here or in the operators' file.
@@ -90,6 +96,12 @@
     Completions { shell: clap_complete::Shell },
 }
 
+#[derive(Subcommand)]
+enum Fleet {
+    /// Who of the fronts is there, as the running front sees it, and how it stands itself.
+    Status,
+}
+
 #[derive(Subcommand)]
 enum Show {
     /// Prints a snapshot as JSON, and why a start would refuse it.
@@ -152,7 +164,7 @@
         }
         let mut faults = read.as_ref().map_or_else(|faults| named(faults), |_| Vec::new());
         if std::env::var_os("GW_CONFIG").is_some() {
-            faults.extend(serve::check().err());
+            faults.extend(serve::check(read.as_ref().ok()).err());
         }
         if !faults.is_empty() {
             return Err(faults.join(if words.json { "; " } else { "\njuniperdock: " }));
@@ -192,6 +204,9 @@
             };
             say(&ask(asked, PATIENCE)?, &|answer| answer.as_str().unwrap_or_default().to_owned());
         }
+        Some(What::Fleet { what: Fleet::Status }) => {
+            say(&ask(json!({ "do": "fleet" }), PATIENCE)?, &plain_fleet);
+        }
         Some(What::Upgrade { program }) => {
             let wait = Duration::from_millis(charter.upgrade.ready_ms + charter.upgrade.taken_ms) + PATIENCE;
             let asked = json!({ "do": "upgrade", "program": program });
@@ -212,6 +227,33 @@
     Ok(())
 }
 
+fn plain_fleet(fleet: &Value) -> String {
+    if fleet["left"].as_bool() == Some(true) {
+        return "this front has left its fellows".to_owned();
+    }
+    let text = |value: &Value| value.as_str().unwrap_or("-").to_owned();
+    let mut lines = vec![
+        format!(
+            "{} (front {}): {} for {} ms, view {}",
+            text(&fleet["name"]),
+            fleet["me"],
+            text(&fleet["standing"]),
+            fleet["since_ms"],
+            fleet["view"]
+        ),
+        format!("{:>6}  {:<8} {:>11}  {:>12}  says", "front", "state", "incarnation", "heard ms ago"),
+    ];
+    for front in fleet["fronts"].as_array().into_iter().flatten() {
+        let heard = front["heard_ms_ago"].as_u64().map_or_else(|| "-".to_owned(), |ms| ms.to_string());
+        let (index, state) = (&front["index"], text(&front["state"]));
+        let (life, says) = (&front["incarnation"], text(&front["says"]));
+        lines.push(format!("{index:>6}  {state:<8} {life:>11}  {heard:>12}  {says}"));
+    }
+    let (came, went, refused) = (&fleet["datagrams_in"], &fleet["datagrams_out"], &fleet["refused"]);
+    lines.push(format!("{came} datagrams came, {went} went, refused: {refused}"));
+    lines.join("\n")
+}
+
 fn plain_status(status: &Value) -> String {
     let mut lines = vec![format!("{:>8}  {:<13} {:>5}  {:>7}  primary", "group", "phase", "term", "waiting")];
     for group in status["groups"].as_array().into_iter().flatten() {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -3,15 +3,15 @@
 use crate::client::{self, STACK};
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::mail::{ToDesk, ToList};
+use crate::mail::{ToDesk, ToFellows, ToList};
 use crate::told::Told;
 use crate::upgrade::{self, Taking};
-use crate::{control, desk, keep, list, member, signals};
+use crate::{control, desk, fellows, keep, list, member, signals};
 use juniperdock_charter::{Charter, Fault, Form, Held, Log, Upgrade};
 use juniperdock_handover::Times;
 use juniperdock_held::Most;
 use juniperdock_link::{Door, spawn};
-use may::sync::mpsc::{Sender, channel};
+use may::sync::mpsc::channel;
 use sd_notify::NotifyState;
 use slog::Drain;
 use std::path::{Path, PathBuf};
@@ -26,11 +26,48 @@
 const DEEP_STACK: usize = 1 << 20;
 
 /// Whether the platform's configuration is all there, as far as a start would tell.
-pub fn check() -> Result<(), String> {
+pub fn check(charter: Option<&Charter>) -> Result<(), String> {
     let told = Told::read()?;
     told.address("GW_LISTEN", "listen")?;
     told.address("GW_DISCOVERY", "discovery")?;
-    told.check()
+    told.check()?;
+    let Some(laid_down) = charter.and_then(|charter| charter.fellows.as_ref()) else { return Ok(()) };
+    fellows::keys(&laid_down.keys)?;
+    let (listen, peers) = told.fellows()?.ok_or("fellows: the settings do not allow fronts to speak")?;
+    peers.into_iter().collect::<Result<Vec<_>, _>>()?;
+    // A front that runs has its own address; any other that has it is in the way.
+    let free = std::net::UdpSocket::bind(listen);
+    let runs =
+        charter.and_then(|charter| charter.control.as_ref()).is_some_and(|control| control.path.exists());
+    match free {
+        Err(e) if !runs => Err(format!("peer_listen: {listen}: {e}")),
+        _ => Ok(()),
+    }
+}
+
+/// Starts to speak with the other fronts, where the operators' file and the settings have it.
+fn fellows_of(
+    charter: &Charter,
+    told: &Told,
+    clock: &Clock,
+    counters: &Arc<Counters>,
+    log: &slog::Logger,
+) -> Result<Option<fellows::Mail>, String> {
+    let Some(laid_down) = charter.fellows.clone() else { return Ok(None) };
+    let keys = fellows::keys(&laid_down.keys)?;
+    let Some((listen, peers)) = told.fellows()? else {
+        slog::warn!(log, "fellows stay off: the settings do not allow fronts to speak");
+        return Ok(None);
+    };
+    // One name that can't be found keeps nobody from serving.
+    let known = |peer: Result<_, String>| {
+        peer.map_err(|why| slog::error!(log, "a fellow has no address"; "why" => why)).ok()
+    };
+    let peers = peers.into_iter().map(known).collect();
+    let (me, _) = told.place()?;
+    let circle =
+        fellows::Circle { me, name: told.name(me), listen, peers, laid_down, keys, seed: told.seed()? };
+    fellows::start(circle, clock.clone(), counters.clone(), log.clone(), DEEP_STACK).map(Some)
 }
 
 /// Reads what is told, wires the actors, and serves until SIGTERM.
@@ -148,6 +185,7 @@
         coming: AtomicBool::new(false),
         shut: AtomicBool::new(false),
         doorman: AtomicBool::new(true),
+        fellows: fellows_of(charter, &told, &clock, &counters, &log)?,
     });
     if let Some(taking) = taking {
         taking.serve(&hall)?;
@@ -159,7 +197,8 @@
     }
     if let Some(socket) = &charter.control {
         let upgrade = upgrades(&hall, &door, &charter.upgrade, &log);
-        let control = control::Control { desk: to_desk, counters: counters.clone(), upgrade };
+        let fellows = hall.fellows.clone();
+        let control = control::Control { desk: to_desk, counters: counters.clone(), upgrade, fellows };
         control::serve(control::open(&socket.path)?, control, log.clone());
     }
     // Where a supervisor has named a socket for it.
@@ -169,7 +208,7 @@
     }
     slog::info!(log, "serving"; "listen" => %listen, "discovery" => %discovery);
     let now = Mutex::new(charter.clone());
-    let laid_down = || again(file, &now, &hall.desk);
+    let laid_down = || again(file, &now, &hall);
     signals::follow(signals, &told, &to_list, &laid_down, &hall, &counters, longest + grace, &log);
     Ok(())
 }
@@ -187,7 +226,7 @@
 fn again(
     file: Option<&Path>,
     now: &Mutex<Charter>,
-    desk: &Sender<ToDesk>,
+    hall: &client::Hall,
 ) -> Result<Vec<&'static str>, String> {
     let Some(file) = file else { return Ok(Vec::new()) };
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
@@ -195,14 +234,20 @@
     let new = juniperdock_charter::read(&text).map_err(join)?;
     let mut now = now.lock().unwrap_or_else(PoisonError::into_inner);
     if new.held != now.held {
-        let _ = desk.send(ToDesk::Hold(most(&new.held), new.held.untaken_share));
+        let _ = hall.desk.send(ToDesk::Hold(most(&new.held), new.held.untaken_share));
         now.held = new.held.clone();
     }
+    if let (Some(new), Some(old), Some(fellows)) = (&new.fellows, &mut now.fellows, &hall.fellows) {
+        // The files may have changed under the same names.
+        fellows.post(ToFellows::Keys(fellows::keys(&new.keys)?));
+        old.keys.clone_from(&new.keys);
+    }
     let other = [
         ("log", new.log != now.log),
         ("control", new.control != now.control),
         ("upgrade", new.upgrade != now.upgrade),
         ("snapshot", new.snapshot != now.snapshot),
+        ("fellows", new.fellows != now.fellows),
     ];
     Ok(other.into_iter().filter(|(_, changed)| *changed).map(|(name, _)| name).collect())
 }
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -3,7 +3,7 @@
 
 use crate::client::Hall;
 use crate::counters::Counters;
-use crate::mail::ToList;
+use crate::mail::{ToFellows, ToList};
 use crate::told::Told;
 use may::sync::mpsc::Sender;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
@@ -68,6 +68,7 @@
             _ => break,
         }
     }
+    hall.fellows.iter().for_each(|fellows| fellows.post(ToFellows::Leave));
     std::thread::sleep(LINGER);
     hall.close();
     let last = hall.clock.now() + longest;
--- a/crates/front/src/told.rs
+++ b/crates/front/src/told.rs
@@ -5,7 +5,7 @@
 use juniperdock_router::routing::Router;
 use juniperdock_terms::term;
 use serde_json::Value;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, ToSocketAddrs};
 use std::time::Duration;
 
 /// Buffers for an answer hold at most one in so many parts of the memory.
@@ -30,6 +30,9 @@
     pub crowd: usize,
 }
 
+/// Where a front listens for its fellows, and where they are, or why that is not known.
+pub type Places = (SocketAddr, Vec<Result<SocketAddr, String>>);
+
 /// Reads the configuration's file.
 pub fn configuration(path: &str) -> Result<Value, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("GW_CONFIG: reading {path}: {e}"))?;
@@ -138,6 +141,53 @@
         self.memory().map_or(0, |bytes| bytes / MEMORY_PARTS).max(juniperdock_pg::LONGEST)
     }
 
+    /// This front's place in its tier, and how many there are.
+    pub fn place(&self) -> Result<(usize, usize), String> {
+        let number = |path: &str| {
+            let number = self.term(path).and_then(|text| text.parse::<usize>().ok());
+            number.ok_or_else(|| format!("settings: expected a number in {path}"))
+        };
+        let (me, tier) = (number("Me")?, number("Balancers")?);
+        if me >= tier {
+            Err(format!("settings: expected Me below Balancers, found {me} of {tier}"))
+        } else {
+            Ok((me, tier))
+        }
+    }
+
+    /// What this front is called.
+    pub fn name(&self, me: usize) -> String {
+        let name = std::env::var("GW_NAME").ok().or_else(|| self.whole["name"].as_str().map(str::to_owned));
+        name.unwrap_or_else(|| format!("front {me}"))
+    }
+
+    /// Where this front listens for its fellows and where they are, by their places; `None` where the
+    /// settings do not allow it. A name that can't be found is told in its place.
+    pub fn fellows(&self) -> Result<Option<Places>, String> {
+        if self.term("Bounds.Peers").is_some_and(|allowed| allowed != "true" && allowed != "1") {
+            return Ok(None);
+        }
+        let find = |field: &str, text: &str| {
+            let found = text.to_socket_addrs().map_err(|e| format!("{field}: {text}: {e}"))?.next();
+            found.ok_or_else(|| format!("{field}: {text}: no address"))
+        };
+        let text = |field: &str, value: &Value| {
+            let text = value.as_str().ok_or_else(|| format!("expected a text in {field} of GW_CONFIG"))?;
+            find(field, text)
+        };
+        let listen = text("peer_listen", &self.whole["peer_listen"])?;
+        let peers = self.whole["peers"].as_array().ok_or("expected a list in peers of GW_CONFIG")?;
+        let (me, tier) = self.place()?;
+        if peers.len() != tier {
+            return Err(format!(
+                "peers: expected {tier} addresses, as Balancers tells, found {}",
+                peers.len()
+            ));
+        }
+        let at = |(i, peer)| if i == me { Ok(listen) } else { text(&format!("peers[{i}]"), peer) };
+        Ok(Some((listen, peers.iter().enumerate().map(at).collect())))
+    }
+
     /// The member list as last seen, and its version.
     pub fn known(&self) -> (Result<Value, String>, Option<u64>) {
         let known = self.whole["known"].clone();
--- a/crates/front/src/upgrade.rs
+++ b/crates/front/src/upgrade.rs
@@ -3,7 +3,7 @@
 //! for calls wait.
 
 use crate::client::{Hall, Move, Moved, STACK};
-use crate::mail::ToDesk;
+use crate::mail::{ToDesk, ToFellows};
 use juniperdock_handover::word::{self, Hears, LONGEST};
 use juniperdock_handover::{Do, Giver, Phase, SPOKEN, Stage, Taker, Times};
 use juniperdock_link::{Door, spawn};
@@ -179,6 +179,8 @@
                 if self.say(&word::commit(), None) {
                     self.hall.shut.store(true, Ordering::Release);
                     self.door.bell().ring();
+                    // The new process needs the address, and speaks in this place from now on.
+                    self.hall.fellows.iter().for_each(|fellows| fellows.post(ToFellows::Leave));
                     let _ = self.hall.desk.send(ToDesk::Give(self.idles.0.clone()));
                     slog::info!(self.log, "handed over"; "clients" => self.away.len(), "pid" => self.child.id());
                     let _ = tell.try_send(Ok(self.child.id()));
@@ -222,6 +224,7 @@
             while self.hall.doorman.load(Ordering::Acquire) {
                 std::thread::sleep(LOOK);
             }
+            self.hall.fellows.iter().for_each(|fellows| fellows.post(ToFellows::Enter));
             let (hall, door) = (self.hall.clone(), self.door.clone());
             if let Err(why) = spawn("doorman", STACK, move || hall.let_in(&door)) {
                 slog::crit!(self.log, "nobody can be taken in any more"; "why" => why);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! The laboratory: scenarios, played in simulated time or on sockets, compared, searched and reported.
 //! Figures of simulated runs are called so everywhere. `docs/laboratory.md` says what is modelled.
 
+pub mod circle;
 pub mod experiment;
 pub mod fronts;
 pub mod load;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,7 +7,7 @@
 use juniperdock_lab::measure::Outcome;
 use juniperdock_lab::scenario::{self, SHELF, Scenario, find};
 use juniperdock_lab::simulate::simulate;
-use juniperdock_lab::{load, prove, report, sockets};
+use juniperdock_lab::{circle, load, prove, report, sockets};
 use std::io::IsTerminal;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -122,6 +122,19 @@
         #[arg(long)]
         json: bool,
     },
+    /// The fronts' membership at size, in simulated time, for a file in JSON5 or some sizes.
+    Circle {
+        /// What befalls the fronts, by a file; nothing without one.
+        file: Option<PathBuf>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Sizes to play it at, in place of the file's.
+        #[arg(long, value_delimiter = ',')]
+        fronts: Vec<usize>,
+        /// Prints the schema of such files instead.
+        #[arg(long)]
+        schema: bool,
+    },
     /// Same seed, same day; auditors find what is broken; simulated and real are near.
     Prove {
         #[arg(long, default_value_t = 1)]
@@ -225,6 +238,22 @@
             println!("{:#}", juniperdock_charter::schema_of::<scenario::Scenario>());
             Ok(true)
         }
+        What::Circle { file, seed, fronts, schema } => {
+            if schema {
+                println!("{:#}", juniperdock_charter::schema_of::<circle::Circle>());
+                return Ok(true);
+            }
+            let text = file.as_ref().map_or(Ok("{}".to_owned()), std::fs::read_to_string);
+            let text = text.map_err(|e| e.to_string())?;
+            let read: circle::Circle = juniperdock_charter::read_as(&text)
+                .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))?;
+            let sizes = if fronts.is_empty() { vec![read.fronts] } else { fronts };
+            for fronts in sizes {
+                let seen = circle::play(&circle::Circle { fronts, ..read.clone() }, seed);
+                println!("{}", serde_json::to_string(&seen).map_err(|e| e.to_string())?);
+            }
+            Ok(true)
+        }
         What::Run { scenario, seed, policy, set, json, report } => {
             let scenario = changed(&scenario, &set)?;
             let outcome = simulate(&scenario, seed, policy, None, report.is_some());
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr};
+use std::net::{Shutdown, SocketAddr, UdpSocket};
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
 use std::sync::Arc;
 use std::time::Duration;
@@ -275,6 +275,47 @@
     }
 }
 
+/// A socket for datagrams, owned by one coroutine.
+pub struct Post(CoIo<UdpSocket>);
+
+impl Post {
+    pub fn open(at: SocketAddr) -> Result<Post, String> {
+        let failed = |e: &dyn fmt::Display| format!("datagrams at {at}: {e}");
+        CoIo::new(UdpSocket::bind(at).map_err(|e| failed(&e))?).map(Post).map_err(|e| failed(&e))
+    }
+
+    pub fn bell(&self) -> Bell {
+        Bell(Arc::new(self.0.waker()))
+    }
+
+    /// The next datagram that is there, and whose it is; cut where the buffer ends.
+    pub fn receive(&self, buffer: &mut [u8]) -> Option<(usize, SocketAddr)> {
+        loop {
+            match self.0.inner().recv_from(buffer) {
+                Ok(came) => return Some(came),
+                // What the machine tells of one that was sent to nobody is no datagram.
+                Err(e) if e.kind() == ErrorKind::Interrupted || e.kind() == ErrorKind::ConnectionRefused => {}
+                Err(_) => return None,
+            }
+        }
+    }
+
+    /// Hands a datagram to the machine; one that it does not take is lost, as on the way.
+    pub fn send(&self, to: SocketAddr, datagram: &[u8]) -> bool {
+        self.0.inner().send_to(datagram, to).is_ok()
+    }
+
+    /// Waits until there is something to read or the bell rings.
+    pub fn wait(&self) {
+        self.0.wait_io();
+    }
+}
+
+/// Lets the other coroutines run before this one goes on.
+pub fn give_way() {
+    may::coroutine::yield_now();
+}
+
 /// Starts a coroutine with a stack of so many bytes.
 pub fn spawn(name: &str, stack: usize, body: impl FnOnce() + Send + 'static) -> Result<(), String> {
     let builder = Builder::new().name(name.to_owned()).stack_size(stack / size_of::<usize>());
