--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,9 @@
 # An emulated fleet, one front on sockets, a primary killed half-way; KEEP=--keep leaves it up.
 demo: build
 	target/release/juniperdock-lab demo $(KEEP)
+
+# Seven processes under load, with faults between them by the seed, then healed; audited by their history alone.
+.PHONY: prove-fleet
+
+prove-fleet: build
+	target/release/juniperdock-lab fleet --seed $(SEED)
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -20,4 +20,4 @@
 pub use calendar::Calendar;
 pub use chance::{Stream, Zipf};
 pub use shape::{Crowd, Election, Ill, Kind, Log, Node, Shape, Trouble, What, Whom};
-pub use world::{Entry, How, Out, Told, World};
+pub use world::{Entry, How, Note, Out, Told, World};
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -116,6 +116,62 @@
     },
 }
 
+/// What others than the auditors here may judge by: told as it happens, where [`World::noting`] is on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Note {
+    /// A submission has come to a member's machine; how old its data is, and whether it takes itself for the
+    /// primary, or has been one in some epoch.
+    Submitted {
+        front: usize,
+        txn: u32,
+        member: usize,
+        group: usize,
+        age: Option<Duration>,
+        leads: bool,
+        epoch: Option<u32>,
+    },
+    /// A submission is over for its front.
+    Over {
+        front: usize,
+        txn: u32,
+        member: usize,
+        ending: Ending,
+    },
+    /// Work has come to a member that is cold, and what it can do in the window at this warmth, in seconds.
+    Pressed {
+        member: usize,
+        work: f64,
+        can: f64,
+    },
+    /// A write has taken effect, or its effect is lost with the log that an election dropped.
+    Ran {
+        txn: u32,
+        member: usize,
+    },
+    Undone {
+        txn: u32,
+    },
+    /// A member has told a front that it is a replica.
+    Replica {
+        front: usize,
+        member: usize,
+        epoch: u32,
+    },
+    Primary {
+        group: usize,
+        member: usize,
+    },
+    Fell {
+        member: usize,
+    },
+    Started {
+        member: usize,
+    },
+    Killed {
+        member: usize,
+    },
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Event {
     Next,
@@ -224,6 +280,10 @@
     /// Fronts are elsewhere: a row counts as an answer only once its client says that it came, and whether two
     /// submissions of a txn were out at once can't be told.
     pub remote: bool,
+    /// Notes since they were last taken, where they are wanted.
+    notes: Option<Vec<(Duration, Note)>>,
+    /// Which members a front does not reach, beyond troubles.
+    unreached: BTreeSet<(usize, usize)>,
 }
 
 impl World {
@@ -275,6 +335,8 @@
             events: 0,
             answered_in_grace: 0,
             remote: false,
+            notes: None,
+            unreached: BTreeSet::new(),
             shape,
         };
         for node in world.shape.members.clone() {
@@ -313,6 +375,30 @@
         &self.shape
     }
 
+    /// From now on notes are taken.
+    pub fn noting(&mut self) {
+        self.notes = Some(Vec::new());
+    }
+
+    /// The notes since the last call, in order.
+    pub fn take_notes(&mut self) -> Vec<(Duration, Note)> {
+        self.notes.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    fn jot(&mut self, note: Note) {
+        let now = self.now;
+        self.notes.iter_mut().for_each(|notes| notes.push((now, note)));
+    }
+
+    /// A front reaches a member no more, or again.
+    pub fn part(&mut self, front: usize, member: usize, parted: bool) {
+        if parted {
+            self.unreached.insert((front, member));
+        } else {
+            self.unreached.remove(&(front, member));
+        }
+    }
+
     /// What has happened so far, as one number: equal for equal seeds.
     pub fn trace(&self) -> u64 {
         self.hash.digest()
@@ -410,6 +496,7 @@
             Out::Ended { front, member, role: Some(Role::Replica), .. } => {
                 let epoch = self.members[member].epoch;
                 self.audit.heard_replica(front, member, epoch);
+                self.jot(Note::Replica { front, member, epoch });
             }
             _ => {}
         }
@@ -477,6 +564,10 @@
                     .breaks(5, now, || format!("front {front} reads data {ms} ms old at member {member}"));
             }
         }
+        let m = &self.members[member];
+        let (leads, epoch) = (m.believes, m.was_primary.then_some(m.epoch));
+        let age = m.runs().then(|| now.saturating_sub(self.truth(member)));
+        self.jot(Note::Submitted { front, txn, member, group: to.1, age, leads, epoch });
         let sub = self.subs.len() as u32;
         let hop = self.hop(front, member);
         let (ended, settled, role, position) = (None, false, None, None);
@@ -594,7 +685,9 @@
 
     fn apart(&self, front: usize, member: usize) -> bool {
         let m = &self.members[member];
-        m.cut_from_fronts > 0 || self.zones_apart(self.fronts[front].zone, m.zone)
+        m.cut_from_fronts > 0
+            || self.unreached.contains(&(front, member))
+            || self.zones_apart(self.fronts[front].zone, m.zone)
     }
 
     /// Whether a member gets the log of its group's primary.
@@ -912,6 +1005,7 @@
     fn end(&mut self, sub: u32, ending: Ending) {
         let Sub { txn, member, sent, role, position, .. } = self.subs[sub as usize];
         self.subs[sub as usize].ended = Some(ending);
+        self.jot(Note::Over { front: self.tries[txn as usize].front, txn, member, ending });
         let Try { front, life, told, expiry, .. } = self.tries[txn as usize];
         if self.fronts[front].life != life {
             return;
@@ -979,6 +1073,12 @@
 
     fn press(&mut self, member: usize, work: f64, load: Load) {
         let now = self.now;
+        let m = &self.members[member];
+        if m.started.is_some_and(|at| now < at + self.shape.cold.warm_up) {
+            let window = self.shape.cold.window.as_secs_f64();
+            let can = self.shape.cores * m.warmth(now, &self.shape) * window;
+            self.jot(Note::Pressed { member, work, can });
+        }
         if let Some([txns, handshakes, probes, most]) =
             self.members[member].press(now, work, load, &self.shape)
         {
@@ -990,6 +1090,7 @@
             });
             self.members[member].gone = true;
             self.kill(member);
+            self.jot(Note::Fell { member });
         }
     }
 
@@ -1055,6 +1156,7 @@
         }
         let place = self.groups[group].commit(now, if marked { mark } else { 0 }, txn);
         self.tries[txn as usize].ran += 1;
+        self.jot(Note::Ran { txn, member });
         if self.tries[txn as usize].ran > 1 && effect != Effect::Repeatable {
             self.audit.breaks(2, now, || format!("txn {txn} took effect twice"));
         }
@@ -1193,6 +1295,7 @@
         for write in dropped {
             let ran = &mut self.tries[write.txn as usize].ran;
             *ran = ran.saturating_sub(1);
+            self.jot(Note::Undone { txn: write.txn });
         }
         for at in 0..self.groups[group].members.len() {
             let m = self.groups[group].members[at];
@@ -1211,6 +1314,7 @@
         (m.believes, m.was_primary, m.position) = (true, true, now);
         m.epoch += 1;
         (self.groups[group].primary, self.groups[group].term) = (Some(next), self.groups[group].term + 1);
+        self.jot(Note::Primary { group, member: next });
         if let Some(old) = old {
             let m = &mut self.members[old];
             m.position = m.position.min(now);
@@ -1274,6 +1378,7 @@
         self.members[member].up = false;
         self.members[member].believes = false;
         self.members[member].turn += 1;
+        self.jot(Note::Killed { member });
         for sub in all {
             let Sub { txn, settled, .. } = self.subs[sub as usize];
             if !settled {
@@ -1303,6 +1408,7 @@
             return;
         }
         let (now, group) = (self.now, self.members[member].group);
+        self.jot(Note::Started { member });
         self.fix(group);
         let m = &mut self.members[member];
         (m.up, m.drains, m.started) = (true, false, Some(now));
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -27,6 +27,8 @@
 const ROLLED: usize = 1024;
 /// A front that knows nobody for sure asks so many at a time.
 const ASKED: usize = 3;
+/// Suspects that are asked in each period.
+const SUSPECTS: usize = 2;
 /// Now and then it asks one that it takes for dead, every so many periods.
 const SELDOM: u32 = 6;
 /// Periods without a datagram from anybody, after which a front takes itself for alone.
@@ -215,6 +217,8 @@
 #[derive(Debug)]
 enum Due {
     Swim(Timer<Who>),
+    /// A suspect is to be called dead, suspected since then.
+    Verdict(Timer<Who>, Duration),
     Hello,
 }
 
@@ -257,8 +261,9 @@
     proven: Vec<usize>,
     /// The survey under way: the hellos of it, how many were answered, and when it is over.
     survey: (Vec<u64>, usize, Duration),
-    /// The last survey was answered by too few to be a majority of the tier.
+    /// The last survey was answered by too few to be a majority of the tier; when the last began that was not.
     minor: bool,
+    confirmed: Option<Duration>,
     /// How many were not alive at the last look, and until when surveys go on.
     failed: usize,
     surveys_until: Duration,
@@ -314,6 +319,7 @@
             proven: Vec::new(),
             survey: (Vec::new(), 0, Duration::ZERO),
             minor: false,
+            confirmed: None,
             failed: 0,
             surveys_until: Duration::ZERO,
             rolled: 0,
@@ -348,12 +354,16 @@
         while let Some((_, due)) = self.timers.due(now - self.lost) {
             match due {
                 // Who does not hear a majority has no ground to call others dead: it may be itself that is cut
-                // off. They stay suspects until it does, so that it has no wrong word to spread when it is back.
-                Due::Swim(timer @ Timer::ChangeSuspectToDown { .. }) if self.standing != Standing::Whole => {
+                // off. They stay suspects until it has asked, since it began to suspect them, and a majority of
+                // the tier has answered. So it has no wrong word to spread when it is back.
+                Due::Verdict(timer, since) if self.confirmed.is_none_or(|at| at < since) => {
+                    self.surveys_until = now + self.times.every * 2 * QUIET;
                     let at = now - self.lost + self.times.every;
-                    self.timers.set(at, (at, Due::Swim(timer)));
+                    self.timers.set(at, (at, Due::Verdict(timer, since)));
+                }
+                Due::Swim(timer) | Due::Verdict(timer, _) => {
+                    let _ = self.with(now, host, |swim, acts| swim.handle_timer(timer, acts));
                 }
-                Due::Swim(timer) => drop(self.with(now, host, |swim, acts| swim.handle_timer(timer, acts))),
                 Due::Hello => {
                     self.greet(host);
                     self.survey(now, host);
@@ -501,7 +511,7 @@
         self.proven.clear();
         self.hellos.clear();
         self.survey = Default::default();
-        self.minor = false;
+        (self.minor, self.confirmed) = (false, None);
         if self.tier > 1 && self.standing != Standing::Alone {
             (self.standing, self.since) = (Standing::Alone, now);
             host.event(Event::Stands(Standing::Alone));
@@ -513,7 +523,12 @@
         if self.tier == 1 {
             return;
         }
-        let alive = self.swim.iter_members().filter(|member| member.state() == State::Alive).count() + 1;
+        // A suspect that is heard all the same is suspected by others.
+        let heard = |member: &foca::Member<Who>| {
+            let heard = self.marks[usize::from(member.id().index)].heard;
+            member.state() == State::Alive || heard.is_some_and(|at| at + self.times.every * 2 > now)
+        };
+        let alive = self.swim.iter_members().filter(|member| heard(member)).count() + 1;
         if self.standing != Standing::Alone
             && now > self.last_heard + self.times.every * (QUIET + self.strain)
         {
@@ -547,9 +562,12 @@
             false => 0,
         };
         let present = self.present();
-        let others: Vec<usize> = (0..self.tier)
-            .filter(|i| *i != self.me && (unsure || present.binary_search(i).is_err()))
-            .collect();
+        let unknown = |i: &usize| *i != self.me && (unsure || present.binary_search(i).is_err());
+        let others: Vec<usize> = (0..self.tier).filter(unknown).collect();
+        // A suspect that answers is none, whatever is said of it; it may never hear the rumour and refute it.
+        let suspects = self.swim.iter_members().filter(|member| member.state() == State::Suspect);
+        let suspects: Vec<usize> = suspects.map(|member| member.id().index.into()).collect();
+        self.hail(suspects, SUSPECTS, host);
         self.hail(others, most, host);
     }
 
@@ -573,17 +591,18 @@
     /// While others fail, or seem to, a front asks some of the whole tier who hears it: where it is itself cut
     /// off, that shows long before each of the others has been found missing one by one.
     fn survey(&mut self, now: Duration, host: &mut impl Host) {
-        let (asked, answered, _) = std::mem::take(&mut self.survey);
+        let (asked, answered, since) = std::mem::take(&mut self.survey);
         if !asked.is_empty() {
             // Of a small tier all others were asked, of a large one a sample.
             self.minor = 2 * (answered + 1) <= asked.len() + 1;
+            self.confirmed = Some(since).filter(|_| !self.minor).or(self.confirmed);
         }
         let failed = self.swim.iter_membership_state().filter(|m| m.state() != State::Alive).count();
         if failed >= (self.tier / MANY).max(1) && failed != self.failed {
             self.surveys_until = now + self.times.every * 2 * QUIET;
         }
         self.failed = failed;
-        if self.standing != Standing::Alone && (now < self.surveys_until || self.minor) {
+        if now < self.surveys_until || self.minor {
             let others = (0..self.tier).filter(|&i| i != self.me).collect();
             let asked = self.hail(others, SURVEYED, host);
             self.survey = (asked, 0, now);
@@ -672,7 +691,11 @@
         let done = call(&mut self.swim, &mut acts);
         for (after, timer) in acts.timers {
             let at = now - self.lost + after;
-            self.timers.set(at, (at, Due::Swim(timer)));
+            let due = match timer {
+                Timer::ChangeSuspectToDown { .. } => Due::Verdict(timer, now),
+                _ => Due::Swim(timer),
+            };
+            self.timers.set(at, (at, due));
         }
         // The library may ask an earlier life of this very place.
         for (to, body) in acts.sends {
@@ -802,8 +825,15 @@
             self.born = next.life;
             let _ = self.with(now, host, |swim, acts| swim.change_identity(next, acts));
         }
-        if !self.swim.iter_members().any(|member| *member.id() == from) {
-            let _ = self.with(now, host, |swim, acts| swim.announce(from, acts));
+        let known = self.swim.iter_members().find(|member| *member.id() == from).cloned();
+        match known {
+            None => drop(self.with(now, host, |swim, acts| swim.announce(from, acts))),
+            Some(suspect) if suspect.state() == State::Suspect => {
+                // For this front alone: the others need a proof of their own.
+                let alive = foca::Member::new(from, suspect.incarnation().saturating_add(1), State::Alive);
+                let _ = self.with(now, host, |swim, acts| swim.apply_many([alive].into_iter(), false, acts));
+            }
+            Some(_) => {}
         }
         Ok(())
     }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::told::Told;
 use crate::upgrade::{self, Taking};
 use crate::{control, desk, fellows, keep, list, member, signals};
+use juniperdock_charter as charter;
 use juniperdock_charter::{Charter, Fault, Form, Held, Log, Upgrade};
 use juniperdock_handover::Times;
 use juniperdock_held::Most;
@@ -45,29 +46,26 @@
     }
 }
 
-/// Starts to speak with the other fronts, where the operators' file and the settings have it.
+/// Starts to speak with the other fronts, where the operators' file and the settings have it. Whatever is wrong
+/// there keeps no front from serving: the log says why it goes without its fellows, and `check` says it before.
 fn fellows_of(
-    charter: &Charter,
+    laid_down: &charter::Fellows,
     told: &Told,
     clock: &Clock,
     counters: &Arc<Counters>,
     log: &slog::Logger,
-) -> Result<Option<fellows::Mail>, String> {
-    let Some(laid_down) = charter.fellows.clone() else { return Ok(None) };
+) -> Result<fellows::Mail, String> {
     let keys = fellows::keys(&laid_down.keys)?;
-    let Some((listen, peers)) = told.fellows()? else {
-        slog::warn!(log, "fellows stay off: the settings do not allow fronts to speak");
-        return Ok(None);
-    };
-    // One name that can't be found keeps nobody from serving.
+    let (listen, peers) = told.fellows()?.ok_or("the settings do not allow fronts to speak")?;
+    // One name that can't be found is one fellow less.
     let known = |peer: Result<_, String>| {
         peer.map_err(|why| slog::error!(log, "a fellow has no address"; "why" => why)).ok()
     };
     let peers = peers.into_iter().map(known).collect();
     let (me, _) = told.place()?;
-    let circle =
-        fellows::Circle { me, name: told.name(me), listen, peers, laid_down, keys, seed: told.seed()? };
-    fellows::start(circle, clock.clone(), counters.clone(), log.clone(), DEEP_STACK).map(Some)
+    let (name, laid_down, seed) = (told.name(me), laid_down.clone(), told.seed()?);
+    let circle = fellows::Circle { me, name, listen, peers, laid_down, keys, seed };
+    fellows::start(circle, clock.clone(), counters.clone(), log.clone(), DEEP_STACK)
 }
 
 /// Reads what is told, wires the actors, and serves until SIGTERM.
@@ -185,7 +183,10 @@
         coming: AtomicBool::new(false),
         shut: AtomicBool::new(false),
         doorman: AtomicBool::new(true),
-        fellows: fellows_of(charter, &told, &clock, &counters, &log)?,
+        fellows: charter.fellows.as_ref().and_then(|laid_down| {
+            let started = fellows_of(laid_down, &told, &clock, &counters, &log);
+            started.map_err(|why| slog::error!(log, "fellows are off"; "why" => why)).ok()
+        }),
     });
     if let Some(taking) = taking {
         taking.serve(&hall)?;
--- /dev/null
+++ b/crates/lab/src/fleet/audit.rs
@@ -0,0 +1,751 @@
+//! Looks at a history, and at nothing else: the rules over all processes together, and what the fronts held of
+//! each other. No code of the program is used here.
+
+use super::history::Line;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// After the last mishap all have to hold the same for there within this time.
+pub const AGREE: Duration = Duration::from_secs(5);
+/// A side that is cut off may take itself for the whole for so long at most.
+const FOUND_OUT: Duration = Duration::from_secs(8);
+/// No datagram is longer.
+const LONGEST: u64 = 256;
+/// What one front sends shortly after another has is no news to it yet, and what it is told counts as known
+/// after this.
+const KNOWN: Duration = Duration::from_millis(100);
+/// A front that is met by something is excused for so long after it.
+const AFTER: Duration = Duration::from_millis(2500);
+/// A life that is so much later than any that a front was in is a forger's.
+const FORGED: u64 = 1000;
+
+/// One fault that an auditor has found.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Found {
+    pub auditor: &'static str,
+    pub at_s: f64,
+    pub what: String,
+}
+
+/// All auditors, with a fault planted on purpose that each has to catch.
+pub const AUDITORS: [Auditor; 11] = [
+    Auditor { name: "answers", look: answers, plant: drop_answer },
+    Auditor { name: "effects", look: effects, plant: plant_effect },
+    Auditor { name: "truth", look: truth, plant: plant_decline },
+    Auditor { name: "one at a time", look: one_at_a_time, plant: plant_copy },
+    Auditor { name: "drains", look: drains, plant: plant_drain },
+    Auditor { name: "cold", look: cold, plant: plant_pressure },
+    Auditor { name: "stale", look: stale, plant: plant_age },
+    Auditor { name: "forged", look: forged, plant: plant_life },
+    Auditor { name: "size", look: size, plant: plant_length },
+    Auditor { name: "views", look: views, plant: plant_view },
+    Auditor { name: "majority", look: majority, plant: plant_majority },
+];
+
+pub struct Auditor {
+    pub name: &'static str,
+    look: fn(&Town) -> Vec<(Duration, String)>,
+    /// Puts a fault into a sound history; false where nothing in it can be spoilt so.
+    plant: fn(&mut Vec<Line>) -> bool,
+}
+
+impl Auditor {
+    pub fn finds(&self, lines: &[Line]) -> Vec<Found> {
+        let found = (self.look)(&Town::of(lines));
+        let one = |(at, what): (Duration, String)| Found { auditor: self.name, at_s: at.as_secs_f64(), what };
+        found.into_iter().map(one).collect()
+    }
+
+    /// Whether a fault that was planted is caught that is not there without it.
+    pub fn catches(&self, lines: &[Line]) -> bool {
+        let before = self.finds(lines).len();
+        let mut spoilt = lines.to_vec();
+        (self.plant)(&mut spoilt) && self.finds(&spoilt).len() > before
+    }
+}
+
+/// What the history says of the circumstances.
+struct Town<'a> {
+    lines: &'a [Line],
+    setting: &'a Value,
+    fronts: usize,
+    /// By front: when its process was met by something, its time to come round counted in.
+    met: Vec<Vec<(Duration, Duration)>>,
+    /// Mishaps by their numbers: what, from when to when.
+    mishaps: Vec<(Value, Duration, Duration)>,
+    /// Txns: kind.
+    kinds: HashMap<u64, usize>,
+}
+
+fn micros(value: &Value) -> Duration {
+    Duration::from_micros(value.as_u64().unwrap_or_default())
+}
+
+impl<'a> Town<'a> {
+    fn of(lines: &'a [Line]) -> Town<'a> {
+        static NONE: Value = Value::Null;
+        let setting = lines.iter().find(|line| line.what == "setting").map_or(&NONE, |line| &line.more);
+        let fronts = setting["fronts"].as_u64().unwrap_or_default() as usize;
+        let mut mishaps: BTreeMap<u64, (Value, Duration, Duration)> = BTreeMap::new();
+        let mut kinds = HashMap::new();
+        for line in lines {
+            let number = line.number("number").unwrap_or_default();
+            match line.what.as_str() {
+                "mishap" => {
+                    mishaps.insert(number, (line.more["mishap"].clone(), line.at, Duration::MAX));
+                }
+                "healed" => {
+                    mishaps.entry(number).and_modify(|m| m.2 = line.at);
+                }
+                "txn" => {
+                    let kind = line.number("kind").unwrap_or_default() as usize;
+                    kinds.insert(line.number("txn").unwrap_or_default(), kind);
+                }
+                _ => {}
+            }
+        }
+        let mishaps: Vec<_> = mishaps.into_values().collect();
+        let mut met = vec![Vec::new(); fronts];
+        for (mishap, from, to) in &mishaps {
+            let process = ["front_killed", "front_ended", "front_stopped", "front_slow", "upgraded"];
+            let front = mishap["front"].as_u64().map(|front| front as usize).filter(|&front| front < fronts);
+            if let Some(front) =
+                front.filter(|_| process.contains(&mishap["what"].as_str().unwrap_or_default()))
+            {
+                met[front].push((*from, to.saturating_add(AFTER)));
+            }
+        }
+        // A process that is not up yet, or has been told to end, answers for nothing.
+        for line in lines.iter().filter(|line| line.what == "start" || line.what == "told to end") {
+            let front = line.number("front").unwrap_or_default() as usize;
+            if front < fronts {
+                met[front].push((line.at, line.at + AFTER));
+            }
+        }
+        Town { lines, setting, fronts, met, mishaps, kinds }
+    }
+
+    fn each(&self, what: &'a str) -> impl Iterator<Item = &'a Line> {
+        self.lines.iter().filter(move |line| line.what == what)
+    }
+
+    fn kind(&self, txn: u64) -> &Value {
+        let kind = self.kinds.get(&txn).copied().unwrap_or(usize::MAX);
+        self.setting["kinds"].get(kind).unwrap_or(&Value::Null)
+    }
+
+    /// Whether something met a front's process in that time.
+    fn excused(&self, front: usize, from: Duration, to: Duration) -> bool {
+        self.met.get(front).is_some_and(|met| met.iter().any(|&(a, b)| a <= to && from <= b))
+    }
+
+    /// Ends of a history that are not over yet.
+    fn end(&self) -> Duration {
+        self.each("over")
+            .map(|line| line.at)
+            .next()
+            .unwrap_or_else(|| self.lines.last().map_or(Duration::ZERO, |l| l.at))
+    }
+}
+
+fn front(line: &Line) -> usize {
+    line.number("front").unwrap_or_default() as usize
+}
+
+fn txn(line: &Line) -> u64 {
+    line.number("txn").unwrap_or_default()
+}
+
+/// Rule 1: who has asked is answered once, unless its front's process was met by something meanwhile.
+fn answers(town: &Town) -> Vec<(Duration, String)> {
+    let mut asked: HashMap<u64, (Duration, usize, Duration)> = HashMap::new();
+    let mut answered: HashMap<u64, (Duration, bool, u32)> = HashMap::new();
+    for line in town.lines {
+        match line.what.as_str() {
+            "asked" => {
+                asked.insert(txn(line), (line.at, front(line), micros(&line.more["left"])));
+            }
+            "answered" => {
+                let told = line.text("told") != "nothing";
+                let entry = answered.entry(txn(line)).or_insert((line.at, told, 0));
+                entry.2 += 1;
+                entry.1 |= told;
+            }
+            _ => {}
+        }
+    }
+    let (slack, end) = (micros(&town.setting["slack"]), town.end());
+    let mut found = Vec::new();
+    let mut all: Vec<_> = asked.into_iter().collect();
+    all.sort_unstable();
+    for (txn, (at, front, left)) in all {
+        let due = at + left + slack;
+        if due > end || town.excused(front, at, due) {
+            continue;
+        }
+        match answered.get(&txn) {
+            Some((_, true, 1)) => {}
+            Some((_, true, times)) => {
+                found.push((at, format!("front {front} answers txn {txn} {times} times")))
+            }
+            _ => found.push((at, format!("front {front} leaves txn {txn} without an answer"))),
+        }
+    }
+    found
+}
+
+/// Rule 2: no txn takes effect twice.
+fn effects(town: &Town) -> Vec<(Duration, String)> {
+    let mut ran: HashMap<u64, i64> = HashMap::new();
+    let mut found = Vec::new();
+    for line in town.lines {
+        let by = match line.what.as_str() {
+            "ran" => 1,
+            "undone" => -1,
+            _ => continue,
+        };
+        let times = ran.entry(txn(line)).or_default();
+        *times += by;
+        if *times > 1 {
+            found.push((line.at, format!("txn {} took effect {times} times", txn(line))));
+        }
+    }
+    found
+}
+
+/// Rule 2: what is told declined has not run and does not run later, and what is told committed has run.
+fn truth(town: &Town) -> Vec<(Duration, String)> {
+    let mut ran: HashMap<u64, i64> = HashMap::new();
+    for line in town.lines {
+        match line.what.as_str() {
+            "ran" => *ran.entry(txn(line)).or_default() += 1,
+            "undone" => *ran.entry(txn(line)).or_default() -= 1,
+            _ => {}
+        }
+    }
+    let mut found = Vec::new();
+    for line in town.each("answered") {
+        let kind = town.kind(txn(line));
+        if kind["write"].as_bool() != Some(true) {
+            continue;
+        }
+        // A mark that its group knew already was answered for an earlier txn of the same wish.
+        let once = kind["repeatable"].as_bool() == Some(false) && kind["name"] == "order";
+        let times = ran.get(&txn(line)).copied().unwrap_or(0);
+        match line.text("told") {
+            "declined" if times > 0 => {
+                found.push((line.at, format!("txn {} is declined and has run", txn(line))));
+            }
+            "committed" if times < 1 && once => {
+                found.push((line.at, format!("txn {} is committed and has not run", txn(line))));
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// Rules 1 and 2: one submission of a txn at a time, and none after its answer. A member hears of a front that has
+/// given one up a moment after the next has come.
+fn one_at_a_time(town: &Town) -> Vec<(Duration, String)> {
+    let mut spans: BTreeMap<u64, Vec<(Duration, Duration, u64)>> = BTreeMap::new();
+    let mut answered: HashMap<u64, Duration> = HashMap::new();
+    let mut found = Vec::new();
+    for line in town.lines {
+        let (txn, member) = (txn(line), line.number("member").unwrap_or_default());
+        match line.what.as_str() {
+            "submitted" => {
+                spans.entry(txn).or_default().push((line.at, Duration::MAX, member));
+                if answered.get(&txn).is_some_and(|&at| line.at > at + KNOWN) {
+                    found.push((line.at, format!("front {} sends txn {txn} after its answer", front(line))));
+                }
+            }
+            "ended" => {
+                let mut its = spans.entry(txn).or_default().iter_mut();
+                let open = its.find(|span| span.2 == member && span.1 == Duration::MAX);
+                open.into_iter().for_each(|span| span.1 = line.at);
+            }
+            "answered" if line.text("told") != "nothing" => {
+                answered.entry(txn).or_insert(line.at);
+            }
+            _ => {}
+        }
+    }
+    for (txn, spans) in spans {
+        for pair in spans.windows(2).filter(|pair| pair[0].1 > pair[1].0 + KNOWN) {
+            found.push((pair[1].0, format!("txn {txn} is out twice")));
+        }
+    }
+    found
+}
+
+/// Rule 3: nothing new to what drains or is gone, past the grace, by what each process was told.
+fn drains(town: &Town) -> Vec<(Duration, String)> {
+    let grace = micros(&town.setting["drain_grace"]) + KNOWN;
+    let mut told: HashMap<(usize, u64), Duration> = HashMap::new();
+    let mut found = Vec::new();
+    for line in town.lines {
+        let key = (front(line), line.number("member").unwrap_or_default());
+        match line.what.as_str() {
+            "listed" if line.text("state") == "up" => {
+                told.remove(&key);
+            }
+            "listed" => {
+                told.entry(key).or_insert(line.at);
+            }
+            "submitted" if told.get(&key).is_some_and(|&at| line.at > at + grace) => {
+                // One that stood still may not have read it; what it had written before still arrives.
+                if !town.excused(key.0, line.at - grace, line.at) {
+                    found.push((
+                        line.at,
+                        format!("front {} sends to member {}, which is to get none", key.0, key.1),
+                    ));
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// Rule 4: no cold member is sent more than it bears, all processes together.
+fn cold(town: &Town) -> Vec<(Duration, String)> {
+    let (window, multiple) =
+        (micros(&town.setting["window"]), town.setting["multiple"].as_f64().unwrap_or(f64::MAX));
+    let mut came: HashMap<u64, Vec<(Duration, f64)>> = HashMap::new();
+    let mut found = Vec::new();
+    for line in town.each("pressed") {
+        let member = line.number("member").unwrap_or_default();
+        let work = line.more["work"].as_f64().unwrap_or_default();
+        let can = line.more["can"].as_f64().unwrap_or_default();
+        let all = came.entry(member).or_default();
+        all.push((line.at, work));
+        all.retain(|&(at, _)| at + window >= line.at);
+        let sum: f64 = all.iter().map(|w| w.1).sum();
+        if sum > multiple * can {
+            found.push((
+                line.at,
+                format!("member {member} is sent {sum:.3} s of work, it bears {:.3}", multiple * can),
+            ));
+        }
+    }
+    found
+}
+
+/// Rule 5: no read of data older than its bound, unless its member has not yet told that it is a replica.
+fn stale(town: &Town) -> Vec<(Duration, String)> {
+    let mut replica: HashMap<(usize, u64), (Duration, u64)> = HashMap::new();
+    let mut found = Vec::new();
+    for line in town.lines {
+        let key = (front(line), line.number("member").unwrap_or_default());
+        match line.what.as_str() {
+            "replica" => {
+                replica.insert(key, (line.at, line.number("epoch").unwrap_or_default()));
+            }
+            "submitted" => {
+                let (Some(bound), Some(age)) = (town.kind(txn(line))["bound"].as_u64(), line.number("age"))
+                else {
+                    continue;
+                };
+                let leads = line.more["leads"].as_bool() == Some(true);
+                let epoch = line.number("epoch");
+                let told =
+                    replica.get(&key).is_some_and(|&(at, of)| Some(of) == epoch && line.at > at + KNOWN);
+                // What lay in a socket while its front stood still was written in time.
+                let excused = leads || epoch.is_some() && !told || town.excused(key.0, line.at, line.at);
+                if age > bound + KNOWN.as_micros() as u64 && !excused {
+                    found.push((
+                        line.at,
+                        format!("front {} reads data {} ms old at member {}", key.0, age / 1000, key.1),
+                    ));
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// Nobody believes in a life that no process was in.
+fn forged(town: &Town) -> Vec<(Duration, String)> {
+    let mut latest = vec![0u64; town.fronts];
+    let statuses: Vec<&Line> = town.each("status").collect();
+    for line in &statuses {
+        let own = line.more["status"]["incarnation"].as_u64().unwrap_or_default();
+        if let Some(latest) = latest.get_mut(front(line)) {
+            *latest = (*latest).max(own);
+        }
+    }
+    let mut found = Vec::new();
+    for line in statuses {
+        for fellow in line.more["status"]["fronts"].as_array().into_iter().flatten() {
+            let index = fellow["index"].as_u64().unwrap_or_default() as usize;
+            let life = fellow["incarnation"].as_u64().unwrap_or_default();
+            if latest.get(index).is_some_and(|&latest| latest > 0 && life > latest + FORGED) {
+                found.push((
+                    line.at,
+                    format!("front {} believes in life {life} of front {index}", front(line)),
+                ));
+            }
+        }
+    }
+    found
+}
+
+/// No datagram is longer than the platform allows.
+fn size(town: &Town) -> Vec<(Duration, String)> {
+    let longest = |line: &&Line| line.number("longest").is_some_and(|longest| longest > LONGEST);
+    let too_long = town.each("over").filter(longest);
+    too_long.map(|line| (line.at, format!("a datagram of {} bytes", line.more["longest"]))).collect()
+}
+
+/// When all fronts last began to hold the same for there: all of them, each whole. By the statuses; none if
+/// they do not to the end.
+fn agreed_from(town: &Town) -> Option<Duration> {
+    let healed = micros(&town.setting["healed"]);
+    let all: Vec<u64> = (0..town.fronts as u64).collect();
+    let mut good: Vec<Option<Duration>> = vec![None; town.fronts];
+    let ends = town.each("told to end").map(|line| line.at).min().unwrap_or(Duration::MAX);
+    for line in town.each("status") {
+        let asked = micros(&line.more["asked"]);
+        if asked < healed || line.at > ends {
+            continue;
+        }
+        let status = &line.more["status"];
+        let present: Vec<u64> =
+            status["present"].as_array().into_iter().flatten().filter_map(Value::as_u64).collect();
+        let well = status["standing"] == "whole" && present == all;
+        if let Some(good) = good.get_mut(front(line)) {
+            *good = if well { good.or(Some(line.at)) } else { None };
+        }
+    }
+    good.into_iter().try_fold(Duration::ZERO, |latest, at| Some(latest.max(at?)))
+}
+
+fn views(town: &Town) -> Vec<(Duration, String)> {
+    if town.setting["fellows"].as_bool() != Some(true) {
+        return Vec::new();
+    }
+    let healed = micros(&town.setting["healed"]);
+    match agreed_from(town) {
+        Some(at) if at <= healed + AGREE => Vec::new(),
+        Some(at) => {
+            vec![(at, format!("all agree only {:.1} s after the last mishap", (at - healed).as_secs_f64()))]
+        }
+        None => vec![(healed, "the fronts do not agree who is there".to_owned())],
+    }
+}
+
+/// No minority takes itself for the whole once it has had the time to find out.
+fn majority(town: &Town) -> Vec<(Duration, String)> {
+    let mut found = Vec::new();
+    for line in town.each("status").filter(|line| line.more["status"]["standing"] == "whole") {
+        let asked = micros(&line.more["asked"]);
+        for (mishap, from, to) in &town.mishaps {
+            let side: BTreeSet<usize> = mishap["side"]
+                .as_array()
+                .into_iter()
+                .flatten()
+                .filter_map(Value::as_u64)
+                .map(|f| f as usize)
+                .collect();
+            let cut = mishap["what"] == "apart" && asked > *from + FOUND_OUT && line.at < *to;
+            let mine = if side.contains(&front(line)) { side.len() } else { town.fronts - side.len() };
+            if cut && 2 * mine <= town.fronts && !town.excused(front(line), *from, line.at) {
+                found.push((
+                    line.at,
+                    format!("front {} is one of {mine} and takes itself for the whole", front(line)),
+                ));
+            }
+        }
+    }
+    found
+}
+
+/// What a history shows, in figures.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    pub processes: usize,
+    pub faults: usize,
+    pub kinds: usize,
+    pub txns: usize,
+    pub committed: usize,
+    pub lost: usize,
+    pub doubled: usize,
+    pub stale: usize,
+    pub rules_broken: usize,
+    pub detect_p50_ms: f64,
+    pub detect_p99_ms: f64,
+    pub detected: u64,
+    pub false_suspicions: usize,
+    pub settle_ms: Option<u64>,
+    pub datagram_max: u64,
+    pub forged_accepted: usize,
+    pub refused: u64,
+    pub auditors: usize,
+    /// Auditors that did not catch what was planted for them.
+    pub blind: Vec<&'static str>,
+    pub found: Vec<Found>,
+    /// Of the last second or so: what all fronts together have refused, by why.
+    pub why_refused: BTreeMap<String, u64>,
+}
+
+pub fn figures(lines: &[Line]) -> Figures {
+    let town = Town::of(lines);
+    let mut seen = Figures { processes: town.fronts, faults: town.mishaps.len(), ..Figures::default() };
+    let kinds: BTreeSet<&str> = town.mishaps.iter().filter_map(|m| m.0["what"].as_str()).collect();
+    (seen.kinds, seen.txns) = (kinds.len(), town.each("asked").count());
+    seen.committed = town.each("answered").filter(|line| line.text("told") == "committed").count();
+    for auditor in &AUDITORS {
+        let found = auditor.finds(lines);
+        match auditor.name {
+            "answers" => seen.lost = found.len(),
+            "effects" | "one at a time" => seen.doubled += found.len(),
+            "stale" => seen.stale = found.len(),
+            "forged" => seen.forged_accepted = found.len(),
+            _ => {}
+        }
+        let rules = ["answers", "effects", "truth", "one at a time", "drains", "cold", "stale"];
+        seen.rules_broken += if rules.contains(&auditor.name) { found.len() } else { 0 };
+        if auditor.catches(lines) {
+            seen.auditors += 1
+        } else {
+            seen.blind.push(auditor.name)
+        }
+        seen.found.extend(found);
+    }
+    // Deaths: from when nobody could hear a front until each other took it for dead.
+    let mut times = Histogram::<u64>::new_with_bounds(1, 600_000, 3).expect("good bounds");
+    for line in town.each("log").filter(|line| line.more["log"]["msg"] == "fellow down") {
+        let (by, whom) = (front(line), line.more["log"]["front"].as_u64().unwrap_or_default() as usize);
+        let gone = town.mishaps.iter().find(|(mishap, from, to)| {
+            let what = mishap["what"].as_str().unwrap_or_default();
+            let met = ["front_killed", "front_stopped", "unheard"].contains(&what)
+                && mishap["front"] == json!(whom)
+                || what == "apart" && sides(mishap, whom) != sides(mishap, by);
+            met && line.at >= *from && line.at <= to.saturating_add(AFTER)
+        });
+        match gone {
+            Some((mishap, from, _)) if mishap["what"] != "apart" => {
+                times.saturating_record((line.at - *from).as_millis().max(1) as u64);
+            }
+            Some(_) => {}
+            // Whoever leaves is gone at once; who was met by something else, or is met by loss, was not dead.
+            None if town.excused(whom, line.at, line.at) || town.excused(by, line.at, line.at) => {}
+            None => seen.false_suspicions += 1,
+        }
+    }
+    seen.detected = times.len();
+    if !times.is_empty() {
+        seen.detect_p50_ms = times.value_at_percentile(50.0) as f64;
+        seen.detect_p99_ms = times.value_at_percentile(99.0) as f64;
+    }
+    let healed = micros(&town.setting["healed"]);
+    seen.settle_ms = agreed_from(&town).map(|at| at.saturating_sub(healed).as_millis() as u64);
+    seen.datagram_max = town.each("over").filter_map(|line| line.number("longest")).max().unwrap_or_default();
+    let mut last: BTreeMap<usize, &Value> = BTreeMap::new();
+    for line in town.each("status") {
+        last.insert(front(line), &line.more["status"]["refused"]);
+    }
+    for (why, count) in last.values().filter_map(|refused| refused.as_object()).flatten() {
+        *seen.why_refused.entry(why.clone()).or_default() += count.as_u64().unwrap_or_default();
+    }
+    seen.refused = seen.why_refused.values().sum();
+    seen
+}
+
+fn sides(mishap: &Value, front: usize) -> bool {
+    mishap["side"].as_array().is_some_and(|side| side.contains(&json!(front)))
+}
+
+impl Figures {
+    /// Nothing that has to be none is there, and every auditor has caught what was planted for it.
+    pub fn holds(&self) -> bool {
+        self.found.is_empty() && self.auditors == AUDITORS.len() && self.committed > 0
+    }
+}
+
+impl std::fmt::Display for Figures {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        for found in self.found.iter().take(20) {
+            writeln!(f, "{} at {:.3} s: {}", found.auditor, found.at_s, found.what)?;
+        }
+        self.blind.iter().try_for_each(|name| writeln!(f, "the auditor of {name} is blind"))?;
+        let settle = self.settle_ms.map_or("-".to_owned(), |ms| ms.to_string());
+        write!(
+            f,
+            "fleet: processes={} faults={} kinds={} txns={} lost={} doubled={} stale={} rules_broken={} \
+             detect_p99_ms={:.0} false_suspicions={} settle_ms={settle} datagram_max={} forged_accepted={} auditors={}/{}",
+            self.processes,
+            self.faults,
+            self.kinds,
+            self.txns,
+            self.lost,
+            self.doubled,
+            self.stale,
+            self.rules_broken,
+            self.detect_p99_ms,
+            self.false_suspicions,
+            self.datagram_max,
+            self.forged_accepted,
+            self.auditors,
+            AUDITORS.len()
+        )
+    }
+}
+
+// Faults planted on purpose.
+
+/// The line that is left out is one whose lack can be told: of a calm front, in the middle of the day.
+fn middle(lines: &[Line], what: &str, fits: impl Fn(&Town, &Line) -> bool) -> Option<usize> {
+    let town = Town::of(lines);
+    let fit: Vec<usize> =
+        (0..lines.len()).filter(|&i| lines[i].what == what && fits(&town, &lines[i])).collect();
+    fit.get(fit.len() / 2).copied()
+}
+
+fn drop_answer(lines: &mut Vec<Line>) -> bool {
+    let at = middle(lines, "answered", |town, line| {
+        line.text("told") == "committed"
+            && !town.excused(front(line), line.at.saturating_sub(2 * AFTER), line.at + 2 * AFTER)
+            && line.at + 2 * AFTER < town.end()
+    });
+    at.map(|at| lines.remove(at)).is_some()
+}
+
+/// A submission comes twice, and the first is out for long.
+fn plant_copy(lines: &mut Vec<Line>) -> bool {
+    let Some(at) = middle(lines, "submitted", |_, _| true) else { return false };
+    let copy = lines[at].clone();
+    let its = |line: &Line| line.what == "ended" && txn(line) == txn(&copy) && line.at >= copy.at;
+    if let Some(end) = lines.iter().position(its) {
+        let mut end = lines.remove(end);
+        end.at += 3 * KNOWN;
+        let place = lines.partition_point(|line| line.at <= end.at);
+        lines.insert(place, end);
+    }
+    lines.insert(at + 1, copy);
+    true
+}
+
+fn plant_effect(lines: &mut Vec<Line>) -> bool {
+    let at = middle(lines, "ran", |_, _| true);
+    if let Some(at) = at {
+        let again = lines[at].clone();
+        lines.insert(at + 1, again);
+    }
+    at.is_some()
+}
+
+/// A write that has run is told declined.
+fn plant_decline(lines: &mut Vec<Line>) -> bool {
+    let ran: BTreeSet<u64> = lines.iter().filter(|line| line.what == "ran").map(txn).collect();
+    let at =
+        middle(lines, "answered", |_, line| line.text("told") == "committed" && ran.contains(&txn(line)));
+    if let Some(at) = at {
+        lines[at].more["told"] = "declined".into();
+    }
+    at.is_some()
+}
+
+/// A front was told long before that a member drains.
+fn plant_drain(lines: &mut Vec<Line>) -> bool {
+    let grace = Duration::from_secs(2);
+    let Some(at) = middle(lines, "submitted", |town, line| {
+        !town.excused(front(line), line.at.saturating_sub(2 * grace), line.at)
+    }) else {
+        return false;
+    };
+    let told = lines[at].at.saturating_sub(grace);
+    let more =
+        json!({ "front": lines[at].more["front"], "member": lines[at].more["member"], "state": "stopped" });
+    let (from, until) = (front(&lines[at]), lines[at].number("member"));
+    // What the list said of it meanwhile is left out.
+    let said = |line: &Line| line.what == "listed" && front(line) == from && line.number("member") == until;
+    lines.retain(|line| !said(line));
+    let place = lines.partition_point(|line| line.at <= told);
+    lines.insert(place, Line { at: told, what: "listed".to_owned(), more });
+    true
+}
+
+/// Far more work comes to a member that has just started than it bears.
+fn plant_pressure(lines: &mut Vec<Line>) -> bool {
+    let place = lines.len() / 2;
+    let at = lines.get(place).map_or(Duration::ZERO, |line| line.at);
+    let more = json!({ "member": 0, "work": 1e9, "can": 0.1 });
+    lines.insert(place, Line { at, what: "pressed".to_owned(), more });
+    true
+}
+
+fn plant_age(lines: &mut Vec<Line>) -> bool {
+    let at = middle(lines, "submitted", |town, line| {
+        let bounded = town.kind(txn(line))["bound"].as_u64().is_some();
+        let calm = !town.excused(front(line), line.at, line.at);
+        bounded && calm && line.more["leads"] == false && line.more["epoch"].is_null()
+    });
+    if let Some(at) = at {
+        lines[at].more["age"] = 60_000_000u64.into();
+    }
+    at.is_some()
+}
+
+fn plant_life(lines: &mut Vec<Line>) -> bool {
+    let at = middle(lines, "status", |_, line| {
+        line.more["status"]["fronts"].as_array().is_some_and(|f| f.len() > 1)
+    });
+    if let Some(at) = at {
+        let index =
+            (front(&lines[at]) + 1) % lines[at].more["status"]["fronts"].as_array().map_or(1, Vec::len);
+        let life = lines[at].more["status"]["fronts"][index]["incarnation"].as_u64().unwrap_or_default();
+        lines[at].more["status"]["fronts"][index]["incarnation"] = (life.max(1 << 20) + 5 * FORGED).into();
+        let latest = Town::of(lines).each("status").filter(|line| front(line) == index).count();
+        return latest > 0;
+    }
+    false
+}
+
+fn plant_length(lines: &mut Vec<Line>) -> bool {
+    let at = lines.iter().position(|line| line.what == "over");
+    if let Some(at) = at {
+        lines[at].more["longest"] = (LONGEST + 1).into();
+    }
+    at.is_some()
+}
+
+/// One front lacks another to the end.
+fn plant_view(lines: &mut Vec<Line>) -> bool {
+    let mut any = false;
+    for line in lines.iter_mut().filter(|line| line.what == "status" && front(line) == 0) {
+        if let Some(present) = line.more["status"]["present"].as_array_mut() {
+            any |= present.pop().is_some();
+        }
+    }
+    any
+}
+
+/// A front that is alone on its side of a long cut says that it is whole.
+fn plant_majority(lines: &mut Vec<Line>) -> bool {
+    let Some(at) = middle(lines, "status", |_, line| line.more["status"]["standing"] == "whole") else {
+        return false;
+    };
+    let (front, when) = (lines[at].more["front"].clone(), micros(&lines[at].more["asked"]));
+    let from = when.saturating_sub(2 * FOUND_OUT);
+    let mishap = json!({ "what": "apart", "side": [front] });
+    let line = |at, what: &str| Line {
+        at,
+        what: what.to_owned(),
+        more: json!({ "number": u64::MAX, "mishap": mishap }),
+    };
+    let (begins, ends) = (line(from, "mishap"), line(lines[at].at + FOUND_OUT, "healed"));
+    // Nothing else met it meanwhile.
+    lines.retain(|line| !(line.what == "start" && line.more["front"] == front));
+    lines.retain(|line| !(line.what == "mishap" && line.more["mishap"]["front"] == front));
+    for line in [begins, ends] {
+        let place = lines.partition_point(|other| other.at <= line.at);
+        lines.insert(place, line);
+    }
+    true
+}
--- /dev/null
+++ b/crates/lab/src/fleet/history.rs
@@ -0,0 +1,64 @@
+//! One file for all that happened: a line of JSON each, in the order of its times. Auditors read nothing else.
+
+use serde_json::{Value, json};
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::Path;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Written by many at once; clones are the same.
+#[derive(Clone)]
+pub struct History(Arc<Mutex<BufWriter<File>>>);
+
+impl History {
+    pub fn create(path: &Path) -> Result<History, String> {
+        let file = File::create(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Ok(History(Arc::new(Mutex::new(BufWriter::new(file)))))
+    }
+
+    /// Notes what happened at a time since the beginning.
+    pub fn note(&self, at: Duration, what: &str, mut more: Value) {
+        more["t"] = json!(at.as_micros() as u64);
+        more["what"] = what.into();
+        let mut file = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let _ = writeln!(file, "{more}");
+    }
+
+    pub fn flush(&self) -> Result<(), String> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).flush().map_err(|e| e.to_string())
+    }
+}
+
+/// One thing that happened, read again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// Since the beginning.
+    pub at: Duration,
+    pub what: String,
+    pub more: Value,
+}
+
+impl Line {
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.more[name].as_u64()
+    }
+
+    pub fn text(&self, name: &str) -> &str {
+        self.more[name].as_str().unwrap_or_default()
+    }
+}
+
+/// Reads a history, sorted by time; what came first in the file stays first.
+pub fn read(path: &Path) -> Result<Vec<Line>, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let line = |(i, text): (usize, &str)| {
+        let more: Value = serde_json::from_str(text).map_err(|e| format!("line {}: {e}", i + 1))?;
+        let at = Duration::from_micros(more["t"].as_u64().ok_or(format!("line {}: no time", i + 1))?);
+        let what = more["what"].as_str().unwrap_or_default().to_owned();
+        Ok(Line { at, what, more })
+    };
+    let mut lines = text.lines().enumerate().map(line).collect::<Result<Vec<_>, String>>()?;
+    lines.sort_by_key(|line| line.at);
+    Ok(lines)
+}
--- /dev/null
+++ b/crates/lab/src/fleet/mod.rs
@@ -0,0 +1,39 @@
+//! Many processes of the program with faults between them: started, met by what a schedule says, written down
+//! in one history, and audited by that alone. `docs/fleet.md` says what is looked for.
+
+pub mod audit;
+pub mod history;
+pub mod page;
+pub mod play;
+pub mod relay;
+pub mod schedule;
+
+pub use audit::{Figures, figures};
+pub use play::play;
+pub use schedule::{Harm, Mishap, Schedule};
+
+use std::path::Path;
+
+/// Plays a schedule and looks at its history.
+pub fn judged(schedule: &Schedule, seed: u64, program: &str, into: &Path) -> Result<Figures, String> {
+    play(schedule, seed, program, into, None)?;
+    Ok(figures(&history::read(into)?))
+}
+
+/// The least part of a schedule that still fails: mishaps are taken out one by one, as long as that is so, for
+/// so many plays at most.
+pub fn shrunk(
+    schedule: &Schedule,
+    mut plays: usize,
+    fails: &mut dyn FnMut(&Schedule) -> Result<bool, String>,
+) -> Result<Schedule, String> {
+    let mut least = schedule.clone();
+    let mut at = 0;
+    while at < least.mishaps.len() && plays > 0 {
+        let mut less = least.clone();
+        less.mishaps.remove(at);
+        plays -= 1;
+        if fails(&less)? { least = less } else { at += 1 }
+    }
+    Ok(least)
+}
--- /dev/null
+++ b/crates/lab/src/fleet/play.rs
@@ -0,0 +1,606 @@
+//! Starts the processes, lets them be met by what the schedule says, and writes everything down.
+
+use super::history::History;
+use super::relay::Relay;
+use super::schedule::{Harm, Mishap, Schedule};
+use crate::scenario::{Befallen, Befalls, Fleet, Load, Of, OfKind, Reads, Runs, Scenario};
+use crate::sockets::{Ask, Ledger, State, Town, client, list, settings};
+use juniperdock_control::{Frames, frame};
+use juniperdock_emulator::{Entry, Note, Out, Told, World};
+use juniperdock_router::host::{Ending, Listed};
+use juniperdock_standins::{Agent, WATCH, address};
+use serde_json::{Value, json};
+use std::fs::OpenOptions;
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, TryRecvError, channel};
+use std::time::{Duration, Instant};
+
+/// How often the world is looked at.
+const STEP: Duration = Duration::from_millis(1);
+/// How often each front is asked how it stands.
+const ASKED: Duration = Duration::from_millis(150);
+/// How long a front may take to be there, or to end.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Clients wait for so long beyond their time: a busy machine loses nobody's answer.
+const SLACK: Duration = Duration::from_millis(1500);
+/// A slow front is stopped for the first and runs for the second.
+const TURNS: (Duration, Duration) = (Duration::from_millis(70), Duration::from_millis(50));
+
+/// One front's process.
+struct Process {
+    dir: PathBuf,
+    child: Option<Child>,
+    /// The one that serves: after an upgrade another than the child.
+    pid: u32,
+    stopped: bool,
+}
+
+impl Process {
+    fn start(&mut self, program: &str, environment: &[(&str, String)]) -> Result<(), String> {
+        let log = OpenOptions::new().create(true).append(true).open(self.dir.join("log"));
+        let log = log.map_err(|e| e.to_string())?;
+        let child = Command::new(program)
+            .envs(environment.iter().map(|(name, value)| (name, value)))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(|e| format!("{program}: {e}"))?;
+        (self.pid, self.stopped) = (child.id(), false);
+        self.child = Some(child);
+        Ok(())
+    }
+
+    fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args([name, &self.pid.to_string()]).stderr(Stdio::null()).status();
+    }
+
+    fn runs(&mut self) -> bool {
+        let child = self.child.as_mut().filter(|child| child.id() == self.pid);
+        match child {
+            Some(child) => matches!(child.try_wait(), Ok(None)),
+            // Another's child: its place in the machine's list is gone, or it is a shell of a process.
+            None => std::fs::read_to_string(format!("/proc/{}/stat", self.pid)).is_ok_and(|stat| {
+                !stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('Z'))
+            }),
+        }
+    }
+
+    fn kill(&mut self) {
+        self.signal("-KILL");
+        let begun = Instant::now();
+        while self.runs() && begun.elapsed() < PATIENCE {
+            std::thread::sleep(STEP);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if self.pid != 0 {
+            self.kill();
+        }
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Writes down what clients saw.
+struct Clients(History);
+
+impl Ledger for Clients {
+    fn asked(&mut self, at: Duration, front: usize, ask: &Ask) {
+        let left = ask.left.as_micros() as u64;
+        self.0.note(at, "asked", json!({ "front": front, "txn": ask.txn, "left": left }));
+    }
+
+    fn answered(&mut self, at: Duration, front: usize, txn: u32, told: Told, ended: bool) {
+        let told = match told {
+            Told::Committed => "committed",
+            Told::Declined => "declined",
+            Told::Unknown => "unknown",
+            Told::Nothing => "nothing",
+        };
+        self.0.note(at, "answered", json!({ "front": front, "txn": txn, "told": told, "ended": ended }));
+    }
+}
+
+/// Asks a front through its control socket.
+pub fn ask(socket: &Path, asked: &Value, wait: Duration) -> Option<Value> {
+    let mut stream = UnixStream::connect(socket).ok()?;
+    stream.set_read_timeout(Some(wait)).ok()?;
+    stream.write_all(&frame(asked)).ok()?;
+    let (mut frames, mut piece) = (Frames::default(), [0; 4096]);
+    loop {
+        if let Some(answer) = frames.whole().ok()? {
+            return (answer["ok"].as_bool() == Some(true)).then(|| answer["is"].clone());
+        }
+        match stream.read(&mut piece).ok()? {
+            0 => return None,
+            n => frames.take(&piece[..n]),
+        }
+    }
+}
+
+/// The world round the fronts.
+fn scenario(schedule: &Schedule) -> Scenario {
+    let kind = |name: &str, part, reads, runs| OfKind {
+        name: name.to_owned(),
+        part,
+        reads,
+        runs,
+        work_ms: [2.0, 6.0],
+        sla_ms: 400,
+        expiry_ms: 1500,
+        late_value: 0.3,
+        ..OfKind::default()
+    };
+    let kinds = vec![
+        kind("lookup", 5.0, Reads::Bounded, Runs::Repeatable),
+        kind("browse", 1.0, Reads::Loose, Runs::Repeatable),
+        kind("mark", 2.0, Reads::Write, Runs::Referenced),
+        kind("order", 2.0, Reads::Write, Runs::OnceOnly),
+    ];
+    let trouble = |m: &Mishap| {
+        let (what, of) = match m.what {
+            Harm::PrimaryKilled => (Befalls::Killed, Of::Primary),
+            Harm::MemberDrained => (Befalls::Drained, Of::Member),
+            _ => return None,
+        };
+        let Mishap { at_s, lasts_s, number, .. } = *m;
+        Some(Befallen { at_s, lasts_s, what, of: Some(of), number, share: None, by: None })
+    };
+    Scenario {
+        title: schedule.title.clone(),
+        lasts_s: schedule.lasts_s,
+        fleet: Fleet {
+            fronts: schedule.fronts,
+            groups: schedule.groups,
+            members: schedule.members,
+            zones: 1,
+            ..Fleet::default()
+        },
+        load: Load { per_second: schedule.per_second, retries: 2, kinds, ..Load::default() },
+        troubles: schedule.mishaps.iter().filter_map(trouble).collect(),
+        ..Scenario::default()
+    }
+}
+
+struct Rig<'a> {
+    schedule: &'a Schedule,
+    program: &'a str,
+    history: History,
+    town: Arc<Town>,
+    relay: Relay,
+    processes: Vec<Process>,
+    environments: Vec<Vec<(&'static str, String)>>,
+    agents: Vec<Agent>,
+    /// What the list has for a front that does not hear it.
+    unsaid: Vec<Option<Vec<(usize, &'static str, String)>>>,
+    /// Where each front reaches the members.
+    at: Vec<Vec<SocketAddr>>,
+    members: usize,
+    slow: Vec<Option<Instant>>,
+    /// Upgrades under way: of which front, and the new process once it serves.
+    upgrades: Vec<(usize, Receiver<Option<u64>>)>,
+}
+
+/// Changes a front's configuration or operators' file before the start, by a front's number.
+pub type Bend<'a> = &'a dyn Fn(usize, &mut Value, &mut Value);
+
+/// Plays a schedule with the program; everything lies in the history's file afterwards.
+pub fn play(
+    schedule: &Schedule,
+    seed: u64,
+    program: &str,
+    into: &Path,
+    bend: Option<Bend>,
+) -> Result<(), String> {
+    std::fs::metadata(program).map_err(|e| format!("{program}: {e}"))?;
+    let scenario = scenario(schedule);
+    let shape = scenario.shape(seed);
+    let (n, members) = (schedule.fronts, shape.members.len());
+    let history = History::create(into)?;
+    let mut world = World::new(shape);
+    world.noting();
+    let mut born: Vec<Vec<Entry>> = Vec::new();
+    while let Some(Out::Born { known, .. }) = (born.len() < n).then(|| world.next(Duration::ZERO)).flatten() {
+        born.push(known);
+    }
+    let town = Town::new(State::new(world, n, Some(Box::new(Clients(history.clone())))), SLACK);
+    let kind = |kind: &OfKind| {
+        json!({ "name": kind.name, "write": kind.reads == Reads::Write, "repeatable": kind.runs == Runs::Repeatable,
+            "bound": (kind.reads == Reads::Bounded).then_some(kind.bound_ms * 1000) })
+    };
+    let fleet = &scenario.fleet;
+    history.note(
+        Duration::ZERO,
+        "setting",
+        json!({ "title": schedule.title, "seed": seed, "fronts": n, "fellows": schedule.fellows,
+            "every": schedule.every_ms * 1000, "lasts": (schedule.lasts_s * 1e6) as u64,
+            "healed": (schedule.healed_s() * 1e6) as u64, "kinds": scenario.load.kinds.iter().map(kind).collect::<Vec<_>>(),
+            "drain_grace": 1_000_000, "slack": SLACK.as_micros() as u64, "window": fleet.falls_after_ms * 1000,
+            "multiple": fleet.falls_at }),
+    );
+    let home =
+        std::env::temp_dir().join(format!("jd-fleet-{}-{seed}-{}", std::process::id(), address().ip()));
+    let listen: Vec<SocketAddr> = (0..n).map(|_| address()).collect();
+    let peers: Vec<SocketAddr> = listen.iter().map(|at| SocketAddr::new(at.ip(), 7946)).collect();
+    let relay = Relay::open(address().ip(), &peers, seed)?;
+    std::fs::create_dir_all(&home).map_err(|e| e.to_string())?;
+    std::fs::write(home.join("key"), format!("{seed:064x}\n")).map_err(|e| e.to_string())?;
+    let mut rig = Rig {
+        schedule,
+        program,
+        history: history.clone(),
+        town: town.clone(),
+        relay,
+        processes: Vec::new(),
+        environments: Vec::new(),
+        agents: Vec::new(),
+        unsaid: (0..n).map(|_| None).collect(),
+        at: Vec::new(),
+        members,
+        slow: vec![None; n],
+        upgrades: Vec::new(),
+    };
+    for front in 0..n {
+        let at = town.members(front, members)?;
+        let agent = Agent::start(WATCH);
+        let known = list(&town, 1, true, &born[front], &at);
+        let mut config = settings(&scenario, seed, front, &known);
+        config["name"] = format!("n{front}").into();
+        config["peer_listen"] = peers[front].to_string().into();
+        config["peers"] = rig.relay.at[front].iter().map(ToString::to_string).collect::<Vec<_>>().into();
+        config["settings"]["Bounds"]["Peers"] = true.into();
+        let dir = home.join(format!("{front}"));
+        std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
+        let speaks = if schedule.older.contains(&front) { 1 } else { 2 };
+        let mut charter = json!({ "log": { "form": "json" }, "control": { "path": dir.join("control") } });
+        if schedule.fellows {
+            charter["fellows"] =
+                json!({ "keys": [home.join("key")], "every_ms": schedule.every_ms, "speaks": speaks });
+        }
+        if let Some(bend) = bend {
+            bend(front, &mut config, &mut charter);
+        }
+        let write = |name: &str, value: &Value| {
+            std::fs::write(dir.join(name), value.to_string()).map_err(|e| e.to_string())
+        };
+        write("config.json", &config)?;
+        write("charter.json5", &charter)?;
+        rig.environments.push(vec![
+            ("GW_NAME", format!("n{front}")),
+            ("GW_LISTEN", listen[front].to_string()),
+            ("GW_DISCOVERY", agent.at.to_string()),
+            ("GW_CONFIG", dir.join("config.json").display().to_string()),
+            ("JUNIPERDOCK_CHARTER", dir.join("charter.json5").display().to_string()),
+        ]);
+        rig.agents.push(agent);
+        rig.at.push(at);
+        rig.processes.push(Process { dir, child: None, pid: 0, stopped: false });
+        rig.start(front)?;
+    }
+    let over = Arc::new(AtomicBool::new(false));
+    let per_front = (schedule.per_second * 3.0 / n as f64).clamp(12.0, 60.0) as usize;
+    for (front, &at) in listen.iter().enumerate() {
+        for _ in 0..per_front {
+            let town = town.clone();
+            std::thread::spawn(move || client(&town, at, front));
+        }
+        let (town, history, over) = (town.clone(), history.clone(), over.clone());
+        let socket = rig.processes[front].dir.join("control");
+        std::thread::spawn(move || {
+            while !over.load(Ordering::Relaxed) {
+                let asked = town.now();
+                let status = ask(&socket, &json!({ "do": "fleet" }), Duration::from_millis(600));
+                // One that has left says nothing more of others.
+                if let Some(status) = status.filter(|status| status["left"].is_null()) {
+                    let at = town.now();
+                    let asked = asked.as_micros() as u64;
+                    history.note(at, "status", json!({ "front": front, "asked": asked, "status": status }));
+                }
+                std::thread::sleep(ASKED);
+            }
+        });
+    }
+    let done = rig.run(&scenario);
+    over.store(true, Ordering::Relaxed);
+    {
+        let mut state = town.lock();
+        state.over = true;
+        town.asked.notify_all();
+    }
+    rig.relay.end();
+    let logs: Vec<PathBuf> = rig.processes.iter().map(|process| process.dir.join("log")).collect();
+    drop(rig);
+    for (front, log) in logs.iter().enumerate() {
+        take_in(&history, &town, front, log);
+    }
+    history.flush()?;
+    let _ = std::fs::remove_dir_all(&home);
+    done
+}
+
+/// A front's own log goes into the history.
+fn take_in(history: &History, town: &Town, front: usize, log: &Path) {
+    let text = std::fs::read_to_string(log).unwrap_or_default();
+    for line in text.lines() {
+        let Ok(log) = serde_json::from_str::<Value>(line) else {
+            // What is no line of the log: counters at the end, or a panic.
+            history.note(town.now(), "said", json!({ "front": front, "text": line }));
+            continue;
+        };
+        let ts = log["ts"].as_str().and_then(|ts| humantime::parse_rfc3339_weak(ts).ok());
+        let unix = ts.and_then(|ts| ts.duration_since(std::time::UNIX_EPOCH).ok()).unwrap_or_default();
+        let at = unix.saturating_sub(Duration::from_millis(town.origin as u64));
+        history.note(at, "log", json!({ "front": front, "log": log }));
+    }
+}
+
+impl Rig<'_> {
+    fn start(&mut self, front: usize) -> Result<(), String> {
+        let environment = self.environments[front].clone();
+        let at = self.town.now();
+        self.processes[front].start(self.program, &environment)?;
+        self.history.note(at, "start", json!({ "front": front, "pid": self.processes[front].pid }));
+        Ok(())
+    }
+
+    fn run(&mut self, scenario: &Scenario) -> Result<(), String> {
+        let lasts = Duration::from_secs_f64(self.schedule.lasts_s);
+        // Each mishap begins and ends once; ends before beginnings at one time.
+        let mut steps: Vec<(Duration, bool, usize)> = Vec::new();
+        for (i, m) in self.schedule.mishaps.iter().enumerate() {
+            steps.push((Duration::from_secs_f64(m.at_s), true, i));
+            steps.push((Duration::from_secs_f64(m.at_s + m.lasts_s), false, i));
+        }
+        steps.sort();
+        let (mut steps, mut version) = (steps.into_iter().peekable(), 1);
+        loop {
+            let now = self.town.now();
+            while let Some((_, begins, i)) = steps.next_if(|step| step.0 <= now) {
+                let mishap = self.schedule.mishaps[i].clone();
+                let more = json!({ "number": i, "mishap": mishap });
+                let at = self.town.now();
+                if begins {
+                    self.history.note(at, "mishap", more);
+                    self.begin(&mishap);
+                } else {
+                    self.history.note(at, "healed", more);
+                    self.end(&mishap)?;
+                }
+            }
+            self.turns();
+            self.upgrades();
+            let town = self.town.clone();
+            let mut state = town.lock();
+            let now = town.now();
+            while let Some(out) = state.world.next(now) {
+                if let Out::Arrived { front, txn, kind, .. } = out {
+                    let at = state.world.now();
+                    self.history.note(at, "txn", json!({ "txn": txn, "kind": kind, "front": front }));
+                }
+                match state.pass_on(out, scenario) {
+                    Some(Out::Listed { front, entry }) if entry.member < self.members => {
+                        version += 1;
+                        let text = list(&self.town, version, false, &[entry], &self.at[front]);
+                        let at = state.world.now();
+                        self.tell(at, front, &entry, text);
+                    }
+                    _ => {}
+                }
+            }
+            for (at, note) in state.world.take_notes() {
+                self.jot(at, note);
+            }
+            self.town.asked.notify_all();
+            let open = (0..self.schedule.fronts).any(|front| state.world.open(front) > 0);
+            drop(state);
+            if now > lasts && !open || now > lasts + Duration::from_secs(5) {
+                break;
+            }
+            std::thread::sleep(STEP);
+        }
+        // All go in order, and say what they counted.
+        for front in 0..self.processes.len() {
+            self.history.note(self.town.now(), "told to end", json!({ "front": front }));
+            self.processes[front].signal("-TERM");
+        }
+        let begun = Instant::now();
+        for front in 0..self.processes.len() {
+            while self.processes[front].runs() && begun.elapsed() < PATIENCE {
+                std::thread::sleep(STEP);
+            }
+            if self.processes[front].runs() {
+                self.history.note(self.town.now(), "does not end", json!({ "front": front }));
+            }
+        }
+        self.history.note(self.town.now(), "over", json!({ "longest": self.relay.longest() }));
+        Ok(())
+    }
+
+    fn tell(&mut self, at: Duration, front: usize, entry: &Entry, text: String) {
+        let state = if entry.state == Listed::Up { "up" } else { "stopped" };
+        match &mut self.unsaid[front] {
+            Some(unsaid) => unsaid.push((entry.member, state, text)),
+            None => self.say(at, front, entry.member, state, text),
+        }
+    }
+
+    fn say(&self, at: Duration, front: usize, member: usize, state: &str, text: String) {
+        self.history.note(at, "listed", json!({ "front": front, "member": member, "state": state }));
+        self.agents[front].tell(text);
+    }
+
+    fn jot(&self, at: Duration, note: Note) {
+        let micros = |span: Duration| span.as_micros() as u64;
+        let (what, more) = match note {
+            Note::Submitted { front, txn, member, group, age, leads, epoch } => (
+                "submitted",
+                json!({ "front": front, "txn": txn, "member": member, "group": group, "age": age.map(micros),
+                    "leads": leads, "epoch": epoch }),
+            ),
+            Note::Over { front, txn, member, ending } => {
+                let never = ending.never_ran();
+                let cancelled = matches!(ending, Ending::Cancelled | Ending::TimedOut);
+                (
+                    "ended",
+                    json!({ "front": front, "txn": txn, "member": member, "never_ran": never, "cancelled": cancelled }),
+                )
+            }
+            Note::Pressed { member, work, can } => {
+                ("pressed", json!({ "member": member, "work": work, "can": can }))
+            }
+            Note::Ran { txn, member } => ("ran", json!({ "txn": txn, "member": member })),
+            Note::Undone { txn } => ("undone", json!({ "txn": txn })),
+            Note::Replica { front, member, epoch } => {
+                ("replica", json!({ "front": front, "member": member, "epoch": epoch }))
+            }
+            Note::Primary { group, member } => ("primary", json!({ "group": group, "member": member })),
+            Note::Fell { member } => ("fell", json!({ "member": member })),
+            Note::Started { member } => ("member started", json!({ "member": member })),
+            Note::Killed { member } => ("member killed", json!({ "member": member })),
+        };
+        self.history.note(at, what, more);
+    }
+
+    /// The ways that a mishap meets.
+    fn ways(&self, m: &Mishap) -> Vec<(usize, usize)> {
+        let n = self.schedule.fronts;
+        let all = (0..n).flat_map(|i| (0..n).map(move |j| (i, j))).filter(|(i, j)| i != j);
+        let met = |&(i, j): &(usize, usize)| match m.what {
+            Harm::Apart => m.side.contains(&i) != m.side.contains(&j),
+            Harm::OneWay => (Some(i), Some(j)) == (m.front, m.other),
+            Harm::Unheard => Some(i) == m.front,
+            Harm::Replayed | Harm::Forged => m.front.is_none_or(|front| j == front),
+            Harm::Flooded => Some(j) == m.front && i == (j + 1) % n,
+            _ => m.front.is_none_or(|front| i == front || j == front),
+        };
+        all.filter(met).collect()
+    }
+
+    fn begin(&mut self, m: &Mishap) {
+        let front = m.front.unwrap_or(0);
+        match m.what {
+            Harm::FrontKilled => self.processes[front].kill(),
+            Harm::FrontEnded => self.processes[front].signal("-TERM"),
+            Harm::FrontStopped => {
+                self.processes[front].signal("-STOP");
+                self.processes[front].stopped = true;
+            }
+            Harm::FrontSlow => self.slow[front] = Some(Instant::now()),
+            Harm::Upgraded => {
+                let socket = self.processes[front].dir.join("control");
+                let (tell, told) = channel();
+                self.upgrades.push((front, told));
+                std::thread::spawn(move || {
+                    let answer = ask(&socket, &json!({ "do": "upgrade" }), PATIENCE);
+                    let _ = tell.send(answer.and_then(|answer| answer["pid"].as_u64()));
+                });
+            }
+            Harm::MembersCut => self.part(front, true),
+            Harm::ListCut => self.unsaid[front] = Some(Vec::new()),
+            Harm::PrimaryKilled | Harm::MemberDrained => {}
+            _ => self.bend(m, true),
+        }
+    }
+
+    fn end(&mut self, m: &Mishap) -> Result<(), String> {
+        let front = m.front.unwrap_or(0);
+        match m.what {
+            Harm::FrontKilled => self.start(front)?,
+            Harm::FrontEnded => {
+                if self.processes[front].runs() {
+                    self.history.note(self.town.now(), "does not end", json!({ "front": front }));
+                    self.processes[front].kill();
+                }
+                self.start(front)?;
+            }
+            Harm::FrontStopped => {
+                self.processes[front].stopped = false;
+                self.processes[front].signal("-CONT");
+            }
+            Harm::FrontSlow => {
+                self.slow[front] = None;
+                self.processes[front].stopped = false;
+                self.processes[front].signal("-CONT");
+            }
+            Harm::MembersCut => self.part(front, false),
+            Harm::ListCut => {
+                for (member, state, text) in self.unsaid[front].take().unwrap_or_default() {
+                    self.say(self.town.now(), front, member, state, text);
+                }
+            }
+            Harm::Upgraded | Harm::PrimaryKilled | Harm::MemberDrained => {}
+            _ => self.bend(m, false),
+        }
+        Ok(())
+    }
+
+    fn part(&self, front: usize, parted: bool) {
+        let mut state = self.town.present();
+        (0..self.members).for_each(|member| state.world.part(front, member, parted));
+    }
+
+    /// Ways get worse by a mishap, or better again.
+    fn bend(&self, m: &Mishap, begins: bool) {
+        let sign = if begins { 1.0 } else { -1.0 };
+        let (share, by) = (sign * m.share.unwrap_or(0.0), sign * m.by.unwrap_or(0.0));
+        let add = |to: &mut f64, by: f64| *to = if (*to + by).abs() < 1e-9 { 0.0 } else { *to + by };
+        for (from, to) in self.ways(m) {
+            self.relay.change(from, to, |way| match m.what {
+                Harm::Apart | Harm::OneWay | Harm::Unheard if begins => way.cut += 1,
+                Harm::Apart | Harm::OneWay | Harm::Unheard => way.cut -= 1,
+                Harm::Lost => add(&mut way.lost, share),
+                Harm::Doubled => add(&mut way.doubled, share),
+                Harm::Bent => add(&mut way.bent, share),
+                Harm::Late => {
+                    let span = Duration::from_secs_f64(by.abs() / 1000.0);
+                    way.late = if begins { way.late + span } else { way.late.saturating_sub(span) };
+                }
+                Harm::Replayed => add(&mut way.replayed, by),
+                _ => add(&mut way.forged, by),
+            });
+        }
+    }
+
+    /// Upgrades that are over: the new process is the front's now, the old one ends by itself.
+    fn upgrades(&mut self) {
+        let (history, town, processes) = (&self.history, &self.town, &mut self.processes);
+        self.upgrades.retain(|(front, told)| match told.try_recv() {
+            Ok(pid) => {
+                history.note(town.now(), "upgraded", json!({ "front": front, "pid": pid }));
+                if let Some(pid) = pid {
+                    processes[*front].pid = pid as u32;
+                }
+                false
+            }
+            Err(TryRecvError::Disconnected) => false,
+            Err(TryRecvError::Empty) => true,
+        });
+    }
+
+    /// Slow fronts are stopped and continued in turns.
+    fn turns(&mut self) {
+        for front in 0..self.slow.len() {
+            let Some(since) = self.slow[front] else { continue };
+            let (still, runs) = TURNS;
+            let in_turn =
+                Duration::from_nanos((since.elapsed().as_nanos() % (still + runs).as_nanos()) as u64);
+            let stop = in_turn < still;
+            if stop != self.processes[front].stopped {
+                self.processes[front].stopped = stop;
+                self.processes[front].signal(if stop { "-STOP" } else { "-CONT" });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/schedule.rs
@@ -0,0 +1,309 @@
+//! What befalls a fleet of processes, from a file in JSON5 or drawn from a seed.
+
+use garde::Validate;
+use juniperdock_charter::{Fault, fault};
+use juniperdock_emulator::Stream;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// What goes wrong. `front` and `other` say where; without `other`, to and from all of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Harm {
+    /// The process is killed, and starts again at the end with the same name and address.
+    FrontKilled,
+    /// The process is told to end, and starts again at the end.
+    FrontEnded,
+    /// The process is stopped, and goes on at the end.
+    FrontStopped,
+    /// The process is stopped and continued in short turns.
+    FrontSlow,
+    /// The process hands over to a new one.
+    Upgraded,
+    /// The fronts of `side` and the others do not hear each other.
+    Apart,
+    /// Nothing of what `front` sends comes to `other`.
+    OneWay,
+    /// `front` hears all and is heard by none.
+    Unheard,
+    /// A `share` of datagrams, on all ways or those of `front`.
+    Lost,
+    Doubled,
+    Bent,
+    /// Later by up to `by` milliseconds, so that their order changes.
+    Late,
+    /// `by` old datagrams, or forged ones, a second on each way to `front`.
+    Replayed,
+    Forged,
+    /// `by` forged datagrams a second to `front`, from one other.
+    Flooded,
+    /// `front` reaches no member.
+    MembersCut,
+    /// `front` hears nothing from the list; all comes at the end.
+    ListCut,
+    /// The primary of group `number` ends, and starts again cold.
+    PrimaryKilled,
+    /// Member `number` drains, and starts again cold.
+    MemberDrained,
+}
+
+impl Harm {
+    pub const ALL: [Harm; 19] = [
+        Harm::FrontKilled,
+        Harm::FrontEnded,
+        Harm::FrontStopped,
+        Harm::FrontSlow,
+        Harm::Upgraded,
+        Harm::Apart,
+        Harm::OneWay,
+        Harm::Unheard,
+        Harm::Lost,
+        Harm::Doubled,
+        Harm::Bent,
+        Harm::Late,
+        Harm::Replayed,
+        Harm::Forged,
+        Harm::Flooded,
+        Harm::MembersCut,
+        Harm::ListCut,
+        Harm::PrimaryKilled,
+        Harm::MemberDrained,
+    ];
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Mishap {
+    #[garde(range(min = 0.0, max = 3600.0))]
+    pub at_s: f64,
+    #[garde(range(min = 0.0, max = 3600.0))]
+    pub lasts_s: f64,
+    #[garde(skip)]
+    pub what: Harm,
+    #[garde(skip)]
+    #[serde(default)]
+    pub front: Option<usize>,
+    #[garde(skip)]
+    #[serde(default)]
+    pub other: Option<usize>,
+    #[garde(skip)]
+    #[serde(default)]
+    pub side: Vec<usize>,
+    /// A member or group.
+    #[garde(skip)]
+    #[serde(default)]
+    pub number: usize,
+    #[garde(inner(range(min = 0.0, max = 1.0)))]
+    #[serde(default)]
+    pub share: Option<f64>,
+    #[garde(inner(range(min = 0.0, max = 1e6)))]
+    #[serde(default)]
+    pub by: Option<f64>,
+}
+
+/// Processes, their load, and what befalls them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(default, deny_unknown_fields)]
+pub struct Schedule {
+    #[garde(length(min = 1, max = 120))]
+    pub title: String,
+    #[garde(range(min = 1, max = 30))]
+    pub fronts: usize,
+    #[garde(range(min = 1, max = 20))]
+    pub groups: usize,
+    #[garde(range(min = 2, max = 9))]
+    pub members: usize,
+    #[garde(range(min = 0.0, max = 5000.0))]
+    pub per_second: f64,
+    #[garde(range(min = 1.0, max = 3600.0))]
+    pub lasts_s: f64,
+    /// The fronts' own period.
+    #[garde(range(min = 50, max = 10_000))]
+    pub every_ms: u64,
+    /// Fronts that speak the older version.
+    #[garde(skip)]
+    pub older: Vec<usize>,
+    /// Whether the fronts know each other at all.
+    #[garde(skip)]
+    pub fellows: bool,
+    #[garde(dive)]
+    pub mishaps: Vec<Mishap>,
+}
+
+impl Default for Schedule {
+    fn default() -> Self {
+        Schedule {
+            title: "A fleet".to_owned(),
+            fronts: 3,
+            groups: 2,
+            members: 3,
+            per_second: 60.0,
+            lasts_s: 20.0,
+            every_ms: 500,
+            older: Vec::new(),
+            fellows: true,
+            mishaps: Vec::new(),
+        }
+    }
+}
+
+/// Reads a schedule; every fault is told with its line and field.
+pub fn read(text: &str) -> Result<Schedule, Vec<Fault>> {
+    let schedule: Schedule = juniperdock_charter::read_as(text)?;
+    let faults = schedule.impossible();
+    if !faults.is_empty() {
+        return Err(faults.into_iter().map(|(field, why)| fault(text, &field, why)).collect());
+    }
+    Ok(schedule)
+}
+
+impl Schedule {
+    fn impossible(&self) -> Vec<(String, String)> {
+        let mut faults = Vec::new();
+        for (i, m) in self.mishaps.iter().enumerate() {
+            let mut wrong =
+                |name: &str, why: &str| faults.push((format!("mishaps[{i}].{name}"), why.to_owned()));
+            if m.at_s + m.lasts_s > self.lasts_s {
+                wrong("at_s", "it ends after the end");
+            }
+            let fronts = [m.front, m.other].into_iter().flatten().chain(m.side.iter().copied());
+            if fronts.into_iter().any(|front| front >= self.fronts) {
+                wrong("front", "there is no such front");
+            }
+            let needs_front = matches!(
+                m.what,
+                Harm::FrontKilled
+                    | Harm::FrontEnded
+                    | Harm::FrontStopped
+                    | Harm::FrontSlow
+                    | Harm::Upgraded
+                    | Harm::OneWay
+                    | Harm::Unheard
+                    | Harm::Flooded
+                    | Harm::MembersCut
+                    | Harm::ListCut
+            );
+            if needs_front && m.front.is_none() {
+                wrong("what", "expected a front");
+            }
+            if m.what == Harm::OneWay && m.other.is_none() {
+                wrong("what", "expected other");
+            }
+            if m.what == Harm::Apart && (m.side.is_empty() || m.side.len() >= self.fronts) {
+                wrong("what", "expected some of the fronts as side, not all");
+            }
+            if matches!(m.what, Harm::Lost | Harm::Doubled | Harm::Bent) && m.share.is_none() {
+                wrong("what", "expected a share");
+            }
+            let rate = matches!(m.what, Harm::Late | Harm::Replayed | Harm::Forged | Harm::Flooded);
+            if rate && m.by.is_none() {
+                wrong("what", "expected by");
+            }
+            let most = match m.what {
+                Harm::PrimaryKilled => self.groups,
+                Harm::MemberDrained => self.groups * self.members,
+                _ => usize::MAX,
+            };
+            if m.number >= most {
+                wrong("number", "there is no such group or member");
+            }
+        }
+        faults
+    }
+
+    /// When the last mishap ends.
+    pub fn healed_s(&self) -> f64 {
+        self.mishaps.iter().map(|m| m.at_s + m.lasts_s).fold(0.0, f64::max)
+    }
+
+    /// A day of so many fronts drawn from a seed: mishaps one after the other and over each other, then calm.
+    pub fn drawn(seed: u64, fronts: usize, mishaps: usize, calm_s: f64) -> Schedule {
+        let mut chance = Stream::of(seed, "mishaps", 0);
+        let mut schedule = Schedule {
+            title: format!("Drawn from seed {seed}"),
+            fronts,
+            per_second: 90.0,
+            ..Schedule::default()
+        };
+        let mut at_s = 2.5;
+        // Each kind once before any comes again.
+        let mut left: Vec<Harm> = Vec::new();
+        for _ in 0..mishaps {
+            if left.is_empty() {
+                left = Harm::ALL.to_vec();
+            }
+            let what = left.swap_remove(chance.below(left.len()));
+            let front = chance.below(fronts);
+            let other = (front + 1 + chance.below(fronts - 1)) % fronts;
+            let mut side: Vec<usize> = (0..fronts).collect();
+            let size = 1 + chance.below(fronts / 2);
+            for i in 0..size {
+                let with = i + chance.below(fronts - i);
+                side.swap(i, with);
+            }
+            side.truncate(size);
+            let lasts_s = match what {
+                Harm::FrontKilled | Harm::FrontStopped | Harm::Apart | Harm::Unheard => {
+                    3.0 + 3.0 * chance.share()
+                }
+                Harm::FrontEnded => 4.0,
+                Harm::Upgraded => 1.5,
+                Harm::Flooded => 1.5,
+                _ => 2.0 + 3.0 * chance.share(),
+            };
+            let number = match what {
+                Harm::PrimaryKilled => chance.below(schedule.groups),
+                Harm::MemberDrained => chance.below(schedule.groups * schedule.members),
+                _ => 0,
+            };
+            let share = match what {
+                Harm::Lost => Some(0.1 + 0.3 * chance.share()),
+                Harm::Doubled | Harm::Bent => Some(0.1 + 0.5 * chance.share()),
+                _ => None,
+            };
+            let by = match what {
+                Harm::Late => Some(20.0 + 280.0 * chance.share()),
+                Harm::Replayed | Harm::Forged => Some(5.0 + 20.0 * chance.share()),
+                Harm::Flooded => Some(50_000.0),
+                _ => None,
+            };
+            // One process is met by one thing at a time.
+            let busy = |front: usize| {
+                schedule.mishaps.iter().any(|m: &Mishap| {
+                    m.process() && m.front == Some(front) && m.at_s + m.lasts_s + 1.0 > at_s
+                })
+            };
+            let whole = matches!(
+                what,
+                Harm::Lost | Harm::Doubled | Harm::Bent | Harm::Late | Harm::Replayed | Harm::Forged
+            );
+            let front = (0..fronts).map(|i| (front + i) % fronts).find(|&f| !busy(f)).unwrap_or(front);
+            let other = if other == front { (front + 1) % fronts } else { other };
+            let mishap = Mishap {
+                at_s,
+                lasts_s,
+                what,
+                front: Some(front).filter(|_| !whole),
+                other: Some(other).filter(|_| what == Harm::OneWay),
+                side: if what == Harm::Apart { side } else { Vec::new() },
+                number,
+                share,
+                by,
+            };
+            schedule.mishaps.push(mishap);
+            at_s += 1.2 + 1.2 * chance.share();
+        }
+        schedule.lasts_s = schedule.healed_s() + calm_s;
+        schedule
+    }
+}
+
+impl Mishap {
+    /// It meets the process itself.
+    pub fn process(&self) -> bool {
+        matches!(
+            self.what,
+            Harm::FrontKilled | Harm::FrontEnded | Harm::FrontStopped | Harm::FrontSlow | Harm::Upgraded
+        )
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod circle;
 pub mod experiment;
+pub mod fleet;
 pub mod fronts;
 pub mod load;
 pub mod measure;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,7 +7,7 @@
 use juniperdock_lab::measure::Outcome;
 use juniperdock_lab::scenario::{self, SHELF, Scenario, find};
 use juniperdock_lab::simulate::simulate;
-use juniperdock_lab::{circle, load, prove, report, sockets};
+use juniperdock_lab::{circle, fleet, load, prove, report, sockets};
 use std::io::IsTerminal;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -135,6 +135,39 @@
         #[arg(long)]
         schema: bool,
     },
+    /// Many processes of the program, with faults between them.
+    Fleet {
+        /// A schedule in JSON5; one drawn from the seed without it.
+        schedule: Option<PathBuf>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Processes and mishaps of a schedule that is drawn.
+        #[arg(long, default_value_t = 7, value_parser = clap::value_parser!(u64).range(2..=30))]
+        fronts: u64,
+        #[arg(long, default_value_t = 14)]
+        mishaps: usize,
+        #[arg(long, default_value = "target/release/juniperdock")]
+        front: String,
+        /// Where everything that happened is written.
+        #[arg(long, default_value = "target/fleet.jsonl")]
+        history: PathBuf,
+        #[arg(long, value_name = "FILE")]
+        report: Option<PathBuf>,
+        #[arg(long)]
+        json: bool,
+        /// A schedule that fails is cut down to what still does, in so many plays at most.
+        #[arg(long, value_name = "PLAYS")]
+        shrink: Option<usize>,
+        /// Prints the schema of schedules instead.
+        #[arg(long)]
+        schema: bool,
+        /// Prints the schedule instead.
+        #[arg(long)]
+        dry_run: bool,
+        /// Looks at a history that lies there, and plays nothing.
+        #[arg(long)]
+        look: bool,
+    },
     /// Same seed, same day; auditors find what is broken; simulated and real are near.
     Prove {
         #[arg(long, default_value_t = 1)]
@@ -238,6 +271,61 @@
             println!("{:#}", juniperdock_charter::schema_of::<scenario::Scenario>());
             Ok(true)
         }
+        What::Fleet {
+            schedule,
+            seed,
+            fronts,
+            mishaps,
+            front,
+            history,
+            report,
+            json,
+            shrink,
+            schema,
+            dry_run,
+            look,
+        } => {
+            if schema {
+                println!("{:#}", juniperdock_charter::schema_of::<fleet::Schedule>());
+                return Ok(true);
+            }
+            let schedule = match schedule {
+                None => fleet::Schedule::drawn(seed, fronts as usize, mishaps, 6.0),
+                Some(path) => {
+                    let text =
+                        std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+                    fleet::schedule::read(&text).map_err(|faults| {
+                        let told = faults.iter().map(|fault| format!("{}: {fault}", path.display()));
+                        told.collect::<Vec<_>>().join("\n")
+                    })?
+                }
+            };
+            if dry_run {
+                println!("{}", serde_json::to_string_pretty(&schedule).map_err(|e| e.to_string())?);
+                return Ok(true);
+            }
+            if !look {
+                fleet::play(&schedule, seed, &front, &history, None)?;
+            }
+            let lines = fleet::history::read(&history)?;
+            let seen = fleet::figures(&lines);
+            if let Some(page) = report {
+                write(&page, &fleet::page::of(&lines, &seen)?)?;
+            }
+            if let Some(plays) = shrink.filter(|_| !seen.holds()) {
+                let mut fails = |less: &fleet::Schedule| {
+                    Ok(!fleet::judged(less, seed, &front, &history)?.found.is_empty())
+                };
+                let least = fleet::shrunk(&schedule, plays, &mut fails)?;
+                println!("{}", serde_json::to_string_pretty(&least).map_err(|e| e.to_string())?);
+            }
+            if json {
+                println!("{}", serde_json::to_string(&seen).map_err(|e| e.to_string())?);
+            } else {
+                println!("{seen}");
+            }
+            Ok(seen.holds())
+        }
         What::Circle { file, seed, fronts, schema } => {
             if schema {
                 println!("{:#}", juniperdock_charter::schema_of::<circle::Circle>());
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -31,53 +31,123 @@
 /// Called with the fronts' addresses once the day is over; all stays up until it returns.
 pub type Keep<'a> = &'a dyn Fn(&[SocketAddr]);
 
-struct Ended {
-    ending: Ending,
-    role: Option<Role>,
-    position: Option<Duration>,
+pub(crate) struct Ended {
+    pub ending: Ending,
+    pub role: Option<Role>,
+    pub position: Option<Duration>,
 }
 
-struct Ask {
-    txn: u32,
-    text: String,
-    left: Duration,
+pub(crate) struct Ask {
+    pub txn: u32,
+    pub text: String,
+    pub left: Duration,
+}
+
+/// Who writes down what clients send and are told.
+pub(crate) trait Ledger: Send {
+    /// A statement has been written whole to a front.
+    fn asked(&mut self, at: Duration, front: usize, ask: &Ask);
+    /// Its answer, or none; whether the connection had ended.
+    fn answered(&mut self, at: Duration, front: usize, txn: u32, told: Told, ended: bool);
 }
 
-struct State {
-    world: World,
+pub(crate) struct State {
+    pub world: World,
     /// Who waits for a submission's end, by front, txn and member; and for a report, by front and member.
-    waits: HashMap<(usize, u32, usize), SyncSender<Ended>>,
-    probes: HashMap<(usize, usize), VecDeque<SyncSender<Option<Report>>>>,
-    asks: Vec<VecDeque<Ask>>,
-    over: bool,
+    pub waits: HashMap<(usize, u32, usize), SyncSender<Ended>>,
+    pub probes: HashMap<(usize, usize), VecDeque<SyncSender<Option<Report>>>>,
+    pub asks: Vec<VecDeque<Ask>>,
+    pub ledger: Option<Box<dyn Ledger>>,
+    pub over: bool,
+}
+
+impl State {
+    pub fn new(mut world: World, fronts: usize, ledger: Option<Box<dyn Ledger>>) -> State {
+        world.remote = true;
+        let asks = (0..fronts).map(|_| VecDeque::new()).collect();
+        State { world, waits: HashMap::new(), probes: HashMap::new(), asks, ledger, over: false }
+    }
+
+    /// What the world has for members and clients goes to whoever waits for it; all else is given back.
+    pub fn pass_on(&mut self, out: Out, scenario: &Scenario) -> Option<Out> {
+        match out {
+            Out::Arrived { front, txn, kind, group, left, retried } => {
+                let kind = &scenario.load.kinds[kind];
+                let (mark, id) = (self.world.mark(txn), format!("{txn:x}"));
+                let write = kind.reads == Reads::Write;
+                let text = statement(&kind.name, write, &id, left.as_millis(), mark, group as u64, retried);
+                self.asks[front].push_back(Ask { txn, text, left });
+                None
+            }
+            Out::Ended { front, txn, member, ending, role, position, .. } => {
+                if let Some(waits) = self.waits.remove(&(front, txn, member)) {
+                    let _ = waits.try_send(Ended { ending, role, position });
+                }
+                None
+            }
+            Out::Probed { front, member, ending, report } => {
+                let waits = self.probes.get_mut(&(front, member)).and_then(VecDeque::pop_front);
+                if let Some(waits) = waits {
+                    let _ = waits.try_send(Some(report).filter(|_| ending == Ending::Committed));
+                }
+                None
+            }
+            other => Some(other),
+        }
+    }
 }
 
-struct Town {
-    state: Mutex<State>,
-    asked: Condvar,
-    begun: Instant,
+pub(crate) struct Town {
+    pub state: Mutex<State>,
+    pub asked: Condvar,
+    pub begun: Instant,
     /// The machine's time at the beginning, in milliseconds since 1970.
-    origin: u128,
+    pub origin: u128,
+    /// How long clients wait beyond their time.
+    pub slack: Duration,
 }
 
 impl Town {
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub fn new(state: State, slack: Duration) -> Arc<Town> {
+        let (state, asked) = (Mutex::new(state), Condvar::new());
+        Arc::new(Town { state, asked, begun: Instant::now(), origin: unix_ms(), slack })
+    }
+
+    /// Members' addresses for one front, so many of them, on one address of the machine.
+    pub fn members(self: &Arc<Town>, front: usize, most: usize) -> Result<Vec<SocketAddr>, String> {
+        let ip = address().ip();
+        let open = |number| {
+            let listener = TcpListener::bind(SocketAddr::new(ip, 0)).map_err(|e| format!("a member: {e}"))?;
+            let at = listener.local_addr().map_err(|e| e.to_string())?;
+            let town = self.clone();
+            std::thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let town = town.clone();
+                    std::thread::spawn(move || member(&town, stream, front, number));
+                }
+            });
+            Ok(at)
+        };
+        (0..most).map(open).collect()
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn now(&self) -> Duration {
+    pub fn now(&self) -> Duration {
         self.begun.elapsed()
     }
 
     /// The world at the machine's present time.
-    fn present(&self) -> MutexGuard<'_, State> {
+    pub fn present(&self) -> MutexGuard<'_, State> {
         let mut state = self.lock();
         state.world.pass(self.now());
         state
     }
 }
 
-fn settings(scenario: &Scenario, seed: u64, front: usize, known: &str) -> String {
+pub(crate) fn settings(scenario: &Scenario, seed: u64, front: usize, known: &str) -> serde_json::Value {
     let (fleet, kinds) = (&scenario.fleet, &scenario.load.kinds);
     let kind = |kind: &OfKind| {
         let effect = match kind.runs {
@@ -98,7 +168,7 @@
         .collect();
     let zones: Vec<String> = (0..fleet.zones).map(|zone| format!("z{zone}")).collect();
     let known: serde_json::Value = serde_json::from_str(known).unwrap_or_default();
-    let whole = serde_json::json!({
+    serde_json::json!({
         "seed": format!("{:016x}", seed ^ (front as u64) << 32),
         "limits": { "cores": 1.0, "memory_mb": 192, "sockets": 1024 },
         "known": known,
@@ -112,11 +182,10 @@
             "Specifics": { "MaxAge": kinds.iter().map(|kind| kind.bound_ms).collect::<Vec<_>>(),
                 "ReadLevel": levels, "ServerChecks": "off", "SessionMarks": "client", "TellsPosition": true },
         },
-    });
-    whole.to_string()
+    })
 }
 
-fn list(town: &Town, version: u64, full: bool, entries: &[Entry], at: &[SocketAddr]) -> String {
+pub(crate) fn list(town: &Town, version: u64, full: bool, entries: &[Entry], at: &[SocketAddr]) -> String {
     let entries: Vec<serde_json::Value> = entries
         .iter()
         .map(|e| {
@@ -213,7 +282,7 @@
 }
 
 /// A client's connection to a front: asks what is to be asked, one txn at a time.
-fn client(town: &Town, at: SocketAddr, front: usize) {
+pub(crate) fn client(town: &Town, at: SocketAddr, front: usize) {
     let mut client: Option<Client> = None;
     loop {
         let ask = {
@@ -233,15 +302,24 @@
             }
         };
         // Where the front has closed the connection between txns, it is asked once more on a new one.
-        let mut reply = Reply::default();
+        let (mut reply, mut reached) = (Reply::default(), false);
         for _ in 0..2 {
             if client.is_none() {
                 client = Client::open(at);
             }
             let Some(open) = client.as_mut() else { continue };
             let begun = Instant::now();
-            let _ = open.stream.set_read_timeout(Some(ask.left + SLACK));
-            reply = if open.tell(&ask.text) { open.reply() } else { Reply::default() };
+            let _ = open.stream.set_read_timeout(Some(ask.left + town.slack));
+            reply = if open.tell(&ask.text) {
+                reached = true;
+                let mut state = town.lock();
+                let now = town.now();
+                state.ledger.iter_mut().for_each(|ledger| ledger.asked(now, front, &ask));
+                drop(state);
+                open.reply()
+            } else {
+                Reply::default()
+            };
             let closed = reply.last == 0 && reply.code.is_none() && reply.value.is_none();
             if !closed || begun.elapsed() >= ask.left {
                 break;
@@ -258,7 +336,14 @@
         if reply.last != b'Z' {
             client = None;
         }
-        if told != Told::Nothing {
+        {
+            let mut state = town.lock();
+            let now = town.now();
+            let ended = reply.last == 0;
+            state.ledger.iter_mut().for_each(|ledger| ledger.answered(now, front, ask.txn, told, ended));
+        }
+        // One that can't be reached leaves nothing open: its clients ask others.
+        if told != Told::Nothing || !reached {
             town.present().world.answer(front, ask.txn, told, come_back);
         }
     }
@@ -287,40 +372,10 @@
         return Err("fronts that stand still or are killed are played in simulated time only".to_owned());
     }
     let kinds = shape.kinds.clone();
-    let mut world = World::new(shape);
-    world.remote = true;
-    let state = State {
-        world,
-        waits: HashMap::new(),
-        probes: HashMap::new(),
-        asks: (0..fronts).map(|_| VecDeque::new()).collect(),
-        over: false,
-    };
-    let town = Arc::new(Town {
-        state: Mutex::new(state),
-        asked: Condvar::new(),
-        begun: Instant::now(),
-        origin: unix_ms(),
-    });
+    let town = Town::new(State::new(World::new(shape), fronts, None), SLACK);
     // Every front reaches each member at an address of its own; those that replace others have theirs ready.
     let most = members + extra.min(256);
-    let mut at = Vec::new();
-    for front in 0..fronts {
-        let mut its = Vec::new();
-        for number in 0..most {
-            let listener = TcpListener::bind(SocketAddr::new(address().ip(), 0))
-                .map_err(|e| format!("a member: {e}"))?;
-            its.push(listener.local_addr().map_err(|e| e.to_string())?);
-            let town = town.clone();
-            std::thread::spawn(move || {
-                for stream in listener.incoming().flatten() {
-                    let town = town.clone();
-                    std::thread::spawn(move || member(&town, stream, front, number));
-                }
-            });
-        }
-        at.push(its);
-    }
+    let at = (0..fronts).map(|front| town.members(front, most)).collect::<Result<Vec<_>, _>>()?;
     let mut running = Vec::new();
     let born: Vec<Vec<Entry>> = {
         let mut state = town.lock();
@@ -334,7 +389,7 @@
     for (front, known) in born.iter().enumerate() {
         let agent = Agent::start(WATCH);
         let known = list(&town, 1, true, known, &at[front]);
-        let config = settings(scenario, seed, front, &known);
+        let config = settings(scenario, seed, front, &known).to_string();
         let program = Front::with(program, address(), agent.at, &config, charter);
         drop(program.client());
         running.push((program, agent));
@@ -356,35 +411,16 @@
         while let Some(out) = state.world.next(now) {
             match out {
                 Out::Done { .. } | Out::Answered { .. } => measure.note(state.world.now(), &out),
-                Out::Arrived { front, txn, kind, group, left, retried } => {
-                    let kind = &scenario.load.kinds[kind];
-                    let (mark, id) = (state.world.mark(txn), format!("{txn:x}"));
-                    let write = kind.reads == Reads::Write;
-                    let text =
-                        statement(&kind.name, write, &id, left.as_millis(), mark, group as u64, retried);
-                    state.asks[front].push_back(Ask { txn, text, left });
-                    town.asked.notify_all();
-                }
-                Out::Ended { front, txn, member, ending, role, position, .. } => {
-                    if let Some(waits) = state.waits.remove(&(front, txn, member)) {
-                        let _ = waits.try_send(Ended { ending, role, position });
-                    }
-                }
-                Out::Probed { front, member, ending, report } => {
-                    let waits = state.probes.get_mut(&(front, member)).and_then(VecDeque::pop_front);
-                    if let Some(waits) = waits {
-                        let _ = waits.try_send(Some(report).filter(|_| ending == Ending::Committed));
-                    }
-                }
                 Out::Listed { front, entry } => {
                     version += 1;
                     if entry.member < most {
                         running[front].1.tell(list(&town, version, false, &[entry], &at[front]));
                     }
                 }
-                Out::Born { .. } | Out::Left { .. } | Out::Due { .. } => {}
+                out => drop(state.pass_on(out, scenario)),
             }
         }
+        town.asked.notify_all();
         if now >= next && now < lasts {
             next += MOMENT;
             let held = (0..state.world.members())
