Fronts know each other in scenarios by a field; two samples before a death

Need: a scenario could not have fronts that know each other. Change: `fleet.fellows`; the world carries what fronts send each other, lost where zones are cut; a run tells how the fronts stood and what that took. Found by its story at 60 fronts: 18 that were cut off drew a sample of 16 that half answered by luck, and called others dead (113 false suspicions). Of a tier too large to ask all, two samples in a row have to be answered by a majority (at most 6 in the story).

--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -98,6 +98,12 @@
         front: usize,
         handle: u64,
     },
+    /// Another front has sent it something.
+    Shared {
+        front: usize,
+        from: usize,
+        bytes: Box<[u8]>,
+    },
     /// A wish has come to its end.
     Done {
         kind: usize,
@@ -192,6 +198,7 @@
     Begin(u32),
     End(u32),
     Due(usize, u32, u64),
+    Share(usize, usize, u32),
 }
 
 struct Call {
@@ -284,6 +291,9 @@
     notes: Option<Vec<(Duration, Note)>>,
     /// Which members a front does not reach, beyond troubles.
     unreached: BTreeSet<(usize, usize)>,
+    /// What fronts have sent each other and is under way, and places that are free again.
+    letters: Vec<Option<Box<[u8]>>>,
+    unused: Vec<u32>,
 }
 
 impl World {
@@ -337,6 +347,8 @@
             remote: false,
             notes: None,
             unreached: BTreeSet::new(),
+            letters: Vec::new(),
+            unused: Vec::new(),
             shape,
         };
         for node in world.shape.members.clone() {
@@ -478,6 +490,7 @@
             | Out::Left { front, .. }
             | Out::Ended { front, .. }
             | Out::Probed { front, .. }
+            | Out::Shared { front, .. }
             | Out::Due { front, .. } => &mut self.fronts[front],
             Out::Born { .. } | Out::Done { .. } | Out::Answered { .. } => return Some(out),
         };
@@ -525,6 +538,7 @@
             Event::Begin(trouble) => (15, trouble.into(), 0),
             Event::End(trouble) => (16, trouble.into(), 0),
             Event::Due(front, _, handle) => (17, front as u64, handle),
+            Event::Share(from, to, _) => (18, from as u64, to as u64),
         };
         let mut bytes = [0; 32];
         for (word, place) in [self.now.as_nanos() as u64, tag, a, b].iter().zip(bytes.chunks_mut(8)) {
@@ -642,6 +656,21 @@
         self.calendar.set(at.max(self.now), Event::Due(front, life, handle));
     }
 
+    /// A front sends something to another: it comes after the way between their zones, or never.
+    pub fn share(&mut self, from: usize, to: usize, bytes: &[u8]) {
+        let (a, b) = (self.fronts[from].zone, self.fronts[to].zone);
+        if self.zones_apart(a, b) {
+            return;
+        }
+        let way = if a == b { self.shape.near } else { self.shape.far };
+        let letter = self.unused.pop().unwrap_or_else(|| {
+            self.letters.push(None);
+            self.letters.len() as u32 - 1
+        });
+        self.letters[letter as usize] = Some(bytes.into());
+        self.calendar.set(self.now + way, Event::Share(from, to, letter));
+    }
+
     /// The mark of a txn's wish.
     pub fn mark(&self, txn: u32) -> u64 {
         self.calls[self.tries[txn as usize].call as usize].mark
@@ -855,6 +884,15 @@
                     self.ready.push_back(Out::Due { front, handle });
                 }
             }
+            Event::Share(from, front, letter) => {
+                if let Some(bytes) = self.letters[letter as usize].take() {
+                    self.unused.push(letter);
+                    // What is under way when the line is cut is lost.
+                    if !self.zones_apart(self.fronts[from].zone, self.fronts[front].zone) {
+                        self.ready.push_back(Out::Shared { front, from, bytes });
+                    }
+                }
+            }
         }
     }
 
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -264,6 +264,8 @@
     /// The last survey was answered by too few to be a majority of the tier; when the last began that was not.
     minor: bool,
     confirmed: Option<Duration>,
+    /// When the survey before began, if a majority answered it.
+    sampled: Option<Duration>,
     /// How many were not alive at the last look, and until when surveys go on.
     failed: usize,
     surveys_until: Duration,
@@ -320,6 +322,7 @@
             survey: (Vec::new(), 0, Duration::ZERO),
             minor: false,
             confirmed: None,
+            sampled: None,
             failed: 0,
             surveys_until: Duration::ZERO,
             rolled: 0,
@@ -511,7 +514,7 @@
         self.proven.clear();
         self.hellos.clear();
         self.survey = Default::default();
-        (self.minor, self.confirmed) = (false, None);
+        (self.minor, self.confirmed, self.sampled) = (false, None, None);
         if self.tier > 1 && self.standing != Standing::Alone {
             (self.standing, self.since) = (Standing::Alone, now);
             host.event(Event::Stands(Standing::Alone));
@@ -593,9 +596,13 @@
     fn survey(&mut self, now: Duration, host: &mut impl Host) {
         let (asked, answered, since) = std::mem::take(&mut self.survey);
         if !asked.is_empty() {
-            // Of a small tier all others were asked, of a large one a sample.
             self.minor = 2 * (answered + 1) <= asked.len() + 1;
-            self.confirmed = Some(since).filter(|_| !self.minor).or(self.confirmed);
+            // Of a small tier all others were asked. Of a large one it was a sample, and one may be lucky: two in
+            // a row are needed to call anybody dead.
+            let major = Some(since).filter(|_| !self.minor);
+            let sure = if asked.len() + 1 == self.tier { major } else { major.and(self.sampled) };
+            self.sampled = major;
+            self.confirmed = sure.or(self.confirmed);
         }
         let failed = self.swim.iter_membership_state().filter(|m| m.state() != State::Alive).count();
         if failed >= (self.tier / MANY).max(1) && failed != self.failed {
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -3,11 +3,19 @@
 
 use crate::scenario::Scenario;
 use juniperdock_emulator::{Entry, Out, Stream, Told, World};
+use juniperdock_fellows::{Fellows, Keys, NEWEST, Times, life_at};
 use juniperdock_router::host::{Effect, Host, Level, Listed, Standing, TxnType};
 use juniperdock_router::routing::Router;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+/// Any time; lives of fronts count from it.
+const UNIX: Duration = Duration::from_secs(1_790_000_000);
+/// As the operators' file has it where it does not say.
+const FELLOWS: Times = Times { every: Duration::from_millis(500), suspicion: 3 };
+/// Handle of reminders that are no router's.
+const REMINDER: u64 = u64::MAX;
+
 /// Who decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Policy {
@@ -98,6 +106,7 @@
             let ids = Ids {
                 front,
                 born: world.now(),
+                meets: Duration::MAX,
                 txns: Vec::new(),
                 of: HashMap::new(),
                 free: Vec::new(),
@@ -105,7 +114,13 @@
                 extra: HashMap::new(),
             };
             let (stopped, cold) = (BTreeSet::new(), None);
-            return Front::Router(Box::new(Routed { router, ids, broken, stopped, cold, turn: 0 }));
+            let fellows = scenario.fleet.fellows.then(|| {
+                let keys = Keys::read(&["5a".repeat(32)]).expect("a good key");
+                let life = life_at(UNIX + world.now());
+                let seed = Stream::of(seed, "fellows", front).number() ^ u64::from(life);
+                Box::new(Fellows::new(front, fronts, life, seed, NEWEST, FELLOWS, keys))
+            });
+            return Front::Router(Box::new(Routed { router, ids, broken, stopped, cold, turn: 0, fellows }));
         }
         let rng = Stream::of(seed, "baseline", front);
         let (in_hand, cold, stopped) = (HashMap::new(), HashMap::new(), BTreeSet::new());
@@ -130,6 +145,14 @@
         }
     }
 
+    /// Its part among the fronts, if it has one.
+    pub fn fellows(&self) -> Option<&Fellows> {
+        match self {
+            Front::Router(front) => front.fellows.as_deref(),
+            Front::Plain(_) => None,
+        }
+    }
+
     /// Whom the front takes for the primary of a group, if it tells.
     pub fn believes(&self, group: usize) -> Option<Option<usize>> {
         match self {
@@ -143,6 +166,8 @@
 struct Ids {
     front: usize,
     born: Duration,
+    /// When its part among the fronts is to be looked at next.
+    meets: Duration,
     txns: Vec<u32>,
     of: HashMap<u32, usize>,
     free: Vec<usize>,
@@ -159,6 +184,18 @@
     stopped: BTreeSet<usize>,
     cold: Option<usize>,
     turn: u32,
+    fellows: Option<Box<Fellows>>,
+}
+
+/// Sends between fronts go through the world; what has changed is looked up where it is wanted.
+struct Letters<'a>(usize, &'a mut World);
+
+impl juniperdock_fellows::Host for Letters<'_> {
+    fn send(&mut self, to: usize, datagram: &[u8]) {
+        self.1.share(self.0, to, datagram);
+    }
+
+    fn event(&mut self, _: juniperdock_fellows::Event) {}
 }
 
 struct Hands<'a> {
@@ -236,7 +273,29 @@
 }
 
 impl Routed {
+    /// What concerns the other fronts; true if it concerns nothing else.
+    fn meet(&mut self, out: &Out, world: &mut World) -> bool {
+        let (front, born) = (self.ids.front, self.ids.born);
+        let Some(fellows) = self.fellows.as_mut() else { return false };
+        let now = world.now().saturating_sub(born);
+        let mut letters = Letters(front, world);
+        match out {
+            Out::Born { .. } | Out::Due { handle: REMINDER, .. } => fellows.due(now, &mut letters),
+            Out::Shared { from, bytes, .. } => drop(fellows.heard(now, *from, bytes, &mut letters)),
+            _ => return false,
+        }
+        let next = fellows.next();
+        if next != self.ids.meets || now >= self.ids.meets {
+            self.ids.meets = next;
+            world.remind(front, born.saturating_add(next), REMINDER);
+        }
+        !matches!(out, Out::Born { .. })
+    }
+
     fn take(&mut self, out: &Out, world: &mut World) {
+        if self.meet(out, world) {
+            return;
+        }
         let now = world.now().saturating_sub(self.ids.born);
         let born = self.ids.born;
         let at = |at: Option<Duration>| at.and_then(|at| at.checked_sub(born));
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -232,6 +232,12 @@
         outcome.unanswered,
         outcome.in_grace
     );
+    if let Some(f) = &outcome.fellows {
+        println!(
+            "  fronts at the end: {} whole, {} part, {} alone; {} datagrams of {} bytes in all between them",
+            f.whole, f.part, f.alone, f.datagrams, f.bytes
+        );
+    }
     if let Some(recovered) = outcome.recovered_s {
         println!("  as before {recovered:.0} s after the last trouble");
     }
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -3,6 +3,7 @@
 use crate::scenario::Scenario;
 use hdrhistogram::Histogram;
 use juniperdock_emulator::{Broken, How, Kind, Out, Told};
+use juniperdock_fellows::{Fellows, Standing};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -43,6 +44,32 @@
     pub open: usize,
 }
 
+/// How the fronts stood towards each other at the end, and what that took.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Fellowship {
+    pub whole: usize,
+    pub part: usize,
+    pub alone: usize,
+    pub datagrams: u64,
+    pub bytes: u64,
+}
+
+impl Fellowship {
+    pub fn of<'a>(fronts: impl Iterator<Item = &'a Fellows>) -> Fellowship {
+        let mut sum = Fellowship::default();
+        for front in fronts {
+            match front.standing().0 {
+                Standing::Whole => sum.whole += 1,
+                Standing::Part => sum.part += 1,
+                Standing::Alone => sum.alone += 1,
+            }
+            sum.datagrams += front.datagrams_out;
+            sum.bytes += front.bytes_out;
+        }
+        sum
+    }
+}
+
 /// A run's figures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Outcome {
@@ -69,6 +96,8 @@
     /// Tries, of those too that were asked again, whose answer came within the grace after that.
     #[serde(default)]
     pub in_grace: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fellows: Option<Fellowship>,
     pub late: u64,
     pub rules_broken: [usize; 5],
     pub broken: Vec<String>,
@@ -195,6 +224,7 @@
             unknown: sum(|s| s.unknown),
             unanswered: sum(|s| s.unanswered),
             in_grace: 0,
+            fellows: None,
             late: sum(|s| s.late),
             rules_broken: rules,
             broken: broken
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -82,6 +82,9 @@
     pub zones: usize,
     #[garde(range(min = 1, max = 2000))]
     pub fronts: usize,
+    /// The fronts know each other.
+    #[garde(skip)]
+    pub fellows: bool,
     #[garde(range(min = 1, max = 10_000))]
     pub groups: usize,
     /// Members of each group.
@@ -148,6 +151,7 @@
         Fleet {
             zones: 2,
             fronts: 2,
+            fellows: false,
             groups: 3,
             members: 3,
             cores: 2.0,
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -1,7 +1,7 @@
 //! A scenario in simulated time, with the fronts in this process.
 
 use crate::fronts::{Broken, Front, Policy};
-use crate::measure::{Measure, Moment, Outcome};
+use crate::measure::{Fellowship, Measure, Moment, Outcome};
 use crate::scenario::Scenario;
 use juniperdock_emulator::{Out, World};
 use std::time::{Duration, Instant};
@@ -50,6 +50,7 @@
             | Out::Left { front, .. }
             | Out::Ended { front, .. }
             | Out::Probed { front, .. }
+            | Out::Shared { front, .. }
             | Out::Due { front, .. } => {
                 if let Some(front) = fronts[*front].as_mut() {
                     front.take(&out, &mut world);
@@ -63,6 +64,9 @@
     }
     let mut outcome =
         measure.outcome(scenario, seed, policy.name(), true, world.audit.counts, &world.audit.broken);
+    if scenario.fleet.fellows {
+        outcome.fellows = Some(Fellowship::of(fronts.iter().flatten().filter_map(Front::fellows)));
+    }
     outcome.in_grace = world.answered_in_grace;
     (outcome.trace, outcome.events) = (format!("{:016x}", world.trace()), world.events);
     outcome.wall_s = begun.elapsed().as_secs_f64();
--- a/crates/lab/tests/stories.rs
+++ b/crates/lab/tests/stories.rs
@@ -1,5 +1,6 @@
 //! The laboratory keeps its word: same seed, same day; auditors that find; faults told with their line.
 
+use juniperdock_lab::circle::{self, Circle, Ill, Plight};
 use juniperdock_lab::experiment::{Interval, Side, compare, with};
 use juniperdock_lab::fronts::{Broken, Policy};
 use juniperdock_lab::scenario::{SHELF, find, read};
@@ -63,6 +64,39 @@
     }
 }
 
+#[test]
+fn fronts_that_know_each_other_at_size_find_the_dead_and_no_others() {
+    let ill = |what, share| Ill { at_s: 10.0, lasts_s: 12.0, what, share };
+    let day = |ills| Circle { fronts: 60, lasts_s: 30.0, ills, ..Circle::default() };
+    let killed = circle::play(&day(vec![ill(Plight::Killed, 0.33)]), 5);
+    assert!(killed.detected > 700 && killed.false_suspicions == 0, "{killed:?}");
+    assert!(
+        killed.settle_s.is_some() && killed.standing == [0, 0, 60] && killed.longest <= 256,
+        "{killed:?}"
+    );
+    // A minority of a cut, one that is not heard, and loss make nobody take the living for dead.
+    for (what, share) in
+        [(Plight::Cut, 0.3), (Plight::Unheard, 0.1), (Plight::Lost, 0.2), (Plight::Slow, 0.3)]
+    {
+        let seen = circle::play(&day(vec![ill(what, share)]), 5);
+        assert!(seen.false_suspicions <= 6 && seen.settle_s.is_some(), "{what:?}: {seen:?}");
+    }
+    let two = [3, 3].map(|seed| circle::play(&day(vec![ill(Plight::Lost, 0.3)]), seed).datagrams);
+    assert_eq!(two[0], two[1], "the same seed plays the same");
+}
+
+#[test]
+fn that_the_fronts_know_each_other_changes_nothing_for_clients() {
+    let scenario = find("zone-cut").expect("it is on the shelf");
+    let [off, on] = ["false", "true"].map(|fellows| {
+        let scenario = with(&scenario, "fleet.fronts", "40").and_then(|s| with(&s, "fleet.fellows", fellows));
+        simulate(&scenario.expect("good fields"), 4, Policy::Router, None, false)
+    });
+    assert_eq!((off.served, off.tries), (on.served, on.tries));
+    let fellows = on.fellows.expect("they are on");
+    assert!(fellows.whole == 40 && fellows.datagrams > 1000 && off.fellows.is_none(), "{fellows:?}");
+}
+
 #[test]
 fn baselines_that_know_the_truth_answer_too_and_differ() {
     let scenario = find("gray-failure").expect("it is on the shelf");
