Drive the fronts' membership over the simulator's messages, too

Need: one core for three drivers; the simulator's host passed other instances' messages over. Without the word nothing is sent, and a message is checked and passed over as before. Measured: a story plays three instances over the wire, one retired: all whole, then it is found dead by both; nothing is said with the word but without the settings' leave, nor without the word (it fails without either guard).

--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,6 +1,7 @@
 //! Hosts router instances on the simulator's line protocol: reads batches of events on standard input, writes
 //! one reply per batch on standard output. Words and ids are translated here one to one; nothing is chosen.
 
+mod fellows;
 mod line;
 mod world;
 
@@ -9,7 +10,20 @@
 use world::World;
 
 fn main() -> ExitCode {
-    match run(BufReader::with_capacity(1 << 20, io::stdin().lock()), BufWriter::new(io::stdout().lock())) {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let fellows = match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] => false,
+        ["--fellows"] => true,
+        _ => {
+            eprintln!("juniperdock-simhost: expected no word or --fellows, found {words:?}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match run(
+        fellows,
+        BufReader::with_capacity(1 << 20, io::stdin().lock()),
+        BufWriter::new(io::stdout().lock()),
+    ) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("juniperdock-simhost: {why}");
@@ -19,8 +33,8 @@
 }
 
 /// Plays batches until the input ends; the error names the line it met.
-fn run(mut input: impl BufRead, mut output: impl Write) -> Result<(), String> {
-    let mut world = World::default();
+fn run(fellows: bool, mut input: impl BufRead, mut output: impl Write) -> Result<(), String> {
+    let mut world = World::new(fellows);
     let mut text = Vec::new();
     let mut number = 0u64;
     let mut in_batch = false;
--- a/crates/simhost/src/world.rs
+++ b/crates/simhost/src/world.rs
@@ -1,7 +1,9 @@
 //! The instances of this process, the lists they share, and the reply being written.
 
+use crate::fellows::{self, Letters, REMINDER};
 use crate::line::Line;
 use juniperdock_door::{self as door, Indices, Origin};
+use juniperdock_fellows::Fellows;
 use juniperdock_router::host::{Ending, Host, Listed, Report, Role};
 use juniperdock_router::routing::Router;
 use std::collections::HashMap;
@@ -64,6 +66,9 @@
 struct Instance {
     router: Router,
     ids: Ids,
+    /// Its part among the fronts, and when that is to be looked at next.
+    fellows: Option<Fellows>,
+    meets: Duration,
 }
 
 /// Writes the router's calls as actions.
@@ -147,9 +152,16 @@
     filling: Option<(usize, usize)>,
     instances: HashMap<u64, Instance>,
     out: String,
+    /// Instances know each other, where the settings let them speak.
+    fellows: bool,
 }
 
 impl World {
+    /// A world without instances; `fellows`: those to be born know each other, where the settings let them.
+    pub fn new(fellows: bool) -> World {
+        World { fellows, ..World::default() }
+    }
+
     pub fn reply(&self) -> &str {
         &self.out
     }
@@ -189,10 +201,11 @@
             }
             "ROW" => self.row(&line)?,
             "BORN" => {
-                let instance = born(&line, self.clock)?;
+                let instance = born(&line, self.clock, self.fellows)?;
                 let asks = line.text("Discovery") == Some("on_request");
                 let front = instance.ids.front;
                 self.instances.insert(front, instance);
+                self.meet(front, |fellows, now, letters| fellows.due(now, letters));
                 if asks {
                     self.call(front, |router, now, host| router.list_lost(now, host))?;
                 }
@@ -292,6 +305,10 @@
             }
             "TICK_DUE" => {
                 let handle = line.need("Handle")?;
+                if handle == REMINDER {
+                    self.meet(front, |fellows, now, letters| fellows.due(now, letters));
+                    return Ok(());
+                }
                 self.call(front, |router, now, host| router.reminder_due(now, handle, host))
             }
             "CANCELLED_BY_CLIENT" => {
@@ -308,24 +325,41 @@
             }
             "MEMO" => {
                 let payload = line.text("Payload").unwrap_or("-");
-                // Fronts tell each other nothing; another one's message is checked and passed over.
-                let hex = payload.len().is_multiple_of(2) && payload.bytes().all(|b| b.is_ascii_hexdigit());
-                (hex || payload == "-")
-                    .then_some(())
-                    .ok_or_else(|| format!("MEMO: expected hex digits, found {payload:?}"))
+                let bytes = fellows::bytes(payload)
+                    .ok_or_else(|| format!("MEMO: expected hex digits, found {payload:?}"))?;
+                let from: usize = line.need("From")?;
+                // One that is refused is counted by the membership.
+                self.meet(front, |fellows, now, letters| {
+                    let _ = fellows.heard(now, from, &bytes, letters);
+                });
+                Ok(())
             }
             // Only streamed txn types have a start of their answer; nothing is decided on it.
             _ => Ok(()),
         }
     }
 
+    /// Calls an instance's membership, if it has one.
+    fn meet(&mut self, front: u64, input: impl FnOnce(&mut Fellows, Duration, &mut Letters)) {
+        let Some(Instance { ids, fellows: Some(fellows), meets, .. }) = self.instances.get_mut(&front) else {
+            return;
+        };
+        let now = ids.origin.since_start(self.clock);
+        input(fellows, now, &mut Letters { front, out: &mut self.out });
+        let next = fellows.next();
+        if next != *meets || now >= *meets {
+            *meets = next;
+            Actions { ids, out: &mut self.out }.remind(next, REMINDER);
+        }
+    }
+
     /// Calls the router of an instance; should it panic, the simulator is told.
     fn call(
         &mut self,
         front: u64,
         input: impl FnOnce(&mut Router, Duration, &mut Actions),
     ) -> Result<(), String> {
-        let Instance { router, ids } = self.instances.get_mut(&front).ok_or_else(|| unborn(front))?;
+        let Instance { router, ids, .. } = self.instances.get_mut(&front).ok_or_else(|| unborn(front))?;
         let now = ids.origin.since_start(self.clock);
         let mut host = Actions { ids, out: &mut self.out };
         if let Err(panic) = catch_unwind(AssertUnwindSafe(|| input(router, now, &mut host))) {
@@ -363,7 +397,7 @@
 }
 
 /// Reads what an instance is handed at its start.
-fn born(line: &Line, clock: i64) -> Result<Instance, String> {
+fn born(line: &Line, clock: i64, speaks: bool) -> Result<Instance, String> {
     let (router, kinds) = door::open(line.need("Entropy")?, &|path| line.text(path).map(str::to_owned))
         .map_err(|why| format!("BORN: {why}"))?;
     let zero = line.millis("Specifics.Zero")?.unwrap_or(clock);
@@ -377,5 +411,10 @@
         txn_ids: Vec::new(),
         free: Vec::new(),
     };
-    Ok(Instance { router, ids })
+    let fellows = (speaks && line.flag("Bounds.Peers")?)
+        .then(|| Ok::<_, String>((line.need("Me")?, line.need("Balancers")?)))
+        .transpose()?
+        .map(|(me, tier)| Ok::<_, String>(fellows::born(me, tier, clock, line.need("Entropy")?)))
+        .transpose()?;
+    Ok(Instance { router, ids, fellows, meets: Duration::MAX })
 }
--- a/crates/simhost/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The adapter as its caller sees it: batches in, replies out, plain words on bad input.
 
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
 use std::process::{Command, Output, Stdio};
 
 const BORN: &str = "BORN Front=3 Entropy=7 Balancers=1 Bounds.MayProbe=true Bounds.TryLimit=4 \
@@ -73,3 +73,77 @@
     let output = play(&format!("ROUND Time=1.0 turn=1\n{BORN}\n{LISTED}\n{odd}COMMIT\n"));
     assert!(output.status.success() && !text(&output.stdout).contains("BROKEN"), "{}", text(&output.stderr));
 }
+
+#[test]
+fn instances_know_each_other_where_they_are_let_and_told_to() {
+    for (word, allowed) in [("--fellows", true), ("--fellows", false), ("", true)] {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_juniperdock-simhost"))
+            .args(Some(word).filter(|word| !word.is_empty()))
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the adapter starts");
+        let (mut input, output) = (child.stdin.take().expect("a pipe"), child.stdout.take().expect("a pipe"));
+        let mut lines = BufReader::new(output).lines();
+        let born = |front: usize| {
+            let born = BORN
+                .replace("Front=3 ", &format!("Front={front} Me={front} "))
+                .replace("Balancers=1", "Balancers=3");
+            format!(
+                "{born} Bounds.Peers={}\n{}\n",
+                u8::from(allowed),
+                LISTED.replace("Front=3", &format!("Front={front}"))
+            )
+        };
+        let (mut events, mut said) = ((0..3).map(born).collect::<String>(), Vec::new());
+        let mut due: Vec<(f64, String)> = Vec::new();
+        let mut gone = false;
+        for turn in 1..=160 {
+            let now = 1000.0 + 50.0 * f64::from(turn);
+            let (over, later) = due.into_iter().partition(|(at, _): &(f64, String)| *at <= now);
+            due = later;
+            events.extend(
+                over.into_iter().map(|(_, event)| event).filter(|event| !gone || !event.contains("Front=1 ")),
+            );
+            if turn == 60 {
+                events += "RETIRE Front=1\n";
+                gone = true;
+            }
+            write!(input, "ROUND Time={now} turn={turn}\n{events}COMMIT\n").expect("it reads");
+            events.clear();
+            for line in lines.by_ref() {
+                let line = line.expect("a reply");
+                let field = |name: &str| {
+                    let part = line.split(' ').find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
+                    part.unwrap_or_default().to_owned()
+                };
+                match line.split(' ').next() {
+                    Some("READY") => break,
+                    Some("SHARE") => {
+                        let (from, to, payload) = (field("Front"), field("Peer"), field("Payload"));
+                        assert!(payload.len() <= 512, "{} bytes", payload.len() / 2);
+                        due.push((now + 7.0, format!("MEMO Front={to} From={from} Payload={payload}\n")));
+                    }
+                    Some("REMIND") => {
+                        let at = field("FireAt").parse().expect("a time");
+                        due.push((
+                            at,
+                            format!("TICK_DUE Front={} Handle={}\n", field("Front"), field("Handle")),
+                        ));
+                    }
+                    Some("REMARK") => said.push(line.clone()),
+                    _ => {}
+                }
+            }
+        }
+        drop(input);
+        assert!(child.wait().expect("it ends").success());
+        let heard = |front: usize, what: &str| said.contains(&format!("REMARK Front={front} Msg={what}"));
+        let on = !word.is_empty() && allowed;
+        assert!((0..3).all(|front| heard(front, "standing whole") == on), "{word} {allowed}: {said:?}");
+        assert!(
+            [0, 2].iter().all(|&front| heard(front, "fellow down 1") == on),
+            "{word} {allowed}: {said:?}"
+        );
+    }
+}
