Keep one verdict a suspicion: whoever cries wolf made a minority's memory grow

Ruled out: gossip itself sets none; what was refuted is not kept. Change: a verdict is put off only while its suspicion stands, and there is one a place, life and incarnation.

--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -229,6 +229,8 @@
     window: Window,
     heard: Option<Duration>,
     says: Option<Standing>,
+    /// The life and incarnation in which it is suspected, while a verdict on that is still to come.
+    suspected: Option<(u32, u16)>,
     /// Datagrams that would still be taken now, and when that was reckoned.
     room: f64,
     reckoned: Duration,
@@ -359,12 +361,16 @@
                 // Who does not hear a majority has no ground to call others dead: it may be itself that is cut
                 // off. They stay suspects until it has asked, since it began to suspect them, and a majority of
                 // the tier has answered. So it has no wrong word to spread when it is back.
-                Due::Verdict(timer, since) if self.confirmed.is_none_or(|at| at < since) => {
+                Due::Verdict(timer, since) if self.doubtful(&timer, since) => {
                     self.surveys_until = now + self.times.every * 2 * QUIET;
                     let at = now - self.lost + self.times.every;
                     self.timers.set(at, (at, Due::Verdict(timer, since)));
                 }
                 Due::Swim(timer) | Due::Verdict(timer, _) => {
+                    if let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = &timer {
+                        let suspected = &mut self.marks[usize::from(member_id.index)].suspected;
+                        suspected.take_if(|of| *of == (member_id.life, *incarnation));
+                    }
                     let _ = self.with(now, host, |swim, acts| swim.handle_timer(timer, acts));
                 }
                 Due::Hello => {
@@ -379,6 +385,20 @@
         self.look(now, host);
     }
 
+    /// A suspicion that still stands, since which no majority has answered. One that was refuted is no business
+    /// of this front any more: else whoever cries wolf would fill its memory.
+    fn doubtful(&self, verdict: &Timer<Who>, since: Duration) -> bool {
+        let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = verdict else { return false };
+        let stands = |m: &foca::Member<Who>| m.state() == State::Suspect && m.incarnation() == *incarnation;
+        self.confirmed.is_none_or(|at| at < since)
+            && self.swim.iter_members().any(|member| member.id() == member_id && stands(member))
+    }
+
+    /// How many timers are set.
+    pub fn timers(&self) -> usize {
+        self.timers.len()
+    }
+
     /// A datagram has come from the address of a place of the tier.
     pub fn heard(
         &mut self,
@@ -699,7 +719,16 @@
         for (after, timer) in acts.timers {
             let at = now - self.lost + after;
             let due = match timer {
-                Timer::ChangeSuspectToDown { .. } => Due::Verdict(timer, now),
+                Timer::ChangeSuspectToDown { member_id, incarnation, .. } => {
+                    // One verdict on a suspicion, however often the library finds it confirmed.
+                    let mark = &mut self.marks[usize::from(member_id.index)];
+                    if mark.suspected.replace((member_id.life, incarnation))
+                        == Some((member_id.life, incarnation))
+                    {
+                        continue;
+                    }
+                    Due::Verdict(timer, now)
+                }
                 _ => Due::Swim(timer),
             };
             self.timers.set(at, (at, due));
