--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -291,9 +291,8 @@
             let hint = Some(Role::Primary).filter(|_| m.hinted && !self.tenure.has_claimed(member));
             self.heard(now, member, told.role.or(hint), told.position, None);
         } else if !matches!(end, Ending::Full | Spoilt) {
-            let counts =
-                self.standing.fronts as f64 > ASK_FRONTS && end == Unreachable && m.probe_failures > 0;
-            m.refused |= counts && m.asked.is_some_and(|at| now < at + REPORT_AWAITED);
+            let many = self.standing.fronts as f64 > ASK_FRONTS && m.probe_failures > 0;
+            m.refused |= many && end == Unreachable && m.asked.is_some_and(|at| now < at + REPORT_AWAITED);
             m.probe_failures += 1;
         }
         self.plan_probe(now, member, host);
