One model of a member: the proofs run among the emulator's groups

Change: primaries that change are a schedule of the rig of processes (six ways to lose one, drawn from the seed), judged by the rig's auditors; the proof of upgrades drives the emulator's world. 40000 is audited: it may not be told of what ran. The members left in crates/standins say bytes that a story names and model nothing. The suspicion's length stands in crates/fellows once, no longer in three drivers.

--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -121,6 +121,9 @@
     fn event(&mut self, event: Event);
 }
 
+/// A suspect has so many periods to answer.
+const SUSPICION: u32 = 3;
+
 /// How long things take.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Times {
@@ -130,6 +133,13 @@
     pub suspicion: u32,
 }
 
+impl Times {
+    /// The same for all drivers, by the period.
+    pub fn of(every: Duration) -> Times {
+        Times { every, suspicion: SUSPICION }
+    }
+}
+
 /// The library's codec, bounded: no place outside the tier and no life of the future gets into the state.
 #[derive(Debug)]
 struct Tongue {
--- a/crates/front/src/fellows.rs
+++ b/crates/front/src/fellows.rs
@@ -18,8 +18,6 @@
 
 /// Datagrams read before others get their turn.
 const A_FEW: usize = 32;
-/// A suspect has so many periods to answer.
-const SUSPICION: u32 = 3;
 /// How often an address that is taken is tried again.
 const AGAIN: Duration = Duration::from_millis(100);
 
@@ -164,7 +162,7 @@
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         self.life = life_at(unix).max(self.life + 1);
         let Circle { me, peers, laid_down, keys, seed, .. } = &self.circle;
-        let times = Times { every: Duration::from_millis(laid_down.every_ms), suspicion: SUSPICION };
+        let times = Times::of(Duration::from_millis(laid_down.every_ms));
         Fellows::new(*me, peers.len(), self.life, *seed, laid_down.speaks, times, keys.clone())
     }
 
--- a/crates/lab/src/fleet/audit.rs
+++ b/crates/lab/src/fleet/audit.rs
@@ -68,24 +68,24 @@
 }
 
 /// What the history says of the circumstances.
-struct Town<'a> {
+pub(super) struct Town<'a> {
     lines: &'a [Line],
     setting: &'a Value,
     fronts: usize,
     /// By front: when its process was met by something, its time to come round counted in.
     met: Vec<Vec<(Duration, Duration)>>,
     /// Mishaps by their numbers: what, from when to when.
-    mishaps: Vec<(Value, Duration, Duration)>,
+    pub(super) mishaps: Vec<(Value, Duration, Duration)>,
     /// Txns: kind.
     kinds: HashMap<u64, usize>,
 }
 
-fn micros(value: &Value) -> Duration {
+pub(super) fn micros(value: &Value) -> Duration {
     Duration::from_micros(value.as_u64().unwrap_or_default())
 }
 
 impl<'a> Town<'a> {
-    fn of(lines: &'a [Line]) -> Town<'a> {
+    pub(super) fn of(lines: &'a [Line]) -> Town<'a> {
         static NONE: Value = Value::Null;
         let setting = lines.iter().find(|line| line.what == "setting").map_or(&NONE, |line| &line.more);
         let fronts = setting["fronts"].as_u64().unwrap_or_default() as usize;
@@ -128,11 +128,11 @@
         Town { lines, setting, fronts, met, mishaps, kinds }
     }
 
-    fn each(&self, what: &'a str) -> impl Iterator<Item = &'a Line> {
+    pub(super) fn each(&self, what: &'a str) -> impl Iterator<Item = &'a Line> {
         self.lines.iter().filter(move |line| line.what == what)
     }
 
-    fn kind(&self, txn: u64) -> &Value {
+    pub(super) fn kind(&self, txn: u64) -> &Value {
         let kind = self.kinds.get(&txn).copied().unwrap_or(usize::MAX);
         self.setting["kinds"].get(kind).unwrap_or(&Value::Null)
     }
@@ -151,11 +151,11 @@
     }
 }
 
-fn front(line: &Line) -> usize {
+pub(super) fn front(line: &Line) -> usize {
     line.number("front").unwrap_or_default() as usize
 }
 
-fn txn(line: &Line) -> u64 {
+pub(super) fn txn(line: &Line) -> u64 {
     line.number("txn").unwrap_or_default()
 }
 
@@ -239,6 +239,10 @@
             "declined" if times > 0 => {
                 found.push((line.at, format!("txn {} is declined and has run", txn(line))));
             }
+            // 40000 says that it has not run.
+            "unknown" if times > 0 && line.text("code") == "40000" => {
+                found.push((line.at, format!("txn {} is rolled back and has run", txn(line))));
+            }
             "committed" if times < 1 && once => {
                 found.push((line.at, format!("txn {} is committed and has not run", txn(line))));
             }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod history;
 pub mod page;
 pub mod play;
+pub mod primaries;
 pub mod relay;
 pub mod schedule;
 
--- /dev/null
+++ b/crates/lab/src/fleet/primaries.rs
@@ -0,0 +1,187 @@
+//! What a history of changing primaries shows: what each change cost, and whether all that clients were told was
+//! true. Like the auditors it reads the history alone.
+
+use super::audit::{Town, front, micros, txn};
+use super::history::Line;
+use super::{Figures as Fleet, figures};
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::time::Duration;
+
+/// Fewer changes than this prove too little.
+const CHANGES: usize = 8;
+/// A txn outlasts a change if so much of its time is left when another has been elected.
+const LEFT: Duration = Duration::from_millis(300);
+
+#[derive(Debug, Default)]
+pub struct Figures {
+    pub writes: usize,
+    pub committed: usize,
+    pub declined: usize,
+    pub unknown: usize,
+    /// Committed writes that the group does not have, and txns that were never answered.
+    pub lost: usize,
+    /// Writes that took effect more than once, or were out twice.
+    pub doubled: usize,
+    /// Declines, and roll-backs, of what ran.
+    pub untruthful: usize,
+    pub stale: usize,
+    pub changes: usize,
+    reads: usize,
+    reads_served: usize,
+    kinds: BTreeMap<String, OfKind>,
+    fleet: Fleet,
+}
+
+#[derive(Debug, Default)]
+struct OfKind {
+    struck: usize,
+    writes: usize,
+    committed: usize,
+    unknown: usize,
+    /// Of the writes, those whose time outlasted the change, and how many of these were committed.
+    outlasted: usize,
+    outlasted_committed: usize,
+    vacant: Vec<Duration>,
+}
+
+fn median(spans: &[Duration]) -> u128 {
+    let mut spans = spans.to_vec();
+    spans.sort_unstable();
+    spans.get(spans.len() / 2).copied().unwrap_or_default().as_millis()
+}
+
+/// One loss of a primary: of which group, in which way, from when, and when another was elected.
+struct Turn<'a> {
+    group: u64,
+    kind: &'a str,
+    lost: Duration,
+    elected: Option<Duration>,
+}
+
+/// Reads a history in which no client asks again.
+pub fn changes(lines: &[Line]) -> Figures {
+    let (town, fleet) = (Town::of(lines), figures(lines));
+    let mut seen =
+        Figures { stale: fleet.stale, doubled: fleet.doubled, lost: fleet.lost, ..Figures::default() };
+    seen.untruthful = fleet.found.iter().filter(|found| found.auditor == "truth").count();
+    let elections: Vec<(u64, Duration)> = town
+        .each("primary")
+        .map(|line| (line.number("group").unwrap_or_default(), line.at))
+        .filter(|(_, at)| *at > Duration::ZERO)
+        .collect();
+    seen.changes = elections.len();
+    let turn = |(mishap, from, to): &'_ (serde_json::Value, Duration, Duration)| {
+        let group = mishap["number"].as_u64().unwrap_or_default();
+        let its = |&&(g, at): &&(u64, Duration)| g == group && at >= *from && at <= *to;
+        let elected = elections.iter().find(its).map(|e| e.1);
+        (group, mishap["what"].as_str().unwrap_or_default().to_owned(), *from, elected)
+    };
+    let turns: Vec<_> = town.mishaps.iter().map(turn).collect();
+    let turns: Vec<Turn> = turns
+        .iter()
+        .map(|(group, kind, lost, elected)| Turn { group: *group, kind, lost: *lost, elected: *elected })
+        .collect();
+    for turn in &turns {
+        let of = seen.kinds.entry(turn.kind.to_owned()).or_default();
+        of.struck += 1;
+        of.vacant.extend(turn.elected.map(|elected| elected.saturating_sub(turn.lost)));
+    }
+    let groups: HashMap<u64, u64> =
+        town.each("txn").map(|line| (txn(line), line.number("group").unwrap_or_default())).collect();
+    let asked: HashMap<u64, (Duration, Duration)> =
+        town.each("asked").map(|line| (txn(line), (line.at, micros(&line.more["left"])))).collect();
+    let mut ran: HashMap<u64, i64> = HashMap::new();
+    for line in lines {
+        match line.what.as_str() {
+            "ran" => *ran.entry(txn(line)).or_default() += 1,
+            "undone" => *ran.entry(txn(line)).or_default() -= 1,
+            _ => {}
+        }
+    }
+    for line in town.each("answered").filter(|line| front(line) == 0) {
+        let told = line.text("told");
+        if town.kind(txn(line))["write"].as_bool() != Some(true) {
+            seen.reads += 1;
+            seen.reads_served += usize::from(told == "committed");
+            continue;
+        }
+        seen.writes += 1;
+        match told {
+            "committed" => {
+                seen.committed += 1;
+                // Once-only ones are the auditor's: those with a mark are looked at here, as nobody asks again.
+                let marked = town.kind(txn(line))["name"] == "mark";
+                seen.lost += usize::from(marked && ran.get(&txn(line)).copied().unwrap_or(0) < 1);
+            }
+            "declined" => seen.declined += 1,
+            "unknown" => seen.unknown += 1,
+            _ => {}
+        }
+        let Some(&(from, left)) = asked.get(&txn(line)) else { continue };
+        let group = groups.get(&txn(line)).copied().unwrap_or(u64::MAX);
+        let met = turns.iter().rev().find(|turn| {
+            let over = turn.elected.unwrap_or(turn.lost + Duration::from_millis(500));
+            turn.group == group && turn.lost < line.at && from < over
+        });
+        if let Some(turn) = met
+            && let Some(of) = seen.kinds.get_mut(turn.kind)
+        {
+            of.writes += 1;
+            of.committed += usize::from(told == "committed");
+            of.unknown += usize::from(told == "unknown");
+            if turn.elected.is_some_and(|elected| elected + LEFT < from + left) {
+                of.outlasted += 1;
+                of.outlasted_committed += usize::from(told == "committed");
+            }
+        }
+    }
+    seen.fleet = fleet;
+    seen
+}
+
+impl Figures {
+    pub fn holds(&self) -> bool {
+        self.lost + self.doubled + self.untruthful + self.stale == 0
+            && self.fleet.found.is_empty()
+            && self.changes >= CHANGES
+    }
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        for found in self.fleet.found.iter().take(20) {
+            writeln!(f, "{} at {:.3} s: {}", found.auditor, found.at_s, found.what)?;
+        }
+        writeln!(f, "reads: {} of {} served", self.reads_served, self.reads)?;
+        let head = ["struck", "writes", "committed", "unknown", "outlasting it", "vacant ms"];
+        writeln!(
+            f,
+            "{:<16} {:>6} {:>7} {:>9} {:>8} {:>16} {:>9}",
+            "change", head[0], head[1], head[2], head[3], head[4], head[5]
+        )?;
+        for (kind, of) in &self.kinds {
+            let outlasting = format!("{} of {}", of.outlasted_committed, of.outlasted);
+            let (struck, writes, committed) = (of.struck, of.writes, of.committed);
+            writeln!(
+                f,
+                "{kind:<16} {struck:>6} {writes:>7} {committed:>9} {:>8} {outlasting:>16} {:>9}",
+                of.unknown,
+                median(&of.vacant)
+            )?;
+        }
+        write!(
+            f,
+            "primary: writes={} committed={} declined={} unknown={} lost={} doubled={} untruthful={} stale={} changes={}",
+            self.writes,
+            self.committed,
+            self.declined,
+            self.unknown,
+            self.lost,
+            self.doubled,
+            self.untruthful,
+            self.stale,
+            self.changes
+        )
+    }
+}
--- a/crates/lab/src/fleet/schedule.rs
+++ b/crates/lab/src/fleet/schedule.rs
@@ -43,11 +43,31 @@
     ListCut,
     /// The primary of group `number` ends, and starts again cold.
     PrimaryKilled,
+    /// It says nothing, and goes on where it stood.
+    PrimaryHung,
+    /// No front reaches it; the other members do.
+    PrimaryCut,
+    /// Fronts reach it; the other members do not.
+    PrimaryApart,
+    /// The list says that it drains; it hands over, and starts again cold.
+    PrimaryDrained,
+    /// It hands over, and nobody is told.
+    PrimaryMoved,
     /// Member `number` drains, and starts again cold.
     MemberDrained,
 }
 
 impl Harm {
+    /// The ways in which a primary is lost.
+    pub const PRIMARY: [Harm; 6] = [
+        Harm::PrimaryKilled,
+        Harm::PrimaryHung,
+        Harm::PrimaryCut,
+        Harm::PrimaryApart,
+        Harm::PrimaryDrained,
+        Harm::PrimaryMoved,
+    ];
+    /// What a fleet's day is drawn from.
     pub const ALL: [Harm; 19] = [
         Harm::FrontKilled,
         Harm::FrontEnded,
@@ -123,6 +143,15 @@
     /// Fronts that speak the older version.
     #[garde(skip)]
     pub older: Vec<usize>,
+    /// How often a client asks again that was declined or not answered.
+    #[garde(range(min = 0, max = 100))]
+    pub retries: u32,
+    /// The time of every txn; its client waits for two fifths of it at least.
+    #[garde(range(min = 100, max = 60_000))]
+    pub expiry_ms: u64,
+    /// From a primary's loss until another follows.
+    #[garde(inner(range(min = 10.0, max = 60_000.0)))]
+    pub lost_ms: [f64; 2],
     /// Whether the fronts know each other at all.
     #[garde(skip)]
     pub fellows: bool,
@@ -141,6 +170,9 @@
             lasts_s: 20.0,
             every_ms: 500,
             older: Vec::new(),
+            retries: 2,
+            expiry_ms: 1500,
+            lost_ms: [1100.0, 2700.0],
             fellows: true,
             mishaps: Vec::new(),
         }
@@ -200,7 +232,7 @@
                 wrong("what", "expected by");
             }
             let most = match m.what {
-                Harm::PrimaryKilled => self.groups,
+                what if Harm::PRIMARY.contains(&what) => self.groups,
                 Harm::MemberDrained => self.groups * self.members,
                 _ => usize::MAX,
             };
@@ -216,6 +248,57 @@
         self.mishaps.iter().map(|m| m.at_s + m.lasts_s).fold(0.0, f64::max)
     }
 
+    /// One front, and primaries of three groups that are lost again and again for so long, in turn in each way,
+    /// in an order by the seed; now and then the successor dies while the old one is still away.
+    pub fn primaries(seed: u64, lasts_s: f64) -> Schedule {
+        let mut schedule = Schedule {
+            title: format!("Primaries that change, from seed {seed}"),
+            fronts: 1,
+            groups: 3,
+            members: 3 + (seed % 3) as usize,
+            per_second: 180.0,
+            retries: 0,
+            expiry_ms: 4000,
+            lost_ms: [250.0, 700.0],
+            fellows: false,
+            ..Schedule::default()
+        };
+        for number in 0..schedule.groups {
+            let mut chance = Stream::of(seed, "primaries", number);
+            let (mut at_s, mut left) = (1.0 + chance.share() / 2.0, Vec::new());
+            while at_s < lasts_s {
+                if left.is_empty() {
+                    left = Harm::PRIMARY.to_vec();
+                }
+                let what = left.swap_remove(chance.below(left.len()));
+                let mut lost = |what, at_s, lasts_s| {
+                    let (front, other, side, share, by) = (None, None, Vec::new(), None, None);
+                    schedule.mishaps.push(Mishap {
+                        at_s,
+                        lasts_s,
+                        what,
+                        front,
+                        other,
+                        side,
+                        number,
+                        share,
+                        by,
+                    });
+                };
+                // One that is cut from the fronts keeps its slot: it lasts as long as it lasts.
+                let cut = what == Harm::PrimaryCut;
+                let away = if cut { 0.3 + 0.6 * chance.share() } else { 0.9 + 0.5 * chance.share() };
+                lost(what, at_s, away);
+                if !cut && chance.below(4) == 0 {
+                    lost(Harm::PrimaryKilled, at_s + 0.8, 0.05 + 0.25 * chance.share());
+                }
+                at_s += away + 0.8 + 0.7 * chance.share();
+            }
+        }
+        schedule.lasts_s = schedule.healed_s() + 2.0;
+        schedule
+    }
+
     /// A day of so many fronts drawn from a seed: mishaps one after the other and over each other, then calm.
     pub fn drawn(seed: u64, fronts: usize, mishaps: usize, calm_s: f64) -> Schedule {
         let mut chance = Stream::of(seed, "mishaps", 0);
@@ -299,6 +382,11 @@
 }
 
 impl Mishap {
+    /// It meets members, not fronts or the ways between them.
+    pub fn world(&self) -> bool {
+        Harm::PRIMARY.contains(&self.what) || self.what == Harm::MemberDrained
+    }
+
     /// It meets the process itself.
     pub fn process(&self) -> bool {
         matches!(
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod scenario;
 pub mod simulate;
 pub mod sockets;
+pub mod upgrade;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,7 +7,7 @@
 use juniperdock_lab::measure::Outcome;
 use juniperdock_lab::scenario::{self, SHELF, Scenario, find};
 use juniperdock_lab::simulate::simulate;
-use juniperdock_lab::{circle, fleet, load, prove, report, sockets};
+use juniperdock_lab::{circle, fleet, load, prove, report, sockets, upgrade};
 use std::io::IsTerminal;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -171,6 +171,40 @@
         #[arg(long)]
         look: bool,
     },
+    /// One front among members whose primaries are killed, hung, cut off, drained and moved under load.
+    Primaries {
+        /// Any number; the same one plays the same changes in the same order.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value = "target/release/juniperdock")]
+        front: String,
+        /// How long changes go on.
+        #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(1..=3600))]
+        seconds: u64,
+        /// Where everything that happened is written.
+        #[arg(long, default_value = "target/primaries.jsonl")]
+        history: PathBuf,
+    },
+    /// The front is upgraded again and again under steady load, with failed starts among the good ones.
+    Upgrades {
+        /// Any number; the same one plays the same starts in the same order.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value = "target/release/juniperdock")]
+        front: String,
+        /// How many upgrades are to succeed.
+        #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=100))]
+        upgrades: u64,
+        /// Clients that are connected and say nothing all the while.
+        #[arg(long, default_value_t = 0)]
+        idle: usize,
+        /// Groups of three members.
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=100))]
+        groups: u64,
+    },
+    /// A successor that fails; started by the front that is upgraded.
+    #[command(hide = true)]
+    Successor { how: String },
     /// Same seed, same day; auditors find what is broken; simulated and real are near.
     Prove {
         #[arg(long, default_value_t = 1)]
@@ -335,6 +369,25 @@
             }
             Ok(seen.holds())
         }
+        What::Primaries { seed, front, seconds, history } => {
+            // Held for as long as its client waits: what a change costs shows in full.
+            let held = |_: usize, _: &mut serde_json::Value, charter: &mut serde_json::Value| {
+                charter["held"] = serde_json::json!({ "untaken_share": 1.0 });
+            };
+            let schedule = fleet::Schedule::primaries(seed, seconds as f64);
+            fleet::play(&schedule, seed, &front, &history, Some(&held))?;
+            let seen = fleet::primaries::changes(&fleet::history::read(&history)?);
+            println!("seed {seed}\n{seen}");
+            Ok(seen.holds())
+        }
+        What::Upgrades { seed, front, upgrades, idle, groups } => {
+            std::fs::metadata(&front).map_err(|e| format!("{front}: {e}"))?;
+            let own = std::env::current_exe().map_err(|e| e.to_string())?;
+            let figures = upgrade::upgrade(&front, &own, seed, upgrades as usize, idle, groups as usize)?;
+            println!("seed {seed}\n{figures}");
+            Ok(figures.holds())
+        }
+        What::Successor { how } => Ok(upgrade::successor(&how)),
         What::Circle { file, seed, fronts, report, schema } => {
             if schema {
                 println!("{:#}", juniperdock_charter::schema_of::<circle::Circle>());
--- /dev/null
+++ b/crates/lab/src/upgrade.rs
@@ -0,0 +1,354 @@
+//! The proof of upgrades: a front is upgraded again and again under steady load, with failed starts among the
+//! good ones; then every answer is matched with what the emulated members ran.
+
+use crate::fleet::play::scenario;
+use crate::fleet::schedule::Schedule;
+use crate::scenario::Scenario;
+use crate::sockets::{Ask, Ledger, State, Town, client, list, settings};
+use juniperdock_emulator::{Entry, Note, Out, Told, World};
+use juniperdock_handover::word::{self, Hears, LONGEST};
+use juniperdock_passing::{Came, Line};
+use juniperdock_standins::{Agent, Front, WATCH, address};
+use std::collections::HashMap;
+use std::fmt;
+use std::os::fd::AsFd;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::process::Command;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+const CLIENTS: usize = 20;
+/// How often the world is looked at.
+const STEP: Duration = Duration::from_millis(1);
+/// Clients wait for so long beyond their time.
+const SLACK: Duration = Duration::from_millis(1500);
+/// Ways in which a start fails.
+const FAILS: [&str; 6] = ["exits", "hangs", "version", "offer", "half", "nonsense"];
+/// How long before and after an upgrade's end a txn counts as one that it met.
+const BEFORE: Duration = Duration::from_millis(400);
+const AFTER: Duration = Duration::from_millis(200);
+
+#[derive(Debug, Default)]
+pub struct Figures {
+    pub upgrades: usize,
+    pub failed_starts: usize,
+    pub txns: usize,
+    pub per_second: usize,
+    pub lost: usize,
+    pub doubled: usize,
+    pub refused: usize,
+    pub declined: usize,
+    pub wanted: usize,
+    late: Vec<Duration>,
+    steady: Vec<Duration>,
+    pub notes: Vec<String>,
+}
+
+fn p99(spans: &[Duration]) -> f64 {
+    let mut spans = spans.to_vec();
+    spans.sort_unstable();
+    spans.get(spans.len() * 99 / 100).copied().unwrap_or_default().as_secs_f64() * 1000.0
+}
+
+impl Figures {
+    pub fn holds(&self) -> bool {
+        self.lost + self.doubled + self.refused == 0
+            && self.upgrades == self.wanted
+            && self.failed_starts >= 4
+    }
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        self.notes.iter().try_for_each(|note| writeln!(f, "{note}"))?;
+        writeln!(f, "{} txns a second, {} declined", self.per_second, self.declined)?;
+        write!(
+            f,
+            "upgrade: upgrades={} failed_starts={} txns={} lost={} doubled={} refused_connections={} late_p99_ms={:.1} steady_p99_ms={:.1}",
+            self.upgrades,
+            self.failed_starts,
+            self.txns,
+            self.lost,
+            self.doubled,
+            self.refused,
+            p99(&self.late),
+            p99(&self.steady)
+        )
+    }
+}
+
+/// When a txn was asked, how often it was written to the front, and its answer.
+type Asked = (Duration, u32, Option<(Duration, Told)>);
+
+/// What clients saw, by txn.
+#[derive(Default)]
+struct Seen {
+    asked: HashMap<u32, Asked>,
+    refused: usize,
+}
+
+struct Clients(Arc<Mutex<Seen>>);
+
+impl Clients {
+    fn note(&self, change: impl FnOnce(&mut Seen)) {
+        change(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+impl Ledger for Clients {
+    fn asked(&mut self, at: Duration, _front: usize, ask: &Ask) {
+        self.note(|seen| seen.asked.entry(ask.txn).or_insert((at, 0, None)).1 += 1);
+    }
+
+    fn answered(
+        &mut self,
+        at: Duration,
+        _front: usize,
+        txn: u32,
+        told: Told,
+        _code: Option<&str>,
+        _ended: bool,
+    ) {
+        self.note(|seen| seen.asked.entry(txn).or_insert((at, 0, None)).2 = Some((at, told)));
+    }
+
+    fn refused(&mut self, _front: usize) {
+        self.note(|seen| seen.refused += 1);
+    }
+}
+
+/// Moves the world until all is over; gives how often each write has taken effect.
+fn drive(town: &Town, scenario: &Scenario) -> HashMap<u32, i64> {
+    let mut ran = HashMap::new();
+    loop {
+        let mut state = town.lock();
+        let now = town.now();
+        while let Some(out) = state.world.next(now) {
+            // Nothing befalls members: the list has nothing to tell.
+            drop(state.pass_on(out, scenario));
+        }
+        for (_, note) in state.world.take_notes() {
+            match note {
+                Note::Ran { txn, .. } => *ran.entry(txn).or_default() += 1,
+                Note::Undone { txn } => *ran.entry(txn).or_default() -= 1,
+                _ => {}
+            }
+        }
+        town.asked.notify_all();
+        if state.over {
+            return ran;
+        }
+        drop(state);
+        std::thread::sleep(STEP);
+    }
+}
+
+/// Plays so many upgrades that succeed, with failed starts among them in an order by the seed. `rig`: the
+/// program whose `successor` command fails as it is told.
+pub fn upgrade(
+    program: &str,
+    rig: &Path,
+    seed: u64,
+    upgrades: usize,
+    idle: usize,
+    groups: usize,
+) -> Result<Figures, String> {
+    let mut rng = oorandom::Rand32::new(seed);
+    let (fronts, members, per_second) = (1, 3, 300.0);
+    let world = Schedule {
+        fronts,
+        groups,
+        members,
+        per_second,
+        retries: 0,
+        lasts_s: 3600.0,
+        fellows: false,
+        ..Schedule::default()
+    };
+    let scenario = scenario(&world);
+    let mut world = World::new(scenario.shape(seed));
+    world.noting();
+    let known: Vec<Entry> = match world.next(Duration::ZERO) {
+        Some(Out::Born { known, .. }) => known,
+        _ => return Err("the world has no front".to_owned()),
+    };
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    let town = Town::new(State::new(world, fronts, Some(Box::new(Clients(seen.clone())))), SLACK);
+    let members = town.members(0, groups * members)?;
+    let (known, agent, at) = (list(&town, 1, true, &known, &members), Agent::start(WATCH), address());
+    agent.tell(known.clone());
+    let mut config = settings(&scenario, seed, 0, &known);
+    config["limits"]["sockets"] = (1024 + 8 * idle).into();
+    let control = Front::folder(at).join("control");
+    let charter = format!(
+        "{{ control: {{ path: {:?} }}, upgrade: {{ ready_ms: 1500, taken_ms: 500 }} }}",
+        control.display().to_string()
+    );
+    let front = Front::with(program, at, agent.at, &config.to_string(), Some(&charter));
+    let mut idle: Vec<_> = (0..idle + 1).map(|_| Some(front.client())).collect();
+    let command = |args: &[&str]| {
+        let out = Command::new(program)
+            .arg("--charter")
+            .arg(front.path("charter.json5"))
+            .arg("--json")
+            .args(args)
+            .output();
+        let out = out.map_err(|e| format!("{program}: {e}"))?;
+        Ok::<_, String>((out.status.success(), String::from_utf8_lossy(&out.stdout).trim().to_owned()))
+    };
+    // Scripts that stand for programs which fail.
+    for how in FAILS {
+        let body = match how {
+            "exits" => "exit 3".to_owned(),
+            "hangs" => "exec sleep 30".to_owned(),
+            other => format!("exec {:?} successor {other}", rig.display().to_string()),
+        };
+        let path = front.path(how);
+        let open = std::fs::Permissions::from_mode(0o700);
+        std::fs::write(&path, format!("#!/bin/sh\n{body}\n"))
+            .and_then(|()| std::fs::set_permissions(&path, open))
+            .map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    let mut starts: Vec<Option<&str>> = vec![None; upgrades];
+    let fails = if upgrades < 5 { 4 } else { FAILS.len() };
+    FAILS.iter().take(fails).for_each(|how| starts.push(Some(how)));
+    for i in (1..starts.len()).rev() {
+        starts.swap(i, rng.rand_range(0..i as u32 + 1) as usize);
+    }
+    let mut figures = Figures { wanted: upgrades, ..Figures::default() };
+    let (mut ends, mut lasted, mut ran) = (Vec::new(), Duration::ZERO, HashMap::new());
+    std::thread::scope(|scope| {
+        let (town, scenario) = (&*town, &scenario);
+        let driver = scope.spawn(move || drive(town, scenario));
+        for _ in 0..CLIENTS {
+            scope.spawn(move || client(town, at, 0));
+        }
+        std::thread::sleep(Duration::from_millis(500));
+        for start in starts {
+            std::thread::sleep(Duration::from_millis(u64::from(rng.rand_range(200..500))));
+            let program = start.map(|how| front.path(how).display().to_string());
+            let args =
+                program.as_ref().map_or(vec!["upgrade"], |program| vec!["upgrade", "--program", program]);
+            let (good, said) = command(&args).unwrap_or_else(|why| (false, why));
+            match start {
+                None if good => figures.upgrades += 1,
+                Some(_) if !good => figures.failed_starts += 1,
+                _ => {}
+            }
+            if good == start.is_some() {
+                figures.notes.push(format!("start {start:?}: {said}"));
+            }
+            figures.notes.push(format!("{start:?} ended at {} ms", town.now().as_millis()));
+            ends.push(town.now());
+        }
+        std::thread::sleep(Duration::from_millis(700));
+        lasted = town.now();
+        // Clients that were idle all the while are still there, none closed or forgotten: each asks once. What is
+        // asked twice, or not answered, shows.
+        for client in &mut idle {
+            let Some(ask) = town.next_ask(0) else { break };
+            town.asks(at, 0, &ask, client);
+        }
+        // What is under way ends.
+        std::thread::sleep(SLACK);
+        let mut state = town.lock();
+        state.over = true;
+        drop(state);
+        town.asked.notify_all();
+        ran = driver.join().unwrap_or_default();
+    });
+    // Who serves now ends as any front does.
+    let (_, status) = command(&["status"])?;
+    let pid =
+        status.split("\"pid\":").nth(1).and_then(|rest| rest.split([',', '}']).next()?.parse::<u32>().ok());
+    if let Some(pid) = pid {
+        let _ = Command::new("kill").args(["-TERM", &pid.to_string()]).status();
+    }
+    let seen = std::mem::take(&mut *seen.lock().unwrap_or_else(PoisonError::into_inner));
+    let writes = {
+        let state = town.lock();
+        let writes = |txn: &u32| state.world.writes(*txn);
+        seen.asked.keys().copied().filter(writes).collect::<std::collections::HashSet<u32>>()
+    };
+    (figures.txns, figures.refused) = (seen.asked.len(), seen.refused);
+    let meanwhile = seen.asked.values().filter(|asked| asked.0 < lasted).count();
+    figures.per_second = (meanwhile as f64 / lasted.as_secs_f64()) as usize;
+    let mut asked: Vec<_> = seen.asked.into_iter().collect();
+    asked.sort_unstable_by_key(|asked| asked.0);
+    for (txn, (from, times, answer)) in asked {
+        let ran = ran.get(&txn).copied().unwrap_or(0);
+        let told = answer.map_or(Told::Nothing, |(_, told)| told);
+        let gone = told == Told::Nothing
+            || times != 1
+            || writes.contains(&txn) && told == Told::Committed && ran < 1;
+        if gone {
+            figures.lost += 1;
+            let from = from.as_millis();
+            figures.notes.push(format!("{txn:x} from {from} ms, written {times} times: {told:?}"));
+        }
+        figures.doubled += usize::from(ran > 1);
+        figures.declined += usize::from(told == Told::Declined);
+        let to = answer.map_or(from, |(to, _)| to);
+        let met = ends.iter().any(|&end| from < end + AFTER && to + BEFORE > end);
+        let took = to.saturating_sub(from);
+        if met { figures.late.push(took) } else { figures.steady.push(took) }
+    }
+    Ok(figures)
+}
+
+/// What a failing successor has heard so far.
+#[derive(Default)]
+struct Heard {
+    agreed: bool,
+    listener: bool,
+    clients: Vec<u64>,
+    commit: bool,
+}
+
+impl Hears for Heard {
+    fn agreed(&mut self, _version: u16) {
+        self.agreed = true;
+    }
+    fn memory(&mut self, _piece: &[u8]) {}
+    fn listener(&mut self) {
+        self.listener = true;
+    }
+    fn unread(&mut self, _bytes: &[u8]) {}
+    fn client(&mut self, number: u64, _open: bool, _skipping: bool) {
+        self.clients.push(number);
+    }
+    fn idle(&mut self, _member: &str) {}
+    fn commit(&mut self) {
+        self.commit = true;
+    }
+    fn nonsense(&mut self) {}
+}
+
+/// A successor that fails: by its version, by nonsense, after the offer, or once it has taken half of the
+/// clients.
+pub fn successor(how: &str) -> bool {
+    let Ok(line) = std::io::stdin().as_fd().try_clone_to_owned().map(Line::of) else { return false };
+    let (lowest, highest) = if how == "version" { (900, 901) } else { juniperdock_handover::SPOKEN };
+    let (mut heard, mut ready) = (Heard::default(), false);
+    let mut said = line.send(&word::hello(lowest, highest), None).is_ok();
+    while said && let Ok(Came::Word(word, _)) = line.receive(LONGEST, Duration::from_secs(5)) {
+        word::to_taker(&word, &mut heard);
+        if how == "waits" {
+            continue;
+        }
+        if how == "nonsense" {
+            said = line.send(b"?", None).is_ok();
+        } else if heard.agreed && !std::mem::replace(&mut ready, true) {
+            said = line.send(&word::ready(), None).is_ok();
+        } else if how == "offer" && heard.listener || heard.commit {
+            return false;
+        } else if let Some(client) = heard.clients.pop() {
+            said = line.send(&word::took(client), None).is_ok();
+            if how == "half" && client % 2 == 0 {
+                return false;
+            }
+        }
+    }
+    false
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,15 +1,11 @@
-//! Stand-ins for what lies round a front, on loopback: members of one kind that do as a story says, members
-//! of another that form a group with a log and elections, the list's agent, the front itself, and clients.
-//! Each is a few threads. [`prove`] runs a front among them while they fail, and matches every answer with
-//! what they ran.
+//! Stand-ins for what lies round a front, on loopback: members that say what a story tells them to say, byte by
+//! byte, the list's agent, the front itself, and clients. Each is a few threads. None is a model: members with
+//! work, a log and elections are the emulator's, put on sockets by the laboratory.
 
 pub mod agent;
 pub mod client;
 pub mod front;
-pub mod group;
 pub mod member;
-pub mod prove;
-pub mod upgrade;
 pub mod wire;
 
 pub use agent::{Agent, Entry, WATCH, list};
--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -1,4 +1,4 @@
-//! A member that does as a story says.
+//! A member that says what a story tells it to say: bytes on a connection. It models nothing.
 
 use crate::wire::{Said, Store, error, parameter, ready, row, serve};
 use crate::{address, unix_ms};
