--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,10 @@
 
 prove-fleet: build
 	target/release/juniperdock-lab fleet --seed $(SEED)
+
+# Seven processes that share work for the fleet: owners are stopped, killed and cut off by the seed while planned
+# changes are ordered; audited by their history alone.
+.PHONY: prove-owner
+
+prove-owner: build
+	target/release/juniperdock-lab owners --seed $(SEED)
--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -124,6 +124,11 @@
     #[garde(range(min = 1, max = 2))]
     #[serde(default = "newest")]
     pub speaks: u8,
+    /// Work on behalf of all has one owner at a time: members are asked by a few, `primary move` holds writes at
+    /// every front. The same at all fronts.
+    #[garde(skip)]
+    #[serde(default)]
+    pub duties: bool,
 }
 
 fn every() -> u64 {
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -402,6 +402,13 @@
         self.notes.iter_mut().for_each(|notes| notes.push((now, note)));
     }
 
+    /// A group's primary hands over, and nobody is told.
+    pub fn hand_over(&mut self, group: usize) {
+        if let Some(primary) = self.groups[group].primary {
+            self.strike(primary, Ill::Moved);
+        }
+    }
+
     /// A front reaches a member no more, or again.
     pub fn part(&mut self, front: usize, member: usize, parted: bool) {
         if parted {
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -37,6 +37,8 @@
 const LATE: u32 = 10;
 /// Time-outs widen by a base for each of so many grades of slowness at most.
 const STRAINS: u32 = 7;
+/// With more grades than this a front is slow.
+const SLOW: u32 = 2;
 /// Timers in time, after which a front counts as a grade less slow.
 const TIMELY: u32 = 16;
 /// Datagrams a second taken from one fellow, and how many at once.
@@ -119,6 +121,8 @@
 pub trait Host {
     fn send(&mut self, to: usize, datagram: &[u8]);
     fn event(&mut self, event: Event);
+    /// A body of [`Fellows::post`] has come, sealed by its sender and new.
+    fn told(&mut self, _from: usize, _body: &[u8]) {}
 }
 
 /// A suspect has so many periods to answer.
@@ -441,6 +445,27 @@
         }
     }
 
+    /// Sends a body of up to [`BODY`] bytes for another part of the program to a front; false if its life is not
+    /// known, or it is too long. What is meant for an earlier life is refused there.
+    pub fn post(&mut self, to: usize, body: &[u8], host: &mut impl Host) -> bool {
+        let heard = self.marks.get(to).map(|mark| Who { index: to as u16, life: mark.life });
+        let heard = heard.filter(|who| who.life > 0);
+        let known =
+            || self.swim.iter_members().map(|member| *member.id()).find(|who| usize::from(who.index) == to);
+        match heard.or_else(known).filter(|_| !self.left && to != self.me && body.len() <= BODY) {
+            Some(who) => {
+                self.send(kind::OFFICE, who, body, host);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Its own timers have been late again and again of late.
+    pub fn slow(&self) -> bool {
+        self.strain > SLOW
+    }
+
     /// Other keys count from now on.
     pub fn rekey(&mut self, keys: Keys) {
         self.keys = keys;
@@ -831,6 +856,10 @@
                 Ok(())
             }
             kind::CALLED => self.called(now, body, host),
+            kind::OFFICE => {
+                host.told(from, body);
+                Ok(())
+            }
             _ => Err(Refused::Unknown),
         }
     }
--- a/crates/fellows/src/lib.rs
+++ b/crates/fellows/src/lib.rs
@@ -15,6 +15,6 @@
 mod window;
 
 pub use fellows::{Event, Fellow, Fellows, Host, Liveness, Standing, Times};
-pub use seal::{Keys, LONGEST, NEWEST, Refused};
+pub use seal::{BODY, Keys, LONGEST, NEWEST, Refused};
 pub use who::{Who, life_at};
 pub use window::Window;
--- a/crates/fellows/src/seal.rs
+++ b/crates/fellows/src/seal.rs
@@ -31,6 +31,8 @@
     pub const ROLL: u8 = 4;
     /// The answer, as much as has room.
     pub const CALLED: u8 = 5;
+    /// For another part of the program at that front.
+    pub const OFFICE: u8 = 6;
 }
 
 /// Why a datagram was refused.
--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -18,6 +18,8 @@
 /// Who asks at a time, how long it may take over a frame, and how long the desk may take over an answer.
 const MOST: usize = 4;
 const PATIENCE: Duration = Duration::from_secs(2);
+/// How long a change may take until all fronts hold.
+const HELD: Duration = Duration::from_millis(4500);
 /// Groups in one answer.
 const GROUPS: usize = 1000;
 
@@ -30,6 +32,8 @@
     pub counters: Arc<crate::counters::Counters>,
     pub upgrade: Upgrade,
     pub fellows: Option<fellows::Mail>,
+    /// Work is shared with the other fronts: changes of primaries go to all.
+    pub duties: bool,
 }
 
 /// Opens the socket, for its owner alone. One that lies there is replaced at once and whole.
@@ -102,6 +106,25 @@
                 status["pid"] = std::process::id().into();
                 Ok(status)
             }
+            Some(what @ ("move" | "cancel")) if self.duties => {
+                let fellows = self.fellows.as_ref().ok_or("fellows are off: the log says why")?;
+                let (tell, told) = sync_channel(1);
+                let successor = asked["to"].as_str().map(str::to_owned);
+                fellows.post(ToFellows::Move { group: group()?, successor, off: what == "cancel", tell });
+                let answer =
+                    told.recv_timeout(HELD).map_err(|_| "not all fronts hold yet: see fleet duties")?;
+                answer.map(Value::from)
+            }
+            Some("duties") => {
+                let fellows =
+                    self.fellows.as_ref().ok_or("fellows are off: see fellows in the operators' file")?;
+                let (tell, told) = sync_channel(1);
+                fellows.post(ToFellows::Duties(tell));
+                let duties = told
+                    .recv_timeout(PATIENCE)
+                    .map_err(|_| "it has no socket yet: its address may be taken".to_owned())?;
+                if duties["off"] == true { Err(fellows::OFF.to_owned()) } else { Ok(duties) }
+            }
             Some(what @ ("move" | "cancel")) => {
                 let (tell, told) = sync_channel(1);
                 let successor = asked["to"].as_str().map(str::to_owned);
@@ -124,7 +147,7 @@
             }
             Some("upgrade") => (self.upgrade)(asked["program"].as_str()).map(|pid| json!({ "pid": pid })),
             Some(other) => {
-                Err(format!("expected status, move, cancel, fleet or upgrade in do, found {other:?}"))
+                Err(format!("expected status, move, cancel, fleet, duties or upgrade in do, found {other:?}"))
             }
             None => Err("expected a text in do".to_owned()),
         }
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -3,10 +3,12 @@
 
 use crate::clock::{Alarm, Clock, PULSE};
 use crate::counters::Counters;
-use crate::mail::{Answer, Arrival, End, Job, Submit, ToDesk, ToList, ToMember, Until};
+use crate::mail::{Answer, Arrival, End, Job, Submit, ToDesk, ToFellows, ToList, ToMember, Until};
 use juniperdock_door::{Indices, span};
+use juniperdock_duties as duties;
+use juniperdock_duties::{Care, Fact};
 use juniperdock_held::Most;
-use juniperdock_router::host::{Change, Ending, Host, Listed, Phase};
+use juniperdock_router::host::{Change, Ending, Host, Listed, Phase, Report, Role};
 use juniperdock_router::kept::KeptMember;
 use juniperdock_router::routing::Router;
 use juniperdock_snapshot::{Memory, OfGroup, OfMember, OfType, Worth};
@@ -50,9 +52,36 @@
     desk: Sender<ToDesk>,
     list: Sender<ToList>,
     counters: Arc<Counters>,
+    /// Members are asked by a few fronts for all.
+    care: Option<Care>,
 }
 
 impl Hands {
+    /// Now, since 1970.
+    fn unix(&self, now: Duration) -> Duration {
+        span(self.clock.origin.start) + now
+    }
+
+    /// What was told of a member, in place of a report that it makes now. A position from before this process's
+    /// start can't be said here.
+    fn instead(&self, now: Duration, member: usize) -> Option<Report> {
+        let fact = self.care.as_ref()?.instead(now, self.unix(now), member)?;
+        let position = Some(fact.position.checked_sub(span(self.clock.origin.start))?);
+        let role = fact.primary.map(|primary| if primary { Role::Primary } else { Role::Replica });
+        let (queue, busy) = (fact.queue.map(f64::from), fact.busy.map(|busy| f64::from(busy) / 100.0));
+        Some(Report { position, role, queue, busy })
+    }
+
+    /// What a member has said, as other fronts are told it.
+    fn fact(&self, report: Report) -> Option<Fact> {
+        Some(Fact {
+            position: span(self.clock.origin.start) + report.position?,
+            primary: report.role.map(|role| role == Role::Primary),
+            queue: report.queue.map(|queue| queue.clamp(0.0, f64::from(u16::MAX)) as u16),
+            busy: report.busy.map(|busy| (busy * 100.0).clamp(0.0, 255.0) as u8),
+        })
+    }
+
     fn answer(&mut self, txn: usize, answer: Answer) {
         let Some(held) = self.txns[txn].as_mut().filter(|held| !held.answered) else { return };
         held.answered = true;
@@ -121,12 +150,18 @@
 
     fn forget(&mut self, member: usize) {
         self.counters.members_forgotten.add();
+        self.care.iter_mut().for_each(|care| care.left(member));
         self.tell(member, ToMember::Leave);
         (self.members[member], self.entries[member]) = (None, Value::Null);
         self.ids.forget(member);
     }
 
     fn probe(&mut self, member: usize) {
+        if let Some(report) = self.instead(self.clock.now(), member) {
+            self.counters.probes_spared.add();
+            let _ = self.desk.send(ToDesk::Instead { member, report });
+            return;
+        }
         self.counters.probes.add();
         self.tell(member, ToMember::Job(Job::Probe { at: self.clock.now() }));
     }
@@ -187,6 +222,10 @@
     /// The txn types by name.
     kinds: Vec<String>,
     held: Option<(Most, f64)>,
+    /// Posts to the actor that speaks with the other fronts.
+    circle: Option<Box<dyn Fn(ToFellows) + Send>>,
+    /// Groups whose change was ordered of all fronts, and what was last told of it.
+    watched: Vec<(u64, duties::Step)>,
     log: slog::Logger,
 }
 
@@ -223,8 +262,10 @@
             desk,
             list,
             counters,
+            care: None,
         };
-        Ok(Desk { router: make()?, make, hands, zones: known, kinds, held: None, log })
+        let (circle, watched) = (None, Vec::new());
+        Ok(Desk { router: make()?, make, hands, zones: known, kinds, held: None, circle, watched, log })
     }
 
     pub fn run(mut self, mail: &Receiver<ToDesk>) {
@@ -242,6 +283,56 @@
                 }
             }
             self.refresh();
+            self.watch();
+        }
+    }
+
+    /// The front that has ordered a change of all hears how far it is here.
+    fn watch(&mut self) {
+        let Some(circle) = self.circle.as_ref().filter(|_| !self.watched.is_empty()) else { return };
+        let (tenure, cells) = (self.router.tenure(), &self.hands.cells);
+        self.watched.retain_mut(|(group, told)| {
+            let plan = cells.known(group).and_then(|at| tenure.plan(at));
+            let step = match plan.map(|plan| plan.step) {
+                Some(Step::Emptying) => duties::Step::Emptying,
+                Some(Step::Awaiting) => duties::Step::Awaiting,
+                Some(Step::Done) => duties::Step::Done,
+                Some(Step::Undone(_)) | None => duties::Step::Undone,
+            };
+            if std::mem::replace(told, step) != step {
+                circle(ToFellows::Step(*group, step));
+            }
+            plan.is_some_and(|plan| !plan.ended())
+        });
+    }
+
+    /// A change that was ordered of all fronts begins here, or is called off.
+    fn plan(&mut self, now: Duration, group: u64, successor: Option<&str>, off: bool) {
+        let done = self.change(now, group, successor, off);
+        match done {
+            Ok(_) if !off => self.watched.push((group, duties::Step::Asked)),
+            Ok(_) => {}
+            Err(why) => {
+                slog::info!(self.log, "a change for all fronts can't be had here"; "group" => group, "why" => why);
+                let tells = self.circle.iter().filter(|_| !off);
+                tells.for_each(|circle| circle(ToFellows::Step(group, duties::Step::Refused)));
+            }
+        }
+    }
+
+    /// Members that this front asks for all are asked, and what they said is told.
+    fn care(&mut self, now: Duration, whole: bool, asks: [duties::Asks; duties::SHARDS as usize]) {
+        let Some(care) = &mut self.hands.care else { return };
+        care.sees(whole, asks);
+        let (every, due) = (care.every(), care.due(now));
+        let parts: Vec<usize> = care.parts().map(|(shard, _)| shard).collect();
+        let mut pieces = Vec::new();
+        for shard in parts {
+            pieces.extend(care.tell(shard).into_iter().map(|piece| (shard, piece)));
+        }
+        due.into_iter().for_each(|member| self.router.ask_one(now, member, &mut self.hands));
+        if let Some(circle) = &self.circle {
+            circle(ToFellows::Facts { every, pieces });
         }
     }
 
@@ -312,8 +403,35 @@
                 if ending != Ending::Committed {
                     self.hands.counters.probes_failed.add();
                 }
+                let fact = self.hands.fact(report).filter(|_| ending == Ending::Committed);
+                if let Some(care) =
+                    self.hands.care.as_mut().filter(|_| fact.is_some() || ending != Ending::Committed)
+                {
+                    care.asked(member, fact);
+                }
                 self.router.probed(now, member, ending, report, &mut self.hands);
             }
+            ToDesk::Instead { member, report } => {
+                self.router.probed(now, member, Ending::Committed, report, &mut self.hands);
+            }
+            ToDesk::Circle(circle) => {
+                self.circle = Some(circle);
+                self.hands.care = self.router.tightest().map(Care::new);
+                let known = self.hands.entries.iter().enumerate().filter(|(_, entry)| !entry.is_null());
+                let known: Vec<usize> = known.map(|(member, _)| member).collect();
+                known.into_iter().for_each(|member| self.named(member));
+            }
+            ToDesk::Care { whole, asks } => self.care(now, whole, asks),
+            ToDesk::Facts(piece) => {
+                let unix = self.hands.unix(now);
+                if let Some(care) = &mut self.hands.care {
+                    self.hands.counters.facts_in.add();
+                    if let Err(why) = care.told(now, unix, &piece) {
+                        slog::debug!(self.log, "facts of another front are passed over"; "why" => why);
+                    }
+                }
+            }
+            ToDesk::Plan { group, successor, off } => self.plan(now, group, successor.as_deref(), off),
             ToDesk::List(list) => self.list(now, &list),
             ToDesk::ListLost => {
                 self.hands.counters.lists_failed.add();
@@ -396,6 +514,9 @@
         if let Some(held) = self.hands.txns[txn].as_mut() {
             held.out = None;
         }
+        if matches!(end.ending, Ending::Unreachable | Ending::Dropped | Ending::TimedOut) {
+            self.hands.care.iter_mut().for_each(|care| care.failed(end.member));
+        }
         let over = matches!(end.ending, Ending::Committed | Ending::Invalid);
         match end.ending {
             Ending::Committed => self.hands.answer(txn, Answer::Committed(end.row)),
@@ -552,6 +673,7 @@
             let id = entry["id"].as_str().unwrap_or_default();
             let member = self.hands.ids.index(id.to_owned());
             self.reach(member, entry);
+            self.named(member);
             let group = self.hands.cells.index(entry["cell"].as_u64().unwrap_or_default());
             let zone = self.zones.index(entry["zone"].as_str().unwrap_or_default().to_owned());
             let state = match entry["state"].as_str() {
@@ -577,6 +699,12 @@
         self.router.list_ended(now, full.then_some(&named), &mut self.hands);
     }
 
+    /// What the list calls a member is what other fronts call it.
+    fn named(&mut self, member: usize) {
+        let id = self.hands.ids.id(member);
+        self.hands.care.iter_mut().for_each(|care| care.named(member, id));
+    }
+
     /// Notes where a member is and whether it goes; its actor, if it has one, hears of it.
     fn reach(&mut self, member: usize, entry: &Value) {
         if member == self.hands.entries.len() {
--- /dev/null
+++ b/crates/front/src/duties.rs
@@ -0,0 +1,447 @@
+//! Work on behalf of all fronts, where the operators' file has it: the rules of `juniperdock_lease` and
+//! `juniperdock_duties` meet the fellows' datagrams, the desk, the log and the operators. Nothing is decided here.
+
+use crate::counters::Counters;
+use crate::fellows::Hands;
+use crate::mail::ToDesk;
+use juniperdock_duties::{Act, Asks, Move, Outcome, SHARDS, Step, care, cared, hold, moved, moving, name};
+use juniperdock_duties::{release, step, words};
+use juniperdock_fellows::{Fellows, Standing};
+use juniperdock_lease::{Duty, Event, Host, Office, Sight, order};
+use may::sync::mpsc::Sender;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+
+/// A grant lasts so many of the fellows' periods.
+const PERIODS: u32 = 6;
+/// An order that has not got its duty after so many grants' time is given up.
+const PATIENCE: u32 = 2;
+/// Changes that are over and still told.
+const TOLD: usize = 16;
+/// Until the desk has said how often it wants to be asked.
+const AT_FIRST: Duration = Duration::from_millis(100);
+
+/// Who waits for the answer to an order.
+type Tell = SyncSender<Result<String, String>>;
+
+/// What has come in for this front, and is to be looked at.
+enum Came {
+    Effect(usize, Duty, u64, Vec<u8>),
+    Report(usize, Duty, Vec<u8>),
+    Told(Duty, Vec<u8>),
+}
+
+/// A change that this front was asked for and does not own yet.
+struct Order {
+    successor: Option<String>,
+    since: Duration,
+    tell: Tell,
+}
+
+/// A change that another front, or this one, has ordered of this one.
+struct Holding {
+    duty: Duty,
+    term: u64,
+    owner: usize,
+    step: Step,
+}
+
+pub struct Duties {
+    office: Office,
+    lasts: Duration,
+    desk: Sender<ToDesk>,
+    log: slog::Logger,
+    counters: Arc<Counters>,
+    orders: BTreeMap<u64, Order>,
+    moves: BTreeMap<u64, (Move, Option<Tell>)>,
+    over: VecDeque<Move>,
+    /// By group: what was last ordered here. A hold that comes late or twice is nothing new.
+    holding: BTreeMap<u64, Holding>,
+    every: Duration,
+    cares: Duration,
+    came: Vec<Came>,
+    /// By duty: the term of the effect that was carried out last.
+    terms: BTreeMap<Duty, u64>,
+}
+
+/// The ways out of an office: other fronts by sealed datagrams, the log, and what is looked at after the call.
+struct Ways<'a, 'b> {
+    core: &'a mut Fellows,
+    hands: &'a mut Hands<'b>,
+    came: &'a mut Vec<Came>,
+    counters: &'a Counters,
+    log: &'a slog::Logger,
+}
+
+impl Host for Ways<'_, '_> {
+    fn send(&mut self, to: usize, body: &[u8]) {
+        self.core.post(to, body, self.hands);
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Took(duty, term) => {
+                self.counters.duties_taken.add();
+                slog::info!(self.log, "duty taken"; "duty" => name(duty), "term" => term);
+            }
+            Event::Gave(duty, term) => {
+                slog::info!(self.log, "duty given back"; "duty" => name(duty), "term" => term);
+            }
+            Event::Lapsed(duty, term) => {
+                self.counters.duties_lost.add();
+                slog::warn!(self.log, "duty lost"; "duty" => name(duty), "term" => term);
+            }
+            Event::Refused(duty, term, from) => {
+                self.counters.effects_refused.add();
+                slog::warn!(self.log, "stale effect refused"; "duty" => name(duty), "term" => term, "from" => from);
+            }
+        }
+    }
+
+    fn effect(&mut self, from: usize, duty: Duty, term: u64, payload: &[u8]) {
+        self.came.push(Came::Effect(from, duty, term, payload.to_vec()));
+    }
+
+    fn report(&mut self, from: usize, duty: Duty, _term: u64, payload: &[u8]) {
+        self.came.push(Came::Report(from, duty, payload.to_vec()));
+    }
+
+    fn told(&mut self, _from: usize, duty: Duty, payload: &[u8]) {
+        self.came.push(Came::Told(duty, payload.to_vec()));
+    }
+}
+
+/// Lends the parts of a `Duties` to a call of its office.
+macro_rules! ways {
+    ($duties:ident, $core:ident, $hands:ident) => {
+        &mut Ways {
+            core: $core,
+            hands: $hands,
+            came: &mut $duties.came,
+            counters: &$duties.counters,
+            log: &$duties.log,
+        }
+    };
+}
+
+impl Duties {
+    pub fn new(
+        now: Duration,
+        core: &Fellows,
+        tier: usize,
+        seed: u64,
+        period: Duration,
+        desk: Sender<ToDesk>,
+        counters: Arc<Counters>,
+        log: slog::Logger,
+    ) -> Duties {
+        let (lasts, standing) = (period * PERIODS, (0..SHARDS).map(care).collect());
+        Duties {
+            office: Office::new(now, core.me(), tier, core.incarnation(), seed, lasts, standing),
+            lasts,
+            desk,
+            log,
+            counters,
+            orders: BTreeMap::new(),
+            moves: BTreeMap::new(),
+            over: VecDeque::new(),
+            holding: BTreeMap::new(),
+            every: AT_FIRST,
+            cares: now,
+            came: Vec::new(),
+            terms: BTreeMap::new(),
+        }
+    }
+
+    /// When [`Duties::turn`] is to be called next.
+    pub fn next(&self) -> Duration {
+        let moves = self.moves.values().filter_map(|(m, _)| m.next()).min();
+        self.office.next().min(self.cares).min(moves.unwrap_or(Duration::MAX))
+    }
+
+    /// A body has come from a front.
+    pub fn heard(&mut self, now: Duration, from: usize, body: &[u8], core: &mut Fellows, hands: &mut Hands) {
+        if let Err(why) = self.office.heard(now, from, body, ways!(self, core, hands)) {
+            slog::debug!(self.log, "a body is passed over"; "from" => from, "why" => why);
+        }
+    }
+
+    /// Does what is due. `clock` is read anew right before each effect leaves.
+    pub fn turn(&mut self, clock: &mut dyn FnMut() -> Duration, core: &mut Fellows, hands: &mut Hands) {
+        let now = clock();
+        self.office.raise(core.incarnation());
+        let present = core.present();
+        let whole = core.standing().0 == Standing::Whole;
+        let sight = Sight { present: &present, sound: whole && !core.slow() };
+        self.office.due(now, sight, ways!(self, core, hands));
+        self.look(core, hands);
+        self.ordered(now, &present);
+        self.go_on(clock, &present, core, hands);
+        // Effects on this front itself were handed back by the office.
+        self.look(core, hands);
+        if now >= self.cares {
+            self.cares = now + self.every;
+            let me = core.me();
+            let mut asks = [Asks::No; SHARDS as usize];
+            for (shard, asks) in asks.iter_mut().enumerate() {
+                let duty = care(shard as u64);
+                if self.office.holds(now, duty).is_some() {
+                    *asks = Asks::Owner;
+                } else if order(duty, &present, 2).contains(&me) {
+                    *asks = Asks::Beside;
+                }
+            }
+            let _ = self.desk.send(ToDesk::Care { whole, asks });
+        }
+    }
+
+    fn look(&mut self, core: &mut Fellows, hands: &mut Hands) {
+        for came in std::mem::take(&mut self.came) {
+            if let Came::Effect(from, duty, term, _) = &came
+                && self.terms.insert(*duty, *term) != Some(*term)
+            {
+                slog::info!(self.log, "effects of a term"; "duty" => name(*duty), "term" => term, "from" => from);
+            }
+            match came {
+                Came::Effect(_, duty, _, payload) if cared(duty).is_some() => {
+                    let _ = self.desk.send(ToDesk::Facts(payload));
+                }
+                Came::Told(duty, payload) if cared(duty).is_some() => {
+                    let _ = self.desk.send(ToDesk::Facts(payload));
+                }
+                Came::Effect(from, duty, term, payload) => {
+                    if let (Some(group), Some((holds, successor))) = (moved(duty), words(&payload)) {
+                        self.hold(group, duty, term, from, holds, successor, core, hands);
+                    }
+                }
+                Came::Report(from, duty, payload) => {
+                    let its = moved(duty).and_then(|group| self.moves.get_mut(&group));
+                    if let (Some((m, _)), Some(step)) = (its, step(&payload)) {
+                        m.told(from, step);
+                    }
+                }
+                Came::Told(..) => {}
+            }
+        }
+    }
+
+    /// The owner of a change has this front hold, or let go.
+    fn hold(
+        &mut self,
+        group: u64,
+        duty: Duty,
+        term: u64,
+        owner: usize,
+        holds: bool,
+        successor: Option<&str>,
+        core: &mut Fellows,
+        hands: &mut Hands,
+    ) {
+        let known = self.holding.get(&group).filter(|holding| holding.term == term);
+        let step = known.map(|holding| holding.step);
+        slog::debug!(self.log, "a change is ordered here"; "group" => group, "holds" => holds, "owner" => owner);
+        match step {
+            // It came before: only the word may have been lost.
+            Some(step) if holds => {
+                self.office.report(owner, duty, term, &[step as u8], ways!(self, core, hands))
+            }
+            _ => {
+                let step = if holds { Step::Asked } else { Step::Undone };
+                self.holding.insert(group, Holding { duty, term, owner, step });
+                let (successor, off) = (successor.map(str::to_owned), !holds);
+                let _ = self.desk.send(ToDesk::Plan { group, successor, off });
+            }
+        }
+    }
+
+    /// How far this front is with a change that was ordered of it.
+    pub fn step(&mut self, group: u64, step: Step, core: &mut Fellows, hands: &mut Hands) {
+        let Some(holding) = self.holding.get_mut(&group) else { return };
+        holding.step = step;
+        let Holding { duty, term, owner, .. } = *holding;
+        self.office.report(owner, duty, term, &[step as u8], ways!(self, core, hands));
+        self.look(core, hands);
+    }
+
+    /// What the desk has to tell of members.
+    pub fn facts(
+        &mut self,
+        every: Duration,
+        pieces: Vec<(usize, Vec<u8>)>,
+        clock: &mut dyn FnMut() -> Duration,
+        core: &mut Fellows,
+        hands: &mut Hands,
+    ) {
+        self.every = every;
+        let others: Vec<usize> = core.present().into_iter().filter(|&front| front != core.me()).collect();
+        for (shard, piece) in pieces {
+            let duty = care(shard as u64);
+            self.counters.effects_out.add();
+            match self.office.holds(clock(), duty) {
+                Some(term) => {
+                    self.office.act(clock, duty, term, &others, &piece, ways!(self, core, hands));
+                }
+                None => self.office.tell(duty, &others, &piece, ways!(self, core, hands)),
+            }
+        }
+    }
+
+    /// From the control socket: a change of a group's primary at all fronts, or none.
+    pub fn order(
+        &mut self,
+        now: Duration,
+        me: usize,
+        group: u64,
+        successor: Option<String>,
+        off: bool,
+        tell: Tell,
+    ) {
+        let duty = moving(group);
+        let owner = self.office.owner(now, duty).filter(|&owner| owner != me);
+        let answer = if let Some(owner) = owner {
+            Err(format!("front {owner} is changing the primary of group {group}: ask there"))
+        } else if off {
+            match self.moves.get_mut(&group) {
+                Some((m, _)) => {
+                    m.call_off();
+                    Ok("called off at all fronts".to_owned())
+                }
+                None => Err("no change is under way".to_owned()),
+            }
+        } else if self.moves.contains_key(&group) || self.orders.contains_key(&group) {
+            Err(format!("a change of group {group} is under way"))
+        } else {
+            self.office.order(now, duty, true);
+            self.orders.insert(group, Order { successor, since: now, tell });
+            return;
+        };
+        let _ = tell.try_send(answer);
+    }
+
+    /// Orders whose duty this front has got begin; those that wait in vain end.
+    fn ordered(&mut self, now: Duration, present: &[usize]) {
+        let groups: Vec<u64> = self.orders.keys().copied().collect();
+        for group in groups {
+            let term = self.office.holds(now, moving(group));
+            let late = now > self.orders[&group].since + self.lasts * PATIENCE;
+            if term.is_none() && !late {
+                continue;
+            }
+            let Some(Order { successor, tell, .. }) = self.orders.remove(&group) else { continue };
+            if let Some(term) = term {
+                let m = Move::new(now, group, successor, term, present);
+                slog::info!(self.log, "move begins"; "group" => group, "term" => term, "fronts" => present.len());
+                self.moves.insert(group, (m, Some(tell)));
+            } else {
+                self.office.order(now, moving(group), false);
+                let why = "no majority of the fronts lets this one own the change: see fleet status";
+                let _ = tell.try_send(Err(why.to_owned()));
+            }
+        }
+    }
+
+    /// Changes under way go on by their rules.
+    fn go_on(
+        &mut self,
+        clock: &mut dyn FnMut() -> Duration,
+        present: &[usize],
+        core: &mut Fellows,
+        hands: &mut Hands,
+    ) {
+        let groups: Vec<u64> = self.moves.keys().copied().collect();
+        for group in groups {
+            let duty = moving(group);
+            let Some((mut m, mut tell)) = self.moves.remove(&group) else { continue };
+            loop {
+                let now = clock();
+                let acts = m.rule(now, self.office.holds(now, duty), present);
+                if acts.is_empty() {
+                    break;
+                }
+                for act in acts {
+                    let payload = match act {
+                        Act::Hold(_) => hold(m.successor.as_deref()),
+                        _ => release(),
+                    };
+                    match act {
+                        Act::Hold(front) | Act::Release(front) => {
+                            self.counters.effects_out.add();
+                            self.office.act(
+                                clock,
+                                duty,
+                                m.term,
+                                &[front],
+                                &payload,
+                                ways!(self, core, hands),
+                            );
+                        }
+                        Act::Ready => {
+                            let n = m.fronts.len();
+                            let text =
+                                format!("held by {n} fronts, nothing is out: the primary may be changed now");
+                            slog::info!(self.log, "move ready"; "group" => group, "term" => m.term, "fronts" => n);
+                            tell.take().into_iter().for_each(|tell| drop(tell.try_send(Ok(text.clone()))));
+                        }
+                        Act::Ended(outcome) => {
+                            let fronts = fronts(&m).to_string();
+                            slog::info!(self.log, "move ended"; "group" => group, "term" => m.term,
+                                "outcome" => format!("{outcome:?}"), "fronts" => &fronts, "gone" => format!("{:?}", m.gone));
+                            let said = match outcome {
+                                Outcome::Done => Ok(format!("done, front by front: {fronts}")),
+                                _ => Err(format!("{outcome:?}, front by front: {fronts}")),
+                            };
+                            tell.take().into_iter().for_each(|tell| drop(tell.try_send(said.clone())));
+                        }
+                    }
+                }
+                // Words to oneself are there already.
+                self.look(core, hands);
+            }
+            if m.outcome.is_some() {
+                self.office.order(clock(), duty, false);
+                self.over.push_back(m);
+                while self.over.len() > TOLD {
+                    self.over.pop_front();
+                }
+            } else {
+                self.moves.insert(group, (m, tell));
+            }
+        }
+    }
+
+    /// Gives all back: this process goes.
+    pub fn leave(&mut self, now: Duration, core: &mut Fellows, hands: &mut Hands) {
+        let present = core.present();
+        self.office.leave(now, Sight { present: &present, sound: false }, ways!(self, core, hands));
+    }
+
+    /// What `fleet duties` tells.
+    pub fn status(&self, now: Duration) -> Value {
+        let duties = self.office.stands(now).into_iter().map(|stands| {
+            let until = stands.until.map(|until| until.saturating_sub(now).as_millis() as u64);
+            let mut told = json!({ "duty": name(stands.duty), "term": stands.term, "owner": stands.owner,
+                "until_ms": until, "mine": stands.mine, "effects": stands.effects, "refused_stale": stands.refused });
+            let its = moved(stands.duty);
+            let running = its.and_then(|group| self.moves.get(&group)).map(|(m, _)| m);
+            if let Some(m) = running.or_else(|| self.over.iter().rev().find(|m| Some(m.group) == its)) {
+                let outcome = m.outcome.map(|outcome| format!("{outcome:?}"));
+                told["move"] =
+                    json!({ "term": m.term, "ready": m.ready, "outcome": outcome, "fronts": fronts(m), "gone": m.gone });
+            }
+            told
+        });
+        duties.collect()
+    }
+}
+
+/// A change front by front.
+fn fronts(m: &Move) -> Value {
+    m.fronts
+        .iter()
+        .map(|(front, step)| (front.to_string(), step.name().into()))
+        .collect::<serde_json::Map<_, _>>()
+        .into()
+}
--- a/crates/front/src/fellows.rs
+++ b/crates/front/src/fellows.rs
@@ -3,7 +3,8 @@
 
 use crate::clock::{Alarm, Clock};
 use crate::counters::Counters;
-use crate::mail::ToFellows;
+use crate::duties::Duties;
+use crate::mail::{ToDesk, ToFellows};
 use juniperdock_charter as charter;
 use juniperdock_fellows::{Event, Fellows, Host, Keys, Refused, Standing, Times, life_at};
 use juniperdock_link::{Bell, Post, give_way, spawn};
@@ -18,6 +19,8 @@
 
 /// Datagrams read before others get their turn.
 const A_FEW: usize = 32;
+/// Why there are no duties.
+pub const OFF: &str = "duties are off: see fellows.duties in the operators' file";
 /// How often an address that is taken is tried again.
 const AGAIN: Duration = Duration::from_millis(100);
 
@@ -51,6 +54,7 @@
     pub laid_down: charter::Fellows,
     pub keys: Keys,
     pub seed: u64,
+    pub desk: Sender<ToDesk>,
 }
 
 struct Actor {
@@ -66,11 +70,13 @@
 }
 
 /// Carries out what the membership wants done.
-struct Hands<'a> {
+pub struct Hands<'a> {
     post: &'a Post,
     peers: &'a [Option<SocketAddr>],
     counters: &'a Counters,
     log: &'a slog::Logger,
+    /// Bodies for the duties, from which front.
+    bodies: Vec<(usize, Vec<u8>)>,
 }
 
 impl Host for Hands<'_> {
@@ -81,6 +87,10 @@
         }
     }
 
+    fn told(&mut self, from: usize, body: &[u8]) {
+        self.bodies.push((from, body.to_vec()));
+    }
+
     fn event(&mut self, event: Event) {
         match event {
             Event::Up(front) => {
@@ -149,7 +159,11 @@
                         Ok(ToFellows::Enter) => break,
                         Ok(ToFellows::Status(tell)) => drop(tell.try_send(json!({ "left": true }))),
                         Ok(ToFellows::Keys(keys)) => self.circle.keys = keys,
-                        Ok(ToFellows::Leave) => {}
+                        Ok(ToFellows::Duties(tell)) => drop(tell.try_send(json!([]))),
+                        Ok(ToFellows::Move { tell, .. }) => {
+                            drop(tell.try_send(Err("this front has left its fellows".to_owned())));
+                        }
+                        Ok(ToFellows::Leave | ToFellows::Facts { .. } | ToFellows::Step(..)) => {}
                         Err(_) => return,
                     }
                 },
@@ -169,21 +183,23 @@
     /// Speaks until it is to leave.
     fn speak(&mut self, post: &Post) {
         let mut core = self.core();
-        let begun = self.clock.now();
+        let (begun, clock) = (self.clock.now(), self.clock.clone());
+        let mut read_clock = move || clock.now() - begun;
+        let mut duties = self.circle.laid_down.duties.then(|| self.duties(&core));
         let bell = post.bell();
         let mut alarm: Option<(Duration, Alarm)> = None;
         // One byte more than the longest, so that a longer one is seen to be longer.
         let mut buffer = [0; juniperdock_fellows::LONGEST + 1];
         loop {
             let Actor { circle, counters, log, .. } = &*self;
-            let mut hands = Hands { post, peers: &circle.peers, counters, log };
+            let mut hands = Hands { post, peers: &circle.peers, counters, log, bodies: Vec::new() };
             let mut read = 0;
             while read < A_FEW
                 && let Some((length, from)) = post.receive(&mut buffer)
             {
                 read += 1;
                 counters.fellows_in.add();
-                let now = self.clock.now() - begun;
+                let now = read_clock();
                 let taken = match self.places.get(&from) {
                     Some(&place) => core.heard(now, place, &buffer[..length], &mut hands),
                     None => {
@@ -195,30 +211,49 @@
                     counters.fellows_refused.add();
                     slog::debug!(log, "a datagram is refused"; "from" => %from, "why" => why.name());
                 }
+                for (front, body) in std::mem::take(&mut hands.bodies) {
+                    duties.iter_mut().for_each(|d| d.heard(now, front, &body, &mut core, &mut hands));
+                }
             }
-            let mut leaves = false;
+            let (mut leaves, mut other_keys) = (false, None);
             while let Ok(mail) = self.mail.try_recv() {
-                let now = self.clock.now() - begun;
-                match mail {
-                    ToFellows::Status(tell) => drop(tell.try_send(status(&core, &self.circle.name, now))),
-                    ToFellows::Keys(keys) => {
-                        self.circle.keys = keys.clone();
-                        core.rekey(keys);
+                let now = read_clock();
+                match (mail, &mut duties) {
+                    (ToFellows::Status(tell), _) => drop(tell.try_send(status(&core, &circle.name, now))),
+                    (ToFellows::Keys(keys), _) => {
+                        core.rekey(keys.clone());
+                        other_keys = Some(keys);
+                    }
+                    (ToFellows::Leave, _) => leaves = true,
+                    (ToFellows::Facts { every, pieces }, Some(duties)) => {
+                        duties.facts(every, pieces, &mut read_clock, &mut core, &mut hands);
+                    }
+                    (ToFellows::Step(group, step), Some(duties)) => {
+                        duties.step(group, step, &mut core, &mut hands);
                     }
-                    ToFellows::Leave => leaves = true,
-                    ToFellows::Enter => {}
+                    (ToFellows::Move { group, successor, off, tell }, Some(duties)) => {
+                        duties.order(now, circle.me, group, successor, off, tell);
+                    }
+                    (ToFellows::Duties(tell), Some(duties)) => drop(tell.try_send(duties.status(now))),
+                    (ToFellows::Enter | ToFellows::Facts { .. } | ToFellows::Step(..), _) => {}
+                    (ToFellows::Move { tell, .. }, None) => drop(tell.try_send(Err(OFF.to_owned()))),
+                    (ToFellows::Duties(tell), None) => drop(tell.try_send(json!({ "off": true }))),
                 }
             }
-            let Actor { circle, counters, log, .. } = &*self;
-            let mut hands = Hands { post, peers: &circle.peers, counters, log };
-            let now = self.clock.now() - begun;
             if leaves {
-                core.leave(now, &mut hands);
+                duties.iter_mut().for_each(|d| d.leave(read_clock(), &mut core, &mut hands));
+                core.leave(read_clock(), &mut hands);
                 return;
             }
-            core.due(now, &mut hands);
+            core.due(read_clock(), &mut hands);
+            duties.iter_mut().for_each(|d| d.turn(&mut read_clock, &mut core, &mut hands));
             // One alarm at a time.
-            let next = core.next().saturating_add(begun);
+            let next =
+                core.next().min(duties.as_ref().map_or(Duration::MAX, Duties::next)).saturating_add(begun);
+            drop(hands);
+            if let Some(keys) = other_keys {
+                self.circle.keys = keys;
+            }
             if alarm.as_ref().is_none_or(|(at, _)| *at != next) {
                 alarm.iter().for_each(|(_, old)| self.clock.cancel(old));
                 let bell = bell.clone();
@@ -227,6 +262,13 @@
             if read == A_FEW { give_way() } else { post.wait() }
         }
     }
+
+    fn duties(&self, core: &Fellows) -> Duties {
+        let Circle { peers, laid_down, seed, desk, .. } = &self.circle;
+        let period = Duration::from_millis(laid_down.every_ms);
+        let (desk, counters, log) = (desk.clone(), self.counters.clone(), self.log.clone());
+        Duties::new(Duration::ZERO, core, peers.len(), *seed, period, desk, counters, log)
+    }
 }
 
 /// What `fleet status` tells.
--- a/crates/front/src/mail.rs
+++ b/crates/front/src/mail.rs
@@ -1,6 +1,7 @@
 //! The mail between actors. It stands below them all, so that none of them needs to know another.
 
 use crate::mailbox::Mailbox;
+use juniperdock_duties::{Asks, SHARDS, Step};
 use juniperdock_fellows::Keys;
 use juniperdock_held::Most;
 use juniperdock_link::Bell;
@@ -87,6 +88,26 @@
     Take(String, TcpStream),
     /// This front is to serve soon: who is primary has to be known.
     Roles,
+    /// Work is shared with other fronts: how to post to the actor that speaks with them.
+    Circle(Box<dyn Fn(ToFellows) + Send>),
+    /// Whether this front hears a majority, and which members it asks for all; what is to be told goes back.
+    Care {
+        whole: bool,
+        asks: [Asks; SHARDS as usize],
+    },
+    /// What another front told of members.
+    Facts(Vec<u8>),
+    /// What stands in place of a probe.
+    Instead {
+        member: usize,
+        report: Report,
+    },
+    /// A planned change that another front orders of all; `off`: it lets go.
+    Plan {
+        group: u64,
+        successor: Option<String>,
+        off: bool,
+    },
     /// From the control socket: how groups stand; one of them, or all up to a number.
     Status {
         group: Option<u64>,
@@ -108,6 +129,22 @@
     Status(SyncSender<Value>),
     /// Other keys count from now on.
     Keys(Keys),
+    /// What this front has to tell of members, each part's in pieces, and when it wants to be asked again.
+    Facts {
+        every: Duration,
+        pieces: Vec<(usize, Vec<u8>)>,
+    },
+    /// How far this front is with a planned change that was ordered of all.
+    Step(u64, Step),
+    /// From the control socket: a change of a group's primary at all fronts, or none.
+    Move {
+        group: u64,
+        successor: Option<String>,
+        off: bool,
+        tell: SyncSender<Result<String, String>>,
+    },
+    /// From the control socket: which duties there are, and whose.
+    Duties(SyncSender<Value>),
     /// Says farewell and lets go of the address; `Enter` takes it up again.
     Leave,
     Enter,
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod counters;
 mod desk;
+mod duties;
 mod fellows;
 mod keep;
 mod list;
@@ -100,6 +101,8 @@
 enum Fleet {
     /// Who of the fronts is there, as the running front sees it, and how it stands itself.
     Status,
+    /// Which work on behalf of all there is, and which front owns it.
+    Duties,
 }
 
 #[derive(Subcommand)]
@@ -207,6 +210,9 @@
         Some(What::Fleet { what: Fleet::Status }) => {
             say(&ask(json!({ "do": "fleet" }), PATIENCE)?, &plain_fleet);
         }
+        Some(What::Fleet { what: Fleet::Duties }) => {
+            say(&ask(json!({ "do": "duties" }), PATIENCE)?, &plain_duties);
+        }
         Some(What::Upgrade { program }) => {
             let wait = Duration::from_millis(charter.upgrade.ready_ms + charter.upgrade.taken_ms) + PATIENCE;
             let asked = json!({ "do": "upgrade", "program": program });
@@ -254,6 +260,28 @@
     lines.join("\n")
 }
 
+fn plain_duties(duties: &Value) -> String {
+    let mut lines = vec![format!(
+        "{:<12} {:>16} {:>6} {:>9} {:>8} {:>8}",
+        "duty", "term", "owner", "until ms", "effects", "refused"
+    )];
+    for duty in duties.as_array().into_iter().flatten() {
+        let number = |value: &Value| value.as_u64().map_or_else(|| "-".to_owned(), |n| n.to_string());
+        let owner = if duty["mine"] == true { "me".to_owned() } else { number(&duty["owner"]) };
+        let (name, term, until) =
+            (duty["duty"].as_str().unwrap_or("-"), number(&duty["term"]), number(&duty["until_ms"]));
+        let (effects, refused) = (number(&duty["effects"]), number(&duty["refused_stale"]));
+        lines.push(format!("{name:<12} {term:>16} {owner:>6} {until:>9} {effects:>8} {refused:>8}"));
+        if let Some(m) = duty["move"].as_object() {
+            lines.push(format!(
+                "  outcome {}, front by front: {}, gone: {}",
+                m["outcome"], m["fronts"], m["gone"]
+            ));
+        }
+    }
+    lines.join("\n")
+}
+
 fn plain_status(status: &Value) -> String {
     let mut lines = vec![format!("{:>8}  {:<13} {:>5}  {:>7}  primary", "group", "phase", "term", "waiting")];
     for group in status["groups"].as_array().into_iter().flatten() {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -12,7 +12,7 @@
 use juniperdock_handover::Times;
 use juniperdock_held::Most;
 use juniperdock_link::{Door, spawn};
-use may::sync::mpsc::channel;
+use may::sync::mpsc::{Sender, channel};
 use sd_notify::NotifyState;
 use slog::Drain;
 use std::path::{Path, PathBuf};
@@ -53,6 +53,7 @@
     told: &Told,
     clock: &Clock,
     counters: &Arc<Counters>,
+    to_desk: &Sender<ToDesk>,
     log: &slog::Logger,
 ) -> Result<fellows::Mail, String> {
     let keys = fellows::keys(&laid_down.keys)?;
@@ -64,8 +65,14 @@
     let peers = peers.into_iter().map(known).collect();
     let (me, _) = told.place()?;
     let (name, laid_down, seed) = (told.name(me), laid_down.clone(), told.seed()?);
-    let circle = fellows::Circle { me, name, listen, peers, laid_down, keys, seed };
-    fellows::start(circle, clock.clone(), counters.clone(), log.clone(), DEEP_STACK)
+    let (shares, desk) = (laid_down.duties, to_desk.clone());
+    let circle = fellows::Circle { me, name, listen, peers, laid_down, keys, seed, desk };
+    let mail = fellows::start(circle, clock.clone(), counters.clone(), log.clone(), DEEP_STACK)?;
+    if shares {
+        let circle = mail.clone();
+        let _ = to_desk.send(ToDesk::Circle(Box::new(move |mail| circle.post(mail))));
+    }
+    Ok(mail)
 }
 
 /// Reads what is told, wires the actors, and serves until SIGTERM.
@@ -184,7 +191,7 @@
         shut: AtomicBool::new(false),
         doorman: AtomicBool::new(true),
         fellows: charter.fellows.as_ref().and_then(|laid_down| {
-            let started = fellows_of(laid_down, &told, &clock, &counters, &log);
+            let started = fellows_of(laid_down, &told, &clock, &counters, &to_desk, &log);
             started.map_err(|why| slog::error!(log, "fellows are off"; "why" => why)).ok()
         }),
     });
@@ -199,7 +206,9 @@
     if let Some(socket) = &charter.control {
         let upgrade = upgrades(&hall, &door, &charter.upgrade, &log);
         let fellows = hall.fellows.clone();
-        let control = control::Control { desk: to_desk, counters: counters.clone(), upgrade, fellows };
+        let duties = charter.fellows.as_ref().is_some_and(|laid_down| laid_down.duties);
+        let control =
+            control::Control { desk: to_desk, counters: counters.clone(), upgrade, fellows, duties };
         control::serve(control::open(&socket.path)?, control, log.clone());
     }
     // Where a supervisor has named a socket for it.
--- a/crates/lab/src/fleet/audit.rs
+++ b/crates/lab/src/fleet/audit.rs
@@ -2,6 +2,7 @@
 //! each other. No code of the program is used here.
 
 use super::history::Line;
+use super::owners;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use serde_json::{Value, json};
@@ -31,7 +32,7 @@
 }
 
 /// All auditors, with a fault planted on purpose that each has to catch.
-pub const AUDITORS: [Auditor; 11] = [
+pub const AUDITORS: [Auditor; 14] = [
     Auditor { name: "answers", look: answers, plant: drop_answer },
     Auditor { name: "effects", look: effects, plant: plant_effect },
     Auditor { name: "truth", look: truth, plant: |lines| plant_decline(lines) },
@@ -43,6 +44,9 @@
     Auditor { name: "size", look: size, plant: |lines| plant_length(lines) },
     Auditor { name: "views", look: views, plant: |lines| plant_view(lines) },
     Auditor { name: "majority", look: majority, plant: plant_majority },
+    Auditor { name: "owners", look: owners::two_at_once, plant: owners::plant_owner },
+    Auditor { name: "terms", look: owners::went_back, plant: owners::plant_term },
+    Auditor { name: "holds", look: owners::held_too_long, plant: owners::plant_hold },
 ];
 
 pub struct Auditor {
@@ -69,9 +73,9 @@
 
 /// What the history says of the circumstances.
 pub(super) struct Town<'a> {
-    lines: &'a [Line],
+    pub(super) lines: &'a [Line],
     setting: &'a Value,
-    fronts: usize,
+    pub(super) fronts: usize,
     /// By front: when its process was met by something, its time to come round counted in.
     met: Vec<Vec<(Duration, Duration)>>,
     /// Mishaps by their numbers: what, from when to when.
@@ -138,12 +142,12 @@
     }
 
     /// Whether something met a front's process in that time.
-    fn excused(&self, front: usize, from: Duration, to: Duration) -> bool {
+    pub(super) fn excused(&self, front: usize, from: Duration, to: Duration) -> bool {
         self.met.get(front).is_some_and(|met| met.iter().any(|&(a, b)| a <= to && from <= b))
     }
 
     /// Ends of a history that are not over yet.
-    fn end(&self) -> Duration {
+    pub(super) fn end(&self) -> Duration {
         self.each("over")
             .map(|line| line.at)
             .next()
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod audit;
 pub mod history;
+pub mod owners;
 pub mod page;
 pub mod play;
 pub mod primaries;
--- /dev/null
+++ b/crates/lab/src/fleet/owners.rs
@@ -0,0 +1,297 @@
+//! What a history shows of work that one front does for all: whose it was, whether two had it at once, whether an
+//! effect of an older term was carried out after one of a newer, whether writes were held too long. Like the other
+//! auditors it reads the history alone.
+
+use super::audit::{Town, front, micros};
+use super::history::Line;
+use super::{Figures as Fleet, figures};
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// Times in logs are whole milliseconds, and a process looks at its clock a moment before it writes.
+const ROUNDED: Duration = Duration::from_millis(5);
+/// A planned change is over at each front after this, whoever has died: 2 s for what is out, 5 s for a successor, and
+/// the time until a busy machine has written it down.
+const HELD: Duration = Duration::from_millis(9000);
+
+/// One front's time as the owner of a duty under a term.
+#[derive(Clone, Debug, PartialEq)]
+struct Span {
+    duty: String,
+    term: u64,
+    front: usize,
+    from: Duration,
+    to: Duration,
+}
+
+fn log<'a>(line: &'a Line, what: &str) -> Option<&'a Value> {
+    (line.what == "log" && line.more["log"]["msg"] == what).then_some(&line.more["log"])
+}
+
+/// From when to when each front owned a duty, for certain: from the moment it said so, until the last time that it
+/// told it would, it gave it back or lost it, or its process ended.
+fn spans(town: &Town) -> Vec<Span> {
+    let mut all: Vec<Span> = Vec::new();
+    let mut open: BTreeMap<(usize, String), usize> = BTreeMap::new();
+    for line in town.lines {
+        let at = line.at;
+        let by = front(line);
+        if let Some(log) = log(line, "duty taken") {
+            let (duty, term) = (log["duty"].as_str().unwrap_or_default().to_owned(), log["term"].as_u64());
+            open.insert((by, duty.clone()), all.len());
+            all.push(Span { duty, term: term.unwrap_or_default(), front: by, from: at, to: at });
+        }
+        for ends in ["duty given back", "duty lost"] {
+            if let Some(log) = log(line, ends) {
+                let key = (by, log["duty"].as_str().unwrap_or_default().to_owned());
+                if let Some(span) = open.remove(&key) {
+                    let span = &mut all[span];
+                    span.to = if ends == "duty lost" { span.to } else { at.max(span.from) };
+                }
+            }
+        }
+        if line.what == "duties" {
+            for told in line.more["duties"].as_array().into_iter().flatten() {
+                let key = (by, told["duty"].as_str().unwrap_or_default().to_owned());
+                let until = micros(&line.more["asked"])
+                    + Duration::from_millis(told["until_ms"].as_u64().unwrap_or(0));
+                if told["mine"] == true
+                    && let Some(&span) = open.get(&key)
+                    && told["term"].as_u64() == Some(all[span].term)
+                {
+                    all[span].to = all[span].to.max(until);
+                }
+            }
+        }
+        // A process that is gone holds nothing any more.
+        let killed = line.what == "mishap" && line.more["mishap"]["what"] == "front_killed";
+        if killed || line.what == "start" {
+            let whom =
+                if killed { line.more["mishap"]["front"].as_u64().unwrap_or_default() as usize } else { by };
+            let its: Vec<_> = open.keys().filter(|key| key.0 == whom).cloned().collect();
+            for key in its {
+                if let Some(span) = open.remove(&key) {
+                    all[span].to = all[span].to.min(at);
+                }
+            }
+        }
+    }
+    all.sort_by(|a, b| (&a.duty, a.from).cmp(&(&b.duty, b.from)));
+    all
+}
+
+/// No duty has two owners at once.
+pub(super) fn two_at_once(town: &Town) -> Vec<(Duration, String)> {
+    let spans = spans(town);
+    let mut found = Vec::new();
+    for (i, one) in spans.iter().enumerate() {
+        let its = spans[i + 1..].iter().take_while(|other| other.duty == one.duty);
+        for other in its.filter(|other| other.front != one.front && other.from + ROUNDED < one.to) {
+            let (a, b, ms) = (one.front, other.front, (one.to - other.from).as_millis());
+            found.push((other.from, format!("fronts {a} and {b} both own {}, for {ms} ms", one.duty)));
+        }
+    }
+    found
+}
+
+/// At no front an effect of an older term is carried out after one of a newer.
+pub(super) fn went_back(town: &Town) -> Vec<(Duration, String)> {
+    let mut newest: BTreeMap<(usize, String), u64> = BTreeMap::new();
+    let mut found = Vec::new();
+    for line in town.lines {
+        let Some(log) = log(line, "effects of a term") else { continue };
+        let duty = log["duty"].as_str().unwrap_or_default().to_owned();
+        let term = log["term"].as_u64().unwrap_or_default();
+        let its = newest.entry((front(line), duty.clone())).or_default();
+        if term < *its {
+            found.push((line.at, format!("front {} carries out {duty} of an older term", front(line))));
+        }
+        *its = term.max(*its);
+    }
+    found
+}
+
+/// A hold ends by itself at each front, whoever has died.
+pub(super) fn held_too_long(town: &Town) -> Vec<(Duration, String)> {
+    let mut since: BTreeMap<(usize, u64), Duration> = BTreeMap::new();
+    let mut found = Vec::new();
+    let mut ended = |at: Duration, key: (usize, u64), from: Duration| {
+        if at > from + HELD && !town.excused(key.0, from, at) {
+            let span = (at - from).as_secs_f64();
+            found.push((at, format!("front {} held the writes of group {} for {span:.1} s", key.0, key.1)));
+        }
+    };
+    for line in town.lines {
+        if line.what == "start" || line.what == "told to end" {
+            since.retain(|key, _| key.0 != front(line));
+        }
+        let Some(log) = log(line, "primary").filter(|log| log["why"] == "Planned") else { continue };
+        let (key, plan) = (
+            (front(line), log["group"].as_u64().unwrap_or_default()),
+            log["plan"].as_str().unwrap_or_default(),
+        );
+        if plan.contains("Emptying") {
+            since.insert(key, line.at);
+        } else if let Some(from) = since.remove(&key) {
+            ended(line.at, key, from);
+        }
+    }
+    for (key, from) in since {
+        ended(town.end(), key, from);
+    }
+    found
+}
+
+// Faults planted on purpose.
+
+/// Another front says that it has taken a duty that is owned.
+pub(super) fn plant_owner(lines: &mut Vec<Line>) -> bool {
+    let spans = spans(&Town::of(lines));
+    let long = spans.iter().max_by_key(|span| span.to.saturating_sub(span.from)).cloned();
+    let Some(span) = long.or_else(|| {
+        // Nobody owned anything there: two are planted.
+        let at = lines.get(lines.len() / 2).map_or(Duration::ZERO, |line| line.at);
+        let (duty, to) = ("care 0".to_owned(), at + Duration::from_secs(2));
+        Some(Span { duty, term: 1, front: 0, from: at, to })
+    }) else {
+        return false;
+    };
+    let taken = |front: usize, at: Duration| {
+        let log = json!({ "msg": "duty taken", "duty": span.duty, "term": span.term });
+        Line { at, what: "log".to_owned(), more: json!({ "front": front, "log": log }) }
+    };
+    let told = |front: usize, at: Duration, left: Duration| {
+        let duty = json!({ "duty": span.duty, "term": span.term, "mine": true, "until_ms": left.as_millis() as u64 });
+        let more = json!({ "front": front, "asked": at.as_micros() as u64, "duties": [duty] });
+        Line { at, what: "duties".to_owned(), more }
+    };
+    let middle = span.from + (span.to - span.from) / 2;
+    let mut planted = vec![taken(span.front + 1, middle), told(span.front + 1, middle, span.to - middle)];
+    if !spans.contains(&span) {
+        planted.extend([taken(span.front, span.from), told(span.front, span.from, span.to - span.from)]);
+    }
+    for line in planted {
+        let place = lines.partition_point(|other| other.at <= line.at);
+        lines.insert(place, line);
+    }
+    true
+}
+
+/// An effect of a very old term is carried out at the end, after one of a newer.
+pub(super) fn plant_term(lines: &mut Vec<Line>) -> bool {
+    let at = lines.last().map_or(Duration::ZERO, |line| line.at);
+    for term in [9u64, 1] {
+        let log = json!({ "msg": "effects of a term", "duty": "move 999", "term": term });
+        lines.push(Line { at, what: "log".to_owned(), more: json!({ "front": 0, "log": log }) });
+    }
+    true
+}
+
+/// A hold that begins early on never ends.
+pub(super) fn plant_hold(lines: &mut Vec<Line>) -> bool {
+    let town = Town::of(lines);
+    let calm = |at: Duration| (0..town.fronts).find(|&f| !town.excused(f, at, at + 2 * HELD));
+    let place = (0..lines.len()).step_by(97).find_map(|i| calm(lines[i].at).map(|front| (i, front)));
+    // Where each front was met by something, one that is not in the tier holds.
+    let (place, front) = place.unwrap_or((0, town.fronts));
+    let at = lines.get(place).map_or(Duration::ZERO, |line| line.at);
+    let log = |plan: &str| json!({ "msg": "primary", "why": "Planned", "group": 999, "plan": plan });
+    let line = |at, plan: &str| Line {
+        at,
+        what: "log".to_owned(),
+        more: json!({ "front": front, "log": log(plan) }),
+    };
+    let (begins, ends) = (line(at, "Order Emptying"), line(at + 2 * HELD, "Order Done"));
+    lines.insert(place, begins);
+    let place = lines.partition_point(|other| other.at <= ends.at);
+    lines.insert(place, ends);
+    true
+}
+
+/// What a history of owners shows, in figures.
+#[derive(Debug, Default)]
+pub struct Figures {
+    pub fleet: Fleet,
+    /// Owners that followed another, or the same one anew.
+    pub changes: usize,
+    pub stale_sent: usize,
+    pub stale_applied: usize,
+    pub two_at_once: usize,
+    pub moves: usize,
+    pub moves_undone: usize,
+    pub held_past_limit: usize,
+    pub cold_over_budget: usize,
+    pub gap_p99_ms: f64,
+}
+
+pub fn changes(lines: &[Line]) -> Figures {
+    let town = Town::of(lines);
+    let fleet = figures(lines);
+    let count = |name: &str| fleet.found.iter().filter(|found| found.auditor == name).count();
+    let spans = spans(&town);
+    let mut gaps = Histogram::<u64>::new_with_bounds(1, 600_000, 3).expect("good bounds");
+    let mut changes = 0;
+    for pair in
+        spans.windows(2).filter(|pair| pair[0].duty == pair[1].duty && pair[0].duty.starts_with("care"))
+    {
+        changes += 1;
+        // From when the owner before was stopped or killed, if it was, else from when it let go.
+        let lost = town.mishaps.iter().filter(|(mishap, ..)| {
+            let what = mishap["what"].as_str().unwrap_or_default();
+            ["front_stopped", "front_killed"].contains(&what) && mishap["front"] == json!(pair[0].front)
+        });
+        let lost =
+            lost.map(|(_, from, _)| *from).filter(|&at| at >= pair[0].from && at <= pair[1].from).min();
+        let from = lost.unwrap_or(pair[0].to);
+        gaps.saturating_record(pair[1].from.saturating_sub(from).as_millis().max(1) as u64);
+    }
+    let logs = |what: &'static str| lines.iter().filter_map(move |line| log(line, what));
+    let ended: Vec<&str> = logs("move ended").filter_map(|log| log["outcome"].as_str()).collect();
+    Figures {
+        changes,
+        stale_sent: logs("stale effect refused").count(),
+        stale_applied: count("terms"),
+        two_at_once: count("owners"),
+        moves: ended.len(),
+        moves_undone: ended.iter().filter(|outcome| **outcome != "Done").count(),
+        held_past_limit: count("holds"),
+        cold_over_budget: count("cold"),
+        gap_p99_ms: if gaps.is_empty() { 0.0 } else { gaps.value_at_percentile(99.0) as f64 },
+        fleet,
+    }
+}
+
+impl Figures {
+    /// Nothing that has to be none is there, and enough happened to prove something.
+    pub fn holds(&self, changes: usize) -> bool {
+        self.fleet.holds() && self.changes >= changes && self.stale_sent > 0 && self.moves > self.moves_undone
+    }
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        writeln!(f, "{}", self.fleet)?;
+        write!(
+            f,
+            "owner: processes={} changes={} stale_effects_sent={} stale_effects_applied={} two_at_once={} moves={} \
+             moves_undone={} held_past_limit={} cold_over_budget={} lost={} doubled={} gap_p99_ms={:.0} auditors={}/{}",
+            self.fleet.processes,
+            self.changes,
+            self.stale_sent,
+            self.stale_applied,
+            self.two_at_once,
+            self.moves,
+            self.moves_undone,
+            self.held_past_limit,
+            self.cold_over_budget,
+            self.fleet.lost,
+            self.fleet.doubled,
+            self.gap_p99_ms,
+            self.fleet.auditors,
+            super::audit::AUDITORS.len()
+        )
+    }
+}
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -133,15 +133,20 @@
     }
 }
 
-/// Asks a front through its control socket.
+/// Asks a front through its control socket; none where it says no, or nothing.
 pub fn ask(socket: &Path, asked: &Value, wait: Duration) -> Option<Value> {
+    answer(socket, asked, wait).filter(|answer| answer["ok"] == true).map(|answer| answer["is"].clone())
+}
+
+/// What a front answers, whatever it is.
+fn answer(socket: &Path, asked: &Value, wait: Duration) -> Option<Value> {
     let mut stream = UnixStream::connect(socket).ok()?;
     stream.set_read_timeout(Some(wait)).ok()?;
     stream.write_all(&frame(asked)).ok()?;
     let (mut frames, mut piece) = (Frames::default(), [0; 4096]);
     loop {
         if let Some(answer) = frames.whole().ok()? {
-            return (answer["ok"].as_bool() == Some(true)).then(|| answer["is"].clone());
+            return Some(answer);
         }
         match stream.read(&mut piece).ok()? {
             0 => return None,
@@ -221,6 +226,8 @@
     slow: Vec<Option<Instant>>,
     /// Upgrades under way: of which front, and the new process once it serves.
     upgrades: Vec<(usize, Receiver<Option<u64>>)>,
+    /// Planned changes that were ordered: at which front, of which group, and the answer.
+    moves: Vec<(usize, usize, Receiver<Option<Value>>)>,
 }
 
 /// Changes a front's configuration or operators' file before the start, by a front's number.
@@ -254,7 +261,7 @@
     history.note(
         Duration::ZERO,
         "setting",
-        json!({ "title": schedule.title, "seed": seed, "fronts": n, "fellows": schedule.fellows,
+        json!({ "title": schedule.title, "seed": seed, "fronts": n, "fellows": schedule.fellows, "duties": schedule.duties,
             "every": schedule.every_ms * 1000, "lasts": (schedule.lasts_s * 1e6) as u64,
             "healed": (schedule.healed_s() * 1e6) as u64, "kinds": scenario.load.kinds.iter().map(kind).collect::<Vec<_>>(),
             "drain_grace": 1_000_000, "slack": SLACK.as_micros() as u64, "window": fleet.falls_after_ms * 1000,
@@ -281,6 +288,7 @@
         members,
         slow: vec![None; n],
         upgrades: Vec::new(),
+        moves: Vec::new(),
     };
     for front in 0..n {
         let at = town.members(front, members)?;
@@ -296,8 +304,8 @@
         let speaks = if schedule.older.contains(&front) { 1 } else { 2 };
         let mut charter = json!({ "log": { "form": "json" }, "control": { "path": dir.join("control") } });
         if schedule.fellows {
-            charter["fellows"] =
-                json!({ "keys": [home.join("key")], "every_ms": schedule.every_ms, "speaks": speaks });
+            charter["fellows"] = json!({ "keys": [home.join("key")], "every_ms": schedule.every_ms, "speaks": speaks,
+                    "duties": schedule.duties });
         }
         if let Some(bend) = bend {
             bend(front, &mut config, &mut charter);
@@ -330,7 +338,7 @@
             std::thread::spawn(move || client(&town, at, front));
         }
         let (town, history, over) = (town.clone(), history.clone(), over.clone());
-        let socket = rig.processes[front].dir.join("control");
+        let (socket, duties) = (rig.processes[front].dir.join("control"), schedule.duties);
         std::thread::spawn(move || {
             while !over.load(Ordering::Relaxed) {
                 let asked = town.now();
@@ -341,6 +349,16 @@
                     let asked = asked.as_micros() as u64;
                     history.note(at, "status", json!({ "front": front, "asked": asked, "status": status }));
                 }
+                let asked = town.now().as_micros() as u64;
+                let wait = Duration::from_millis(600);
+                let told = duties.then(|| ask(&socket, &json!({ "do": "duties" }), wait)).flatten();
+                if let Some(told) = told {
+                    history.note(
+                        town.now(),
+                        "duties",
+                        json!({ "front": front, "asked": asked, "duties": told }),
+                    );
+                }
                 std::thread::sleep(ASKED);
             }
         });
@@ -414,6 +432,7 @@
             }
             self.turns();
             self.upgrades();
+            self.moves();
             let town = self.town.clone();
             let mut state = town.lock();
             let now = town.now();
@@ -544,6 +563,15 @@
                     let _ = tell.send(answer.and_then(|answer| answer["pid"].as_u64()));
                 });
             }
+            Harm::MoveOrdered => {
+                let (socket, group) = (self.processes[front].dir.join("control"), m.number);
+                let (tell, told) = channel();
+                self.moves.push((front, group, told));
+                std::thread::spawn(move || {
+                    let asked = json!({ "do": "move", "group": group });
+                    let _ = tell.send(answer(&socket, &asked, Duration::from_secs(6)));
+                });
+            }
             Harm::MembersCut => self.part(front, true),
             Harm::ListCut => self.unsaid[front] = Some(Vec::new()),
             _ if m.world() => {}
@@ -577,7 +605,7 @@
                     self.say(self.town.now(), front, member, state, text);
                 }
             }
-            Harm::Upgraded => {}
+            Harm::Upgraded | Harm::MoveOrdered => {}
             _ if m.world() => {}
             _ => self.bend(m, false),
         }
@@ -627,6 +655,23 @@
         });
     }
 
+    /// Once all fronts hold a group's writes its primary hands over.
+    fn moves(&mut self) {
+        let (history, town) = (&self.history, &self.town);
+        self.moves.retain(|(front, group, told)| match told.try_recv() {
+            Ok(answer) => {
+                let more = json!({ "front": front, "group": group, "answer": answer });
+                history.note(town.now(), "move answered", more);
+                if answer.is_some_and(|answer| answer["ok"] == true) {
+                    town.present().world.hand_over(*group);
+                }
+                false
+            }
+            Err(TryRecvError::Disconnected) => false,
+            Err(TryRecvError::Empty) => true,
+        });
+    }
+
     /// Slow fronts are stopped and continued in turns.
     fn turns(&mut self) {
         for front in 0..self.slow.len() {
--- a/crates/lab/src/fleet/schedule.rs
+++ b/crates/lab/src/fleet/schedule.rs
@@ -55,6 +55,8 @@
     PrimaryMoved,
     /// Member `number` drains, and starts again cold.
     MemberDrained,
+    /// `front` is asked for a planned change of group `number`; once all hold, its primary hands over.
+    MoveOrdered,
 }
 
 impl Harm {
@@ -155,6 +157,9 @@
     /// Whether the fronts know each other at all.
     #[garde(skip)]
     pub fellows: bool,
+    /// Whether work on behalf of all has one owner.
+    #[garde(skip)]
+    pub duties: bool,
     #[garde(dive)]
     pub mishaps: Vec<Mishap>,
 }
@@ -174,6 +179,7 @@
             expiry_ms: 1500,
             lost_ms: [1100.0, 2700.0],
             fellows: true,
+            duties: false,
             mishaps: Vec::new(),
         }
     }
@@ -214,6 +220,7 @@
                     | Harm::Flooded
                     | Harm::MembersCut
                     | Harm::ListCut
+                    | Harm::MoveOrdered
             );
             if needs_front && m.front.is_none() {
                 wrong("what", "expected a front");
@@ -232,7 +239,7 @@
                 wrong("what", "expected by");
             }
             let most = match m.what {
-                what if Harm::PRIMARY.contains(&what) => self.groups,
+                what if Harm::PRIMARY.contains(&what) || what == Harm::MoveOrdered => self.groups,
                 Harm::MemberDrained => self.groups * self.members,
                 _ => usize::MAX,
             };
@@ -299,6 +306,71 @@
         schedule
     }
 
+    /// Owners that are stopped, killed, cut off and slowed by the seed, one after the other and over each other, while
+    /// planned changes are ordered; then calm.
+    pub fn owners(seed: u64, fronts: usize, lasts_s: f64) -> Schedule {
+        const HARMS: [Harm; 8] = [
+            Harm::FrontStopped,
+            Harm::FrontKilled,
+            Harm::Late,
+            Harm::Apart,
+            Harm::FrontStopped,
+            Harm::Unheard,
+            Harm::FrontEnded,
+            Harm::FrontSlow,
+        ];
+        let mut chance = Stream::of(seed, "owners", 0);
+        let mut schedule = Schedule {
+            title: format!("Owners that go, from seed {seed}"),
+            fronts,
+            per_second: 90.0,
+            every_ms: 250,
+            duties: true,
+            ..Schedule::default()
+        };
+        let plain = |what, at_s: f64, lasts_s: f64| {
+            let (front, other, side, number, share, by) = (None, None, Vec::new(), 0, None, None);
+            Mishap { at_s, lasts_s, what, front, other, side, number, share, by }
+        };
+        let (mut at_s, mut left, mut orders_s) = (4.5, Vec::new(), 5.0);
+        // Whoever was met before comes later again: all fronts have their turn.
+        let mut turn: Vec<usize> = Vec::new();
+        while at_s < lasts_s {
+            if left.is_empty() {
+                left = HARMS.to_vec();
+            }
+            if turn.is_empty() {
+                turn = (0..fronts).collect();
+            }
+            let what = left.swap_remove(chance.below(left.len()));
+            let front = turn.swap_remove(chance.below(turn.len()));
+            let span = if what == Harm::FrontEnded { 4.0 } else { 2.2 + chance.share() };
+            match what {
+                // What it sends lies on its way while it is stopped and another takes over.
+                Harm::Late => {
+                    let late = Mishap { front: Some(front), by: Some(4500.0), ..plain(what, at_s, 1.0) };
+                    schedule.mishaps.push(late);
+                    let stopped = plain(Harm::FrontStopped, at_s + 0.9, span);
+                    schedule.mishaps.push(Mishap { front: Some(front), ..stopped });
+                }
+                Harm::Apart => {
+                    let other = (front + 1 + chance.below(fronts - 1)) % fronts;
+                    schedule.mishaps.push(Mishap { side: vec![front, other], ..plain(what, at_s, span) });
+                }
+                _ => schedule.mishaps.push(Mishap { front: Some(front), ..plain(what, at_s, span) }),
+            }
+            if at_s >= orders_s {
+                let (number, front) = (chance.below(schedule.groups), chance.below(fronts));
+                let order = plain(Harm::MoveOrdered, at_s + 0.5, 0.0);
+                schedule.mishaps.push(Mishap { front: Some(front), number, ..order });
+                orders_s += 4.0;
+            }
+            at_s += 1.3 + 0.7 * chance.share();
+        }
+        schedule.lasts_s = schedule.healed_s() + 6.0;
+        schedule
+    }
+
     /// A day of so many fronts drawn from a seed: mishaps one after the other and over each other, then calm.
     pub fn drawn(seed: u64, fronts: usize, mishaps: usize, calm_s: f64) -> Schedule {
         let mut chance = Stream::of(seed, "mishaps", 0);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -171,6 +171,25 @@
         #[arg(long)]
         look: bool,
     },
+    /// Seven processes that share work, their owners stopped, killed and cut off while changes are ordered.
+    Owners {
+        /// Any number; the same one plays the same mishaps in the same order.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 7, value_parser = clap::value_parser!(u64).range(3..=30))]
+        fronts: u64,
+        #[arg(long, default_value = "target/release/juniperdock")]
+        front: String,
+        /// How long mishaps go on.
+        #[arg(long, default_value_t = 36, value_parser = clap::value_parser!(u64).range(10..=3600))]
+        seconds: u64,
+        /// Fewer changes of owners prove too little.
+        #[arg(long, default_value_t = 30)]
+        changes: usize,
+        /// Where everything that happened is written.
+        #[arg(long, default_value = "target/owners.jsonl")]
+        history: PathBuf,
+    },
     /// One front among members whose primaries are killed, hung, cut off, drained and moved under load.
     Primaries {
         /// Any number; the same one plays the same changes in the same order.
@@ -369,6 +388,13 @@
             }
             Ok(seen.holds())
         }
+        What::Owners { seed, fronts, front, seconds, changes, history } => {
+            let schedule = fleet::Schedule::owners(seed, fronts as usize, seconds as f64);
+            fleet::play(&schedule, seed, &front, &history, None)?;
+            let seen = fleet::owners::changes(&fleet::history::read(&history)?);
+            println!("seed {seed}\n{seen}");
+            Ok(seen.holds(changes))
+        }
         What::Primaries { seed, front, seconds, history } => {
             // Held for as long as its client waits: what a change costs shows in full.
             let held = |_: usize, _: &mut serde_json::Value, charter: &mut serde_json::Value| {
--- a/crates/lease/src/office.rs
+++ b/crates/lease/src/office.rs
@@ -46,6 +46,8 @@
     fn effect(&mut self, from: usize, duty: Duty, term: u64, payload: &[u8]);
     /// A word to this front as the owner of a duty.
     fn report(&mut self, from: usize, duty: Duty, term: u64, payload: &[u8]);
+    /// Something told by a front that needs no owner, and is fenced by nothing.
+    fn told(&mut self, from: usize, duty: Duty, payload: &[u8]);
 }
 
 /// How one duty stands, as this front knows it.
@@ -322,6 +324,16 @@
         words.bodies().iter().for_each(|body| host.send(to, body));
     }
 
+    /// Tells others something that does no harm whoever tells it, however late.
+    pub fn tell(&mut self, duty: Duty, to: &[usize], payload: &[u8], host: &mut impl Host) {
+        let mut words = Words::of(self.me.life);
+        words.tell(word::TELL, duty, 0, payload);
+        let bodies = words.bodies();
+        for &to in to.iter().filter(|&&to| to != usize::from(self.me.front) && !self.left) {
+            bodies.iter().for_each(|body| host.send(to, body));
+        }
+    }
+
     fn passes(&mut self, from: usize, duty: Duty, term: u64) -> Result<(), u64> {
         self.fence.passes(duty, term, self.grants.newest(duty))?;
         let seen = self.seen.entry(duty).or_insert((from, 0));
@@ -347,10 +359,12 @@
         while !rest.is_empty() {
             let ((what, duty, term), after) =
                 postcard::take_from_bytes::<(u8, Duty, u64)>(rest).map_err(|_| FAULT)?;
-            if matches!(what, word::EFFECT | word::REPORT) {
+            if matches!(what, word::EFFECT | word::REPORT | word::TELL) {
                 let (payload, after) = postcard::take_from_bytes::<&[u8]>(after).map_err(|_| FAULT)?;
                 rest = after;
-                if what == word::REPORT {
+                if what == word::TELL {
+                    host.told(from, duty, payload);
+                } else if what == word::REPORT {
                     if self.holds(now, duty) == Some(term) {
                         host.report(from, duty, term, payload);
                     }
--- a/crates/lease/src/words.rs
+++ b/crates/lease/src/words.rs
@@ -22,6 +22,8 @@
     pub const EFFECT: u8 = 6;
     /// duty, term, payload: a word to the owner of that term.
     pub const REPORT: u8 = 7;
+    /// duty, 0, payload: something told that needs no owner.
+    pub const TELL: u8 = 8;
 }
 
 /// Gathers words to one front into bodies.
--- a/crates/lease/tests/stories.rs
+++ b/crates/lease/tests/stories.rs
@@ -31,6 +31,9 @@
     fn report(&mut self, from: usize, _duty: Duty, _term: u64, payload: &[u8]) {
         self.reports.push((from, payload.to_vec()));
     }
+    fn told(&mut self, from: usize, _duty: Duty, payload: &[u8]) {
+        self.reports.push((from, payload.to_vec()));
+    }
 }
 
 struct Fleet {
@@ -163,6 +166,17 @@
     let term = fleet.term(old, 7);
     assert!(fleet.act(old, 7, term, &[0, 1, 2], b"one"));
     assert!(fleet.hands.iter().all(|hands| hands.effects.len() == 1), "itself too");
+    let told = (old + 1) % 3;
+    let mut hands = std::mem::take(&mut fleet.hands[told]);
+    fleet.offices[told].as_mut().expect("it runs").report(old, 7, term, b"done", &mut hands);
+    fleet.offices[told].as_mut().expect("it runs").report(old, 7, term - 1, b"of old", &mut hands);
+    fleet.hands[told] = hands;
+    fleet.pass();
+    assert_eq!(
+        fleet.hands[old].reports,
+        [(told, b"done".to_vec())],
+        "a word to an earlier owner is for nobody"
+    );
     fleet.stopped.push(old);
     let others: Vec<usize> = (0..3).filter(|&f| f != old).collect();
     fleet.present = vec![others.clone(); 3];
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,6 +1,6 @@
 //! What the router remembers and is told at its start; nothing is decided here.
 
-use crate::host::{ColdStart, Host, Plan, Standing, TxnType};
+use crate::host::{ColdStart, Host, Level, Plan, Standing, TxnType};
 use crate::ring::Ring;
 use juniperdock_fate::{Fate, Place};
 use juniperdock_held::{Held, Most, Rank};
@@ -347,6 +347,20 @@
         self.settle(now, 0..self.groups.len(), host);
     }
 
+    /// A member is asked as soon as the rules on probes let it be.
+    pub fn ask_one(&mut self, now: Duration, member: usize, host: &mut impl Host) {
+        let Some(m) = self.members.get_mut(member).filter(|m| m.listed) else { return };
+        m.probe_due = m.probe_due.min(now);
+        let group = m.group;
+        self.settle(now, [group], host);
+    }
+
+    /// The tightest bound on the age of reads, where there is one.
+    pub fn tightest(&self) -> Option<Duration> {
+        let bound = |t: &TxnType| if let Level::Bounded(bound) = t.level { Some(bound) } else { None };
+        self.types.iter().filter_map(bound).min()
+    }
+
     /// How many txns of a group wait.
     pub fn waiting_in(&self, group: usize) -> usize {
         self.held.len(group)
