Prove owners with several processes; a change goes on when its owner's term rises

Looked at: logs of plans and duties by front. Causes: a front that had started anew knows no term below its own life, so the owner's next renewal had a higher term and the change took that for a loss (moves.rs); holds of a lost change barred the next order for 5 s (desk.rs); a primary that said it was a replica as it handed over counted as failed (tenure record.rs: lost).

Change: a change has a number of its own and goes on under a rising term; a new order takes the place of one whose owner was lost; in the step that waits for a successor the old primary's own word is no failure. The auditor of owners ended a span late when its term rose.

--- a/crates/duties/src/care.rs
+++ b/crates/duties/src/care.rs
@@ -6,8 +6,13 @@
 
 /// Parts that the members of a fleet are split into: each is one duty.
 pub const SHARDS: u64 = 8;
-/// Those who care ask a member so many times within the tightest bound.
-const ASKS_PER_BOUND: u32 = 3;
+/// The owner asks a member so many times within the tightest bound.
+const ASKS_PER_BOUND: u32 = 2;
+/// The one beside it asks so many times less often: it is there for when the owner falls silent.
+const BESIDE: u32 = 4;
+/// Members are asked for all only where that takes less than so many probes a txn of the fleet: where there are few
+/// txns for each member, it takes fewer when each front asks for what it needs.
+const PER_TXN: f64 = 0.25;
 /// A fact is of use while this part of the bound is left of it: there is to be time to read by it.
 const LEFT: u32 = 3;
 /// A position that is so far ahead of the own clock is a lie, or one of the clocks is off.
@@ -60,18 +65,20 @@
     members: Vec<Known>,
     whole: bool,
     asks: [Asks; SHARDS as usize],
+    /// It takes fewer probes than when each front asks for itself.
+    worth: bool,
     pub refused: u64,
 }
 
 impl Care {
     /// `bound`: the tightest bound on the age of reads.
     pub fn new(bound: Duration) -> Care {
-        Care { bound, members: Vec::new(), whole: false, asks: Default::default(), refused: 0 }
+        Care { bound, members: Vec::new(), whole: false, asks: Default::default(), worth: false, refused: 0 }
     }
 
     /// How often [`Care::due`] and [`Care::tell`] are to be called.
     pub fn every(&self) -> Duration {
-        self.bound / ASKS_PER_BOUND / 2
+        self.bound / ASKS_PER_BOUND / 4
     }
 
     /// The list has a member; `id` is the same at all fronts.
@@ -92,13 +99,17 @@
         }
     }
 
-    /// Whether this front hears a majority, and what it does for which part.
-    pub fn sees(&mut self, whole: bool, asks: [Asks; SHARDS as usize]) {
+    /// Whether this front hears a majority, what it does for which part, and how many txns a second there are: its
+    /// own, times the fronts that are there.
+    pub fn sees(&mut self, whole: bool, asks: [Asks; SHARDS as usize], rate: f64) {
         (self.whole, self.asks) = (whole, asks);
+        let named = self.members.iter().filter(|known| known.named.is_some()).count() as f64;
+        let probes = named * f64::from(ASKS_PER_BOUND) * (1.0 + 1.0 / f64::from(BESIDE));
+        self.worth = probes < PER_TXN * rate * self.bound.as_secs_f64();
     }
 
     fn cares(&self, shard: usize) -> bool {
-        self.whole && self.asks[shard] != Asks::No
+        self.whole && self.worth && self.asks[shard] != Asks::No
     }
 
     /// Members that this front is to ask now on behalf of all.
@@ -107,7 +118,8 @@
         for member in 0..self.members.len() {
             let Some((_, shard)) = self.members[member].named else { continue };
             if self.cares(shard) && self.members[member].due <= now {
-                self.members[member].due = now + self.bound / ASKS_PER_BOUND;
+                let seldom = if self.asks[shard] == Asks::Owner { 1 } else { BESIDE };
+                self.members[member].due = now + self.bound / ASKS_PER_BOUND * seldom;
                 due.push(member);
             }
         }
--- a/crates/duties/src/moves.rs
+++ b/crates/duties/src/moves.rs
@@ -79,22 +79,22 @@
 const HOLD: u8 = 1;
 const RELEASE: u8 = 2;
 
-/// The payload that has a front hold a group's writes.
-pub fn hold(successor: Option<&str>) -> Vec<u8> {
-    postcard::to_allocvec(&(HOLD, successor)).unwrap_or_default()
+/// The payload that has a front hold a group's writes. `order`: the same as long as it is the same change.
+pub fn hold(order: u64, successor: Option<&str>) -> Vec<u8> {
+    postcard::to_allocvec(&(HOLD, order, successor)).unwrap_or_default()
 }
 
 /// The one that has it let go.
-pub fn release() -> Vec<u8> {
-    postcard::to_allocvec(&(RELEASE, None::<&str>)).unwrap_or_default()
+pub fn release(order: u64) -> Vec<u8> {
+    postcard::to_allocvec(&(RELEASE, order, None::<&str>)).unwrap_or_default()
 }
 
-/// Reads either: whether to hold, and who is to follow.
-pub fn words(payload: &[u8]) -> Option<(bool, Option<&str>)> {
-    let ((what, successor), _) = postcard::take_from_bytes::<(u8, Option<&str>)>(payload).ok()?;
+/// Reads either: of which order, whether to hold, and who is to follow.
+pub fn words(payload: &[u8]) -> Option<(u64, bool, Option<&str>)> {
+    let ((what, order, successor), _) = postcard::take_from_bytes::<(u8, u64, Option<&str>)>(payload).ok()?;
     match what {
-        HOLD => Some((true, successor)),
-        RELEASE => Some((false, None)),
+        HOLD => Some((order, true, successor)),
+        RELEASE => Some((order, false, None)),
         _ => None,
     }
 }
@@ -109,6 +109,9 @@
 pub struct Move {
     pub group: u64,
     pub successor: Option<String>,
+    /// The term under which it began: its number for as long as it lasts.
+    pub order: u64,
+    /// The term under which its owner owns the duty now. It may rise: a front that has started anew knows no lower.
     pub term: u64,
     begun: Duration,
     said: Duration,
@@ -127,6 +130,7 @@
         Move {
             group,
             successor,
+            order: term,
             term,
             begun: now,
             said: Duration::ZERO,
@@ -160,8 +164,10 @@
         if self.outcome.is_some() {
             return Vec::new();
         }
-        if term != Some(self.term) || now > self.begun + LAST {
-            return self.end(Outcome::Lost, false);
+        // Who loses the duty sees that before it can have got it again: that takes an answer of others.
+        match term {
+            Some(term) if term >= self.term && now <= self.begun + LAST => self.term = term,
+            _ => return self.end(Outcome::Lost, false),
         }
         let gone: Vec<usize> =
             self.fronts.keys().copied().filter(|f| present.binary_search(f).is_err()).collect();
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -224,8 +224,8 @@
     held: Option<(Most, f64)>,
     /// Posts to the actor that speaks with the other fronts.
     circle: Option<Box<dyn Fn(ToFellows) + Send>>,
-    /// Groups whose change was ordered of all fronts, and what was last told of it.
-    watched: Vec<(u64, duties::Step)>,
+    /// Groups whose change was ordered of all fronts, by which order, and what was last told of it.
+    watched: Vec<(u64, u64, duties::Step)>,
     log: slog::Logger,
 }
 
@@ -291,7 +291,7 @@
     fn watch(&mut self) {
         let Some(circle) = self.circle.as_ref().filter(|_| !self.watched.is_empty()) else { return };
         let (tenure, cells) = (self.router.tenure(), &self.hands.cells);
-        self.watched.retain_mut(|(group, told)| {
+        self.watched.retain_mut(|(group, order, told)| {
             let plan = cells.known(group).and_then(|at| tenure.plan(at));
             let step = match plan.map(|plan| plan.step) {
                 Some(Step::Emptying) => duties::Step::Emptying,
@@ -300,30 +300,46 @@
                 Some(Step::Undone(_)) | None => duties::Step::Undone,
             };
             if std::mem::replace(told, step) != step {
-                circle(ToFellows::Step(*group, step));
+                circle(ToFellows::Step { group: *group, order: *order, step });
             }
             plan.is_some_and(|plan| !plan.ended())
         });
     }
 
-    /// A change that was ordered of all fronts begins here, or is called off.
-    fn plan(&mut self, now: Duration, group: u64, successor: Option<&str>, off: bool) {
-        let done = self.change(now, group, successor, off);
-        match done {
-            Ok(_) if !off => self.watched.push((group, duties::Step::Asked)),
+    /// A change that was ordered of all fronts begins here, or is called off. A new order takes the place of an
+    /// earlier one whose owner was lost.
+    fn plan(&mut self, now: Duration, group: u64, order: u64, successor: Option<&str>, off: bool) {
+        let earlier = self.watched.iter().position(|(its, by, _)| *its == group && (*by != order) != off);
+        if let Some(earlier) = earlier.filter(|_| !off) {
+            self.watched.remove(earlier);
+            let _ = self.change(now, group, None, true);
+        }
+        if off && earlier.is_none() {
+            return;
+        }
+        match self.change(now, group, successor, off) {
+            Ok(_) if !off => self.watched.push((group, order, duties::Step::Asked)),
             Ok(_) => {}
             Err(why) => {
                 slog::info!(self.log, "a change for all fronts can't be had here"; "group" => group, "why" => why);
                 let tells = self.circle.iter().filter(|_| !off);
-                tells.for_each(|circle| circle(ToFellows::Step(group, duties::Step::Refused)));
+                tells
+                    .for_each(|circle| circle(ToFellows::Step { group, order, step: duties::Step::Refused }));
             }
         }
     }
 
     /// Members that this front asks for all are asked, and what they said is told.
-    fn care(&mut self, now: Duration, whole: bool, asks: [duties::Asks; duties::SHARDS as usize]) {
+    fn care(
+        &mut self,
+        now: Duration,
+        whole: bool,
+        present: usize,
+        asks: [duties::Asks; duties::SHARDS as usize],
+    ) {
+        let rate = self.router.rate(now) * present as f64;
         let Some(care) = &mut self.hands.care else { return };
-        care.sees(whole, asks);
+        care.sees(whole, asks, rate);
         let (every, due) = (care.every(), care.due(now));
         let parts: Vec<usize> = care.parts().map(|(shard, _)| shard).collect();
         let mut pieces = Vec::new();
@@ -421,7 +437,7 @@
                 let known: Vec<usize> = known.map(|(member, _)| member).collect();
                 known.into_iter().for_each(|member| self.named(member));
             }
-            ToDesk::Care { whole, asks } => self.care(now, whole, asks),
+            ToDesk::Care { whole, present, asks } => self.care(now, whole, present, asks),
             ToDesk::Facts(piece) => {
                 let unix = self.hands.unix(now);
                 if let Some(care) = &mut self.hands.care {
@@ -431,7 +447,9 @@
                     }
                 }
             }
-            ToDesk::Plan { group, successor, off } => self.plan(now, group, successor.as_deref(), off),
+            ToDesk::Plan { group, order, successor, off } => {
+                self.plan(now, group, order, successor.as_deref(), off);
+            }
             ToDesk::List(list) => self.list(now, &list),
             ToDesk::ListLost => {
                 self.hands.counters.lists_failed.add();
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -44,6 +44,8 @@
 /// A change that another front, or this one, has ordered of this one.
 struct Holding {
     duty: Duty,
+    /// Which change it is, and the term of whoever ordered it last.
+    order: u64,
     term: u64,
     owner: usize,
     step: Step,
@@ -194,7 +196,7 @@
                     *asks = Asks::Beside;
                 }
             }
-            let _ = self.desk.send(ToDesk::Care { whole, asks });
+            let _ = self.desk.send(ToDesk::Care { whole, present: present.len(), asks });
         }
     }
 
@@ -213,8 +215,8 @@
                     let _ = self.desk.send(ToDesk::Facts(payload));
                 }
                 Came::Effect(from, duty, term, payload) => {
-                    if let (Some(group), Some((holds, successor))) = (moved(duty), words(&payload)) {
-                        self.hold(group, duty, term, from, holds, successor, core, hands);
+                    if let (Some(group), Some((order, holds, successor))) = (moved(duty), words(&payload)) {
+                        self.hold(group, duty, term, from, order, holds, successor, core, hands);
                     }
                 }
                 Came::Report(from, duty, payload) => {
@@ -235,31 +237,30 @@
         duty: Duty,
         term: u64,
         owner: usize,
+        order: u64,
         holds: bool,
         successor: Option<&str>,
         core: &mut Fellows,
         hands: &mut Hands,
     ) {
-        let known = self.holding.get(&group).filter(|holding| holding.term == term);
-        let step = known.map(|holding| holding.step);
         slog::debug!(self.log, "a change is ordered here"; "group" => group, "holds" => holds, "owner" => owner);
-        match step {
+        if let Some(holding) = self.holding.get_mut(&group).filter(|holding| holding.order == order && holds)
+        {
             // It came before: only the word may have been lost.
-            Some(step) if holds => {
-                self.office.report(owner, duty, term, &[step as u8], ways!(self, core, hands))
-            }
-            _ => {
-                let step = if holds { Step::Asked } else { Step::Undone };
-                self.holding.insert(group, Holding { duty, term, owner, step });
-                let (successor, off) = (successor.map(str::to_owned), !holds);
-                let _ = self.desk.send(ToDesk::Plan { group, successor, off });
-            }
+            (holding.term, holding.owner) = (term, owner);
+            let step = holding.step;
+            return self.office.report(owner, duty, term, &[step as u8], ways!(self, core, hands));
         }
+        let step = if holds { Step::Asked } else { Step::Undone };
+        self.holding.insert(group, Holding { duty, order, term, owner, step });
+        let (successor, off) = (successor.map(str::to_owned), !holds);
+        let _ = self.desk.send(ToDesk::Plan { group, order, successor, off });
     }
 
     /// How far this front is with a change that was ordered of it.
-    pub fn step(&mut self, group: u64, step: Step, core: &mut Fellows, hands: &mut Hands) {
-        let Some(holding) = self.holding.get_mut(&group) else { return };
+    pub fn step(&mut self, group: u64, order: u64, step: Step, core: &mut Fellows, hands: &mut Hands) {
+        let its = self.holding.get_mut(&group).filter(|holding| holding.order == order);
+        let Some(holding) = its else { return };
         holding.step = step;
         let Holding { duty, term, owner, .. } = *holding;
         self.office.report(owner, duty, term, &[step as u8], ways!(self, core, hands));
@@ -363,8 +364,8 @@
                 }
                 for act in acts {
                     let payload = match act {
-                        Act::Hold(_) => hold(m.successor.as_deref()),
-                        _ => release(),
+                        Act::Hold(_) => hold(m.order, m.successor.as_deref()),
+                        _ => release(m.order),
                     };
                     match act {
                         Act::Hold(front) | Act::Release(front) => {
--- a/crates/front/src/fellows.rs
+++ b/crates/front/src/fellows.rs
@@ -163,7 +163,7 @@
                         Ok(ToFellows::Move { tell, .. }) => {
                             drop(tell.try_send(Err("this front has left its fellows".to_owned())));
                         }
-                        Ok(ToFellows::Leave | ToFellows::Facts { .. } | ToFellows::Step(..)) => {}
+                        Ok(ToFellows::Leave | ToFellows::Facts { .. } | ToFellows::Step { .. }) => {}
                         Err(_) => return,
                     }
                 },
@@ -228,14 +228,14 @@
                     (ToFellows::Facts { every, pieces }, Some(duties)) => {
                         duties.facts(every, pieces, &mut read_clock, &mut core, &mut hands);
                     }
-                    (ToFellows::Step(group, step), Some(duties)) => {
-                        duties.step(group, step, &mut core, &mut hands);
+                    (ToFellows::Step { group, order, step }, Some(duties)) => {
+                        duties.step(group, order, step, &mut core, &mut hands);
                     }
                     (ToFellows::Move { group, successor, off, tell }, Some(duties)) => {
                         duties.order(now, circle.me, group, successor, off, tell);
                     }
                     (ToFellows::Duties(tell), Some(duties)) => drop(tell.try_send(duties.status(now))),
-                    (ToFellows::Enter | ToFellows::Facts { .. } | ToFellows::Step(..), _) => {}
+                    (ToFellows::Enter | ToFellows::Facts { .. } | ToFellows::Step { .. }, _) => {}
                     (ToFellows::Move { tell, .. }, None) => drop(tell.try_send(Err(OFF.to_owned()))),
                     (ToFellows::Duties(tell), None) => drop(tell.try_send(json!({ "off": true }))),
                 }
--- a/crates/front/src/mail.rs
+++ b/crates/front/src/mail.rs
@@ -93,6 +93,8 @@
     /// Whether this front hears a majority, and which members it asks for all; what is to be told goes back.
     Care {
         whole: bool,
+        /// How many fronts are there.
+        present: usize,
         asks: [Asks; SHARDS as usize],
     },
     /// What another front told of members.
@@ -105,6 +107,7 @@
     /// A planned change that another front orders of all; `off`: it lets go.
     Plan {
         group: u64,
+        order: u64,
         successor: Option<String>,
         off: bool,
     },
@@ -135,7 +138,11 @@
         pieces: Vec<(usize, Vec<u8>)>,
     },
     /// How far this front is with a planned change that was ordered of all.
-    Step(u64, Step),
+    Step {
+        group: u64,
+        order: u64,
+        step: Step,
+    },
     /// From the control socket: a change of a group's primary at all fronts, or none.
     Move {
         group: u64,
--- /dev/null
+++ b/crates/front/tests/owners.rs
@@ -0,0 +1,215 @@
+//! Several processes that share work, with faults between them: one owner at a time, and no harm by an owner that
+//! wakes up late. All are judged by the history alone; times bound nothing but how long a story waits.
+
+use juniperdock_lab::fleet::history::{Line, read};
+use juniperdock_lab::fleet::owners::{Figures, changes, probes};
+use juniperdock_lab::fleet::play::play;
+use juniperdock_lab::fleet::{Harm, Mishap, Schedule};
+use serde_json::Value;
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperdock");
+
+fn mishap(what: Harm, at_s: f64, lasts_s: f64) -> Mishap {
+    let (front, other, side, number, share, by) = (None, None, Vec::new(), 0, None, None);
+    Mishap { at_s, lasts_s, what, front, other, side, number, share, by }
+}
+
+fn of(front: usize, what: Harm, at_s: f64, lasts_s: f64) -> Mishap {
+    Mishap { front: Some(front), ..mishap(what, at_s, lasts_s) }
+}
+
+/// Plays mishaps over so many fronts that share work.
+fn played(name: &str, fronts: usize, lasts_s: f64, mishaps: Vec<Mishap>) -> (Vec<Line>, Figures) {
+    played_at(name, 40.0, fronts, lasts_s, mishaps, true)
+}
+
+fn played_at(
+    name: &str,
+    per_second: f64,
+    fronts: usize,
+    lasts_s: f64,
+    mishaps: Vec<Mishap>,
+    duties: bool,
+) -> (Vec<Line>, Figures) {
+    let schedule = Schedule {
+        title: name.to_owned(),
+        fronts,
+        per_second,
+        every_ms: 250,
+        lasts_s,
+        duties,
+        mishaps,
+        ..Schedule::default()
+    };
+    let path = std::env::temp_dir().join(format!("jd-{name}-{}.jsonl", std::process::id()));
+    play(&schedule, 11, PROGRAM, &path, None).unwrap_or_else(|why| panic!("{name}: {why}"));
+    let lines = read(&path).unwrap_or_else(|why| panic!("{name}: {why}"));
+    if std::env::var_os("JUNIPERDOCK_KEEP").is_none() {
+        let _ = std::fs::remove_file(&path);
+    }
+    let seen = changes(&lines);
+    let rules = seen.fleet.found.iter().filter(|found| !["views", "majority"].contains(&found.auditor));
+    let rules: Vec<_> = rules.collect();
+    assert!(rules.is_empty() && seen.fleet.committed > 0, "{name}: {rules:?}, {seen}");
+    (lines, seen)
+}
+
+fn secs(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+/// What a front's log says, with when.
+fn logs<'a>(lines: &'a [Line], what: &'a str) -> impl Iterator<Item = (usize, Duration, &'a Value)> {
+    lines
+        .iter()
+        .filter(move |line| line.what == "log" && line.more["log"]["msg"] == what)
+        .map(|line| (line.number("front").unwrap_or_default() as usize, line.at, &line.more["log"]))
+}
+
+/// Whether a front says at some time in a span that a duty is its own.
+fn owns(lines: &[Line], front: usize, from: f64, to: f64) -> bool {
+    let asked = lines.iter().filter(|l| l.what == "duties" && l.number("front") == Some(front as u64));
+    let told =
+        asked.filter(|l| l.at >= secs(from) && l.at <= secs(to)).flat_map(|l| l.more["duties"].as_array());
+    told.flatten().any(|duty| duty["mine"] == true)
+}
+
+/// Owners are stopped past their leases, what they had sent lies on its way meanwhile, and they go on.
+#[test]
+fn an_owner_that_wakes_up_late_does_no_harm() {
+    let mut mishaps = Vec::new();
+    for (front, at_s) in [(0, 5.0), (1, 9.0), (2, 13.0)] {
+        mishaps.push(Mishap { by: Some(4500.0), ..of(front, Harm::Late, at_s, 1.0) });
+        mishaps.push(of(front, Harm::FrontStopped, at_s + 0.9, 2.6));
+    }
+    let (lines, seen) = played("wakes", 5, 18.0, mishaps);
+    assert!(seen.stale_sent > 0, "nothing came late: {seen}");
+    assert!(seen.two_at_once + seen.stale_applied == 0 && seen.changes >= 3, "{seen}");
+    // Whoever took over had a higher term.
+    let (_, _, stale) = logs(&lines, "stale effect refused").next().expect("one was refused");
+    let later = logs(&lines, "duty taken").filter(|(.., log)| log["duty"] == stale["duty"]);
+    assert!(later.filter_map(|(.., log)| log["term"].as_u64()).max() > stale["term"].as_u64());
+}
+
+/// A cut leaves a minority without duties, and the others take them over.
+#[test]
+fn a_minority_owns_nothing_and_the_majority_takes_over() {
+    let apart = Mishap { side: vec![2, 3], ..mishap(Harm::Apart, 5.0, 5.0) };
+    let (lines, seen) = played("cut", 5, 14.0, vec![apart]);
+    assert!(owns(&lines, 2, 2.5, 5.0) && owns(&lines, 3, 2.5, 5.0), "they owned something before");
+    // A grant lasts 1.5 s; they have found out, or it has run out.
+    assert!(!owns(&lines, 2, 7.5, 10.0) && !owns(&lines, 3, 7.5, 10.0));
+    let owned = (0..8).filter(|shard| {
+        let name = format!("care {shard}");
+        let its = logs(&lines, "duty taken")
+            .filter(|(front, at, log)| log["duty"] == name && ![2, 3].contains(front) && *at < secs(10.0));
+        its.count() > 0
+    });
+    assert_eq!(owned.count(), 8, "each part is cared for on the larger side");
+    assert_eq!(seen.two_at_once, 0);
+}
+
+/// All are killed at once and know nothing: nobody owns anything for as long as a grant may last, terms rise.
+#[test]
+fn all_killed_at_once_come_back_with_higher_terms() {
+    let mishaps = (0..3).map(|front| of(front, Harm::FrontKilled, 5.0, 0.6)).collect();
+    let (lines, seen) = played("all", 3, 11.0, mishaps);
+    let term = |before: bool| {
+        let its = logs(&lines, "duty taken").filter(|(_, at, _)| (*at < secs(5.0)) == before);
+        let terms =
+            its.filter(|(.., log)| log["duty"] == "care 0").filter_map(|(.., log)| log["term"].as_u64());
+        terms.collect::<Vec<u64>>()
+    };
+    assert!(term(true).iter().max() < term(false).iter().min() && !term(false).is_empty(), "{seen}");
+    let started =
+        lines.iter().filter(|line| line.what == "start" && line.at > secs(5.0)).map(|line| line.at).min();
+    let first = logs(&lines, "duty taken").map(|(_, at, _)| at).find(|at| *at > secs(5.0));
+    assert!(
+        first.zip(started).is_some_and(|(first, started)| first > started + secs(1.5)),
+        "{first:?} {started:?}"
+    );
+}
+
+/// A majority is gone: no duty has an owner, and the others serve on as before.
+#[test]
+fn without_a_majority_nobody_owns_anything_and_all_serve_on() {
+    let mishaps = (2..5).map(|front| of(front, Harm::FrontKilled, 5.0, 6.0)).collect();
+    let (lines, _) = played("few", 5, 14.0, mishaps);
+    assert!(!owns(&lines, 0, 7.5, 11.0) && !owns(&lines, 1, 7.5, 11.0));
+    let served = |from: f64, to: f64| {
+        let told = lines.iter().filter(|l| l.what == "answered" && l.at >= secs(from) && l.at < secs(to));
+        let all: Vec<&Line> = told.filter(|l| l.number("front").is_some_and(|front| front < 2)).collect();
+        (all.iter().filter(|l| l.text("told") == "committed").count(), all.len())
+    };
+    let (committed, all) = served(8.0, 11.0);
+    assert!(all > 20 && committed * 10 > all * 9, "{committed} of {all}");
+}
+
+/// A change that is ordered at one front is held by all, and each tells what became of it; a second order for the
+/// same group at another front is refused meanwhile.
+#[test]
+fn a_planned_change_is_held_by_all_fronts() {
+    let order = |front, number, at_s| Mishap { number, ..of(front, Harm::MoveOrdered, at_s, 0.0) };
+    let mishaps = vec![order(1, 0, 4.5), order(3, 0, 4.52), order(2, 1, 7.5)];
+    let (lines, seen) = played("moves", 4, 13.0, mishaps);
+    let done: Vec<&Value> =
+        logs(&lines, "move ended").map(|(.., log)| log).filter(|log| log["outcome"] == "Done").collect();
+    assert!(done.len() >= 2 && seen.held_past_limit == 0, "{seen}");
+    let fronts: Value =
+        serde_json::from_str(done[0]["fronts"].as_str().unwrap_or_default()).expect("front by front");
+    assert!(
+        fronts.as_object().is_some_and(|f| f.len() == 4 && f.values().all(|step| step == "done")),
+        "{fronts}"
+    );
+    // Every front held on its own.
+    let held = |group: u64| {
+        let its = logs(&lines, "primary").filter(move |(.., log)| log["group"] == group);
+        let begins =
+            its.filter(|(.., log)| log["plan"].as_str().is_some_and(|plan| plan.contains("Emptying")));
+        begins.map(|(front, ..)| front).collect::<std::collections::BTreeSet<usize>>()
+    };
+    assert!(held(0).len() == 4 && held(1).len() == 4);
+    let answers: Vec<&Line> = lines.iter().filter(|line| line.what == "move answered").collect();
+    assert_eq!(answers.len(), 3);
+    // While both are held at once the one is refused; if the first was over by then both were done.
+    let refused = answers.iter().filter(|line| line.more["answer"]["ok"] == false).count();
+    assert!(refused == 1 || done.len() == 3, "{answers:?}");
+}
+
+/// The owner of a change dies while all hold: each hold ends by itself.
+#[test]
+fn holds_end_by_themselves_when_their_owner_dies() {
+    // One front's words do not come to the owner, so that the change does not go on before it dies.
+    let mute = Mishap { other: Some(1), ..of(3, Harm::OneWay, 4.9, 3.0) };
+    let mishaps = vec![mute, of(1, Harm::MoveOrdered, 5.0, 0.0), of(1, Harm::FrontKilled, 5.8, 3.0)];
+    let (lines, seen) = played("dies", 4, 15.5, mishaps);
+    let began: Vec<usize> = logs(&lines, "primary")
+        .filter(|(front, _, log)| {
+            *front != 1 && log["plan"].as_str().is_some_and(|plan| plan.contains("Emptying"))
+        })
+        .map(|(front, ..)| front)
+        .collect();
+    assert!(!began.is_empty(), "nobody had heard of it");
+    assert_eq!(seen.held_past_limit, 0);
+    let ended = |front: usize| {
+        let its = logs(&lines, "primary").filter(move |(by, ..)| *by == front);
+        its.filter(|(.., log)| {
+            log["plan"].as_str().is_some_and(|plan| plan.contains("Undone") || plan.contains("Done"))
+        })
+        .count()
+    };
+    assert!(began.iter().all(|&front| ended(front) > 0), "{seen}");
+}
+
+/// Members are asked by a few for all: the same load takes far fewer probes, and no read is stale.
+#[test]
+fn members_are_asked_by_a_few_for_all() {
+    let (with, _) = played_at("asked", 360.0, 6, 9.0, Vec::new(), true);
+    let (without, _) = played_at("asks", 360.0, 6, 9.0, Vec::new(), false);
+    let ([on, spared, txns], [off, none, others]) = (probes(&with), probes(&without));
+    assert!(none == 0 && spared > 0, "{spared} {none}");
+    let (on, off) = (on as f64 / txns as f64, off as f64 / others as f64);
+    println!("probes a txn: {on:.2} with, {off:.2} without");
+    assert!(on * 1.5 < off, "{on:.2} with, {off:.2} without");
+}
--- a/crates/lab/src/fleet/owners.rs
+++ b/crates/lab/src/fleet/owners.rs
@@ -41,7 +41,10 @@
         let by = front(line);
         if let Some(log) = log(line, "duty taken") {
             let (duty, term) = (log["duty"].as_str().unwrap_or_default().to_owned(), log["term"].as_u64());
-            open.insert((by, duty.clone()), all.len());
+            // Under a higher term it goes on: the others knew of one.
+            if let Some(before) = open.insert((by, duty.clone()), all.len()) {
+                all[before].to = all[before].to.min(at);
+            }
             all.push(Span { duty, term: term.unwrap_or_default(), front: by, from: at, to: at });
         }
         for ends in ["duty given back", "duty lost"] {
@@ -211,6 +214,19 @@
     true
 }
 
+/// Probes that all processes have sent, those that were spared, and txns, by what they counted at their ends.
+pub fn probes(lines: &[Line]) -> [u64; 3] {
+    let mut sums = [0; 3];
+    for line in lines.iter().filter(|line| line.what == "said") {
+        for (name, count) in line.text("text").split_whitespace().filter_map(|word| word.split_once('=')) {
+            if let Some(at) = ["probes", "probes_spared", "txns"].iter().position(|its| *its == name) {
+                sums[at] += count.parse().unwrap_or(0);
+            }
+        }
+    }
+    sums
+}
+
 /// What a history of owners shows, in figures.
 #[derive(Debug, Default)]
 pub struct Figures {
--- a/crates/router/src/ring.rs
+++ b/crates/router/src/ring.rs
@@ -45,6 +45,11 @@
         self.cells[(self.newest % len) as usize] += amount;
     }
 
+    /// What a sum covers at least.
+    pub fn span(&self) -> Duration {
+        self.width * (self.cells.len() as u32 - 1)
+    }
+
     pub fn sum(&mut self, now: Duration) -> f64 {
         self.turn_to(now);
         self.cells.iter().sum()
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -355,6 +355,11 @@
         self.settle(now, [group], host);
     }
 
+    /// Txns a second that have come here of late.
+    pub fn rate(&mut self, now: Duration) -> f64 {
+        self.first.sum(now) / now.as_secs_f64().clamp(1e-3, self.first.span().as_secs_f64())
+    }
+
     /// The tightest bound on the age of reads, where there is one.
     pub fn tightest(&self) -> Option<Duration> {
         let bound = |t: &TxnType| if let Level::Bounded(bound) = t.level { Some(bound) } else { None };
--- a/crates/tenure/src/record.rs
+++ b/crates/tenure/src/record.rs
@@ -1,6 +1,6 @@
 //! The record of each group, and the ordered rules that keep it.
 
-use crate::plan::{Plan, Reason, Sight};
+use crate::plan::{Plan, Reason, Sight, Step};
 use crate::stamp::Stamp;
 use crate::vacancy::Vacancies;
 use crate::{FENCE, GAP};
@@ -474,7 +474,10 @@
             out,
             succeeded: holder.is_some_and(|holder| holder != plan.leaving),
             successor_left: plan.successor.is_some_and(|successor| self.seats[successor].barred),
-            lost: holder.is_none() && !self.seats[plan.leaving].drains,
+            // One that says itself that it is a replica, once its writes are out, hands over as it was told to.
+            lost: holder.is_none()
+                && !self.seats[plan.leaving].drains
+                && !(plan.step == Step::Awaiting && record.denied),
         };
         if !plan.advance(now, sight) {
             return false;
