--- a/crates/tenure/tests/stories.rs
+++ b/crates/tenure/tests/stories.rs
@@ -267,6 +267,19 @@
     assert_eq!((g.plan().step, g.tenure.writer(0)), (Step::Undone(Undo::CalledOff), Some(0)));
 }
 
+#[test]
+fn an_old_primary_that_hands_over_as_it_was_told_to_has_not_failed() {
+    let mut g = Group::steady();
+    g.tenure.order(ms(1100), 0, None).expect("a plan");
+    g.look(1100);
+    assert_eq!(g.plan().step, Step::Awaiting);
+    // It says so itself before its successor has claimed.
+    g.report(1300, 0, REPLICA, 1295);
+    assert_eq!((g.plan().step, g.tenure.phase(0)), (Step::Awaiting, Phase::HandingOver));
+    g.report(1500, 1, PRIMARY, 1490);
+    assert_eq!((g.plan().step, g.tenure.writer(0)), (Step::Done, Some(1)));
+}
+
 #[test]
 fn an_order_ends_when_its_successor_leaves_or_the_old_primary_fails_first() {
     let mut g = Group::steady();
