Hear fronts that answer an order under the term it had

Looked at: steps front by front in the log of moves; the holds' own ends were there, their words were not. Cause: an owner took words to its present term only (office.rs, REPORT), and the term rises when a front starts anew. Ruled out: loss on the way, as words of the same second to other changes came.

Change: a word to an earlier term of the same front counts while it owns the duty, and names its order.

--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -10,7 +10,7 @@
 mod roll;
 
 pub use care::{Asks, Care, Fact, SHARDS};
-pub use moves::{Act, Move, Outcome, Step, hold, release, step, words};
+pub use moves::{Act, Move, Outcome, Step, hold, release, say, step, words};
 pub use roll::{End, Roll, Rolling, Sees, Serves, Step as RollStep};
 
 use juniperdock_lease::Duty;
--- a/crates/duties/src/moves.rs
+++ b/crates/duties/src/moves.rs
@@ -99,9 +99,15 @@
     }
 }
 
-/// A front's word on its step, and back.
-pub fn step(word: &[u8]) -> Option<Step> {
-    Step::ALL.get(usize::from(*word.first()?)).copied()
+/// A front's word on its step in an order.
+pub fn say(order: u64, step: Step) -> Vec<u8> {
+    postcard::to_allocvec(&(step as u8, order)).unwrap_or_default()
+}
+
+/// Reads it.
+pub fn step(word: &[u8]) -> Option<(u64, Step)> {
+    let ((step, order), _) = postcard::take_from_bytes::<(u8, u64)>(word).ok()?;
+    Some((order, *Step::ALL.get(usize::from(step))?))
 }
 
 /// A change, at the front that owns it.
@@ -142,9 +148,9 @@
         }
     }
 
-    /// A front has said how far it is. Words may come late: no step is gone back.
-    pub fn told(&mut self, front: usize, step: Step) {
-        if let Some(its) = self.fronts.get_mut(&front) {
+    /// A front has said how far it is in an order. Words may come late: no step is gone back.
+    pub fn told(&mut self, front: usize, order: u64, step: Step) {
+        if let Some(its) = self.fronts.get_mut(&front).filter(|_| order == self.order) {
             *its = (*its).max(step);
         }
     }
--- a/crates/duties/tests/stories.rs
+++ b/crates/duties/tests/stories.rs
@@ -1,6 +1,8 @@
 //! What one front does for all, one story for each failure met.
 
-use juniperdock_duties::{Act, Asks, Care, Fact, Move, Outcome, SHARDS, Step, hold, release, step, words};
+use juniperdock_duties::{
+    Act, Asks, Care, Fact, Move, Outcome, SHARDS, Step, hold, release, say, step, words,
+};
 use juniperdock_duties::{End, Roll, RollStep, Rolling, Sees, Serves};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -112,15 +114,15 @@
     let all = [0, 1, 2];
     assert_eq!(m.rule(ms(100), Some(9), &all), [Act::Hold(0), Act::Hold(1), Act::Hold(2)]);
     assert!(m.rule(ms(150), Some(9), &all).is_empty());
-    m.told(0, Step::Awaiting);
-    m.told(1, Step::Emptying);
+    m.told(0, 9, Step::Awaiting);
+    m.told(1, 9, Step::Emptying);
     assert_eq!(m.rule(ms(200), Some(9), &all), [Act::Hold(2)], "who has not said a word is told again");
-    m.told(2, Step::Awaiting);
+    m.told(2, 9, Step::Awaiting);
     assert!(m.rule(ms(300), Some(9), &all).is_empty() && !m.ready);
-    m.told(1, Step::Awaiting);
-    m.told(1, Step::Emptying);
+    m.told(1, 9, Step::Awaiting);
+    m.told(1, 9, Step::Emptying);
     assert_eq!(m.rule(ms(310), Some(9), &all), [Act::Ready], "a word that comes late takes no step back");
-    all.iter().for_each(|&front| m.told(front, Step::Done));
+    all.iter().for_each(|&front| m.told(front, 9, Step::Done));
     assert_eq!(m.rule(ms(900), Some(9), &all), [Act::Ended(Outcome::Done)]);
     assert!(m.rule(ms(950), Some(9), &all).is_empty());
 }
@@ -130,27 +132,27 @@
     let all = [0, 1, 2];
     let begun = || Move::new(ms(0), 4, None, 9, &all);
     let mut m = begun();
-    m.told(1, Step::Refused);
+    m.told(1, 9, Step::Refused);
     let ends = m.rule(ms(200), Some(9), &all);
     assert_eq!(ends, [Act::Release(0), Act::Release(2), Act::Ended(Outcome::Refused(1))]);
     let mut m = begun();
-    [0, 1].iter().for_each(|&front| m.told(front, Step::Awaiting));
+    [0, 1].iter().for_each(|&front| m.told(front, 9, Step::Awaiting));
     let ends = m.rule(ms(1600), Some(9), &all);
     assert_eq!(ends, [Act::Release(0), Act::Release(1), Act::Release(2), Act::Ended(Outcome::Silent(2))]);
     // One that is gone is not waited for.
     let mut m = begun();
-    [0, 1].iter().for_each(|&front| m.told(front, Step::Awaiting));
+    [0, 1].iter().for_each(|&front| m.told(front, 9, Step::Awaiting));
     assert_eq!(m.rule(ms(1600), Some(9), &[0, 1]), [Act::Ready]);
     assert_eq!(m.gone, [2]);
     // One that went back to the old primary has the others let go.
-    m.told(0, Step::Undone);
+    m.told(0, 9, Step::Undone);
     assert_eq!(m.rule(ms(1700), Some(9), &[0, 1]), [Act::Release(1), Act::Ended(Outcome::Undone)]);
 }
 
 #[test]
 fn an_owner_that_is_none_any_more_does_nothing_more() {
     let mut m = Move::new(ms(0), 4, None, 9, &[0, 1]);
-    m.told(0, Step::Awaiting);
+    m.told(0, 9, Step::Awaiting);
     assert_eq!(m.rule(ms(200), None, &[0, 1]), [Act::Ended(Outcome::Lost)]);
     let mut m = Move::new(ms(0), 4, None, 9, &[0, 1]);
     assert!(
@@ -169,7 +171,8 @@
     assert_eq!(words(&hold(7, None)), Some((7, true, None)));
     assert_eq!(words(&release(7)), Some((7, false, None)));
     assert_eq!((words(&[9, 0]), words(&[])), (None, None));
-    assert_eq!((step(&[2]), step(&[77]), step(&[])), (Some(Step::Awaiting), None, None));
+    assert_eq!(step(&say(300, Step::Awaiting)), Some((300, Step::Awaiting)));
+    assert_eq!((step(&[77, 1]), step(&[])), (None, None));
 }
 
 fn sees(lives: &[(u16, u32)]) -> BTreeMap<u16, Sees> {
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -7,7 +7,7 @@
 use juniperdock_duties::{
     Act, Asks, Move, Outcome, ROLL, SHARDS, Step, care, cared, hold, moved, moving, name,
 };
-use juniperdock_duties::{Roll, RollStep, Rolling, Sees, Serves, release, step, words};
+use juniperdock_duties::{Roll, RollStep, Rolling, Sees, Serves, release, say, step, words};
 use juniperdock_fellows::{Fellows, Liveness, Standing};
 use juniperdock_lease::{Duty, Event, Host, Office, Sight, order};
 use may::sync::mpsc::Sender;
@@ -270,8 +270,8 @@
                 }
                 Came::Report(from, duty, payload) => {
                     let its = moved(duty).and_then(|group| self.moves.get_mut(&group));
-                    if let (Some((m, _)), Some(step)) = (its, step(&payload)) {
-                        m.told(from, step);
+                    if let (Some((m, _)), Some((order, step))) = (its, step(&payload)) {
+                        m.told(from, order, step);
                     }
                 }
                 Came::Told(..) => {}
@@ -446,7 +446,7 @@
             // It came before: only the word may have been lost.
             (holding.term, holding.owner) = (term, owner);
             let step = holding.step;
-            return self.office.report(owner, duty, term, &[step as u8], ways!(self, core, hands));
+            return self.office.report(owner, duty, term, &say(order, step), ways!(self, core, hands));
         }
         let step = if holds { Step::Asked } else { Step::Undone };
         self.holding.insert(group, Holding { duty, order, term, owner, step });
@@ -468,7 +468,7 @@
         let Some(holding) = its else { return };
         holding.step = step;
         let Holding { duty, term, owner, .. } = *holding;
-        self.office.report(owner, duty, term, &[step as u8], ways!(self, core, hands));
+        self.office.report(owner, duty, term, &say(order, step), ways!(self, core, hands));
         self.look(now, core, hands);
     }
 
--- a/crates/lease/src/office.rs
+++ b/crates/lease/src/office.rs
@@ -370,7 +370,9 @@
                 if what == word::TELL {
                     host.told(from, duty, payload);
                 } else if what == word::REPORT {
-                    if self.holds(now, duty) == Some(term) {
+                    // Also to an earlier term of this front: it may have risen on the word's way.
+                    let mine = term as u16 == self.me.front;
+                    if self.holds(now, duty).is_some_and(|held| mine && term <= held) {
                         host.report(from, duty, term, payload);
                     }
                 } else if let Err(newest) = self.passes(from, duty, term) {
--- a/crates/lease/tests/stories.rs
+++ b/crates/lease/tests/stories.rs
@@ -203,6 +203,29 @@
     }
 }
 
+#[test]
+fn a_word_to_an_owner_whose_term_has_risen_meanwhile_still_counts() {
+    let mut fleet = Fleet::new(3, &[7]);
+    fleet.run(QUIET + LASTS);
+    let owner = fleet.owners(7)[0];
+    let term = fleet.term(owner, 7);
+    // One that starts anew lets nothing below its own life pass.
+    let other = (owner + 1) % 3;
+    fleet.start(other);
+    fleet.run(LASTS * 2);
+    assert!(fleet.owners(7) == [owner] && fleet.term(owner, 7) > term);
+    assert!(
+        !fleet.hands[owner].events.iter().any(|event| matches!(event, Event::Lapsed(..))),
+        "without a gap"
+    );
+    let third = (owner + 2) % 3;
+    let mut hands = std::mem::take(&mut fleet.hands[third]);
+    fleet.offices[third].as_mut().expect("it runs").report(owner, 7, term, b"held", &mut hands);
+    fleet.hands[third] = hands;
+    fleet.pass();
+    assert_eq!(fleet.hands[owner].reports, [(third, b"held".to_vec())]);
+}
+
 #[test]
 fn a_minority_owns_nothing_and_a_cut_has_one_owner_at_a_time() {
     let mut fleet = Fleet::new(5, &[1, 2, 3, 4]);
