Stop a roll at a front that can't be upgraded, and start nothing from elsewhere

Symptom: a story with a program that ends at once: the roll waited 20 s and said Missing. Cause: the front says in its old life that it failed, and the rule looked only at fronts that are back (roll.rs). And a roll is ordered by another front: whoever has a key could have started any program that lies on the machine.

Change: the word of the old life counts; a roll starts a program beside the one that runs or beside upgrade.program only, links followed.

Measured: the story ends Failed in its 12 s, one turn, nothing lost.

--- a/crates/duties/src/roll.rs
+++ b/crates/duties/src/roll.rs
@@ -158,6 +158,10 @@
         }
         for (&front, &life) in &roll.under {
             let began = *self.since.entry(front).or_insert(now);
+            // One whose new process did not come up goes on in the old life.
+            if self.serves.get(&front).is_some_and(|serves| serves.undone == roll.number) {
+                return Self::end(roll, End::Failed(front));
+            }
             let back = sees.get(&front).filter(|sees| sees.life > life && sees.whole);
             if back.is_none() {
                 self.returned.remove(&front);
@@ -171,11 +175,7 @@
             if returned == now {
                 self.serves.remove(&front);
             }
-            let serves = self.serves.get(&front).copied();
-            if serves.is_some_and(|serves| serves.undone == roll.number) {
-                return Self::end(roll, End::Failed(front));
-            }
-            let Some(serves) = serves else {
+            let Some(serves) = self.serves.get(&front).copied() else {
                 if now > began + BACK {
                     return Self::end(roll, End::Missing(front));
                 }
--- a/crates/duties/tests/stories.rs
+++ b/crates/duties/tests/stories.rs
@@ -244,6 +244,11 @@
     let (mut roll, mut rolling) = begun();
     let ends = rolling.rule(ms(21_000), 0, &mut roll, &sees(&[(0, 10), (3, 10)]));
     assert_eq!(ends, [RollStep::Tell, RollStep::Ended(End::Missing(1))]);
+    // One whose new process did not come up says so in its old life.
+    let (mut roll, mut rolling) = begun();
+    rolling.told(2, Serves { committed: 50, failed: 0, undone: 5 });
+    let all = sees(&[(0, 10), (1, 10), (2, 10), (3, 10)]);
+    assert_eq!(rolling.rule(ms(30), 0, &mut roll, &all), [RollStep::Tell, RollStep::Ended(End::Failed(2))]);
     let (mut roll, _) = begun();
     assert_eq!(Rolling::call_off(&mut roll), [RollStep::Tell, RollStep::Ended(End::CalledOff)]);
     assert!(Rolling::call_off(&mut roll).is_empty());
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -204,7 +204,8 @@
         keep::now_and_then(kept.clone(), to_desk.clone(), log.clone());
     }
     let upgrade = upgrades(&hall, &door, &charter.upgrade, &log);
-    hall.fellows.iter().for_each(|fellows| fellows.post(ToFellows::Upgrader(upgrade.clone())));
+    let rolled = rolled(&upgrade, &charter.upgrade);
+    hall.fellows.iter().for_each(|fellows| fellows.post(ToFellows::Upgrader(rolled.clone())));
     if let Some(socket) = &charter.control {
         let fellows = hall.fellows.clone();
         let duties = charter.fellows.as_ref().is_some_and(|laid_down| laid_down.duties);
@@ -294,6 +295,27 @@
     })
 }
 
+/// The same where another front asks for it: whoever has a key of the fellows is not to start whatever program lies here.
+fn rolled(upgrade: &mail::Upgrade, how: &Upgrade) -> mail::Upgrade {
+    let (upgrade, named) = (upgrade.clone(), how.program.clone());
+    Arc::new(move |program| {
+        let known = [std::env::current_exe().ok(), named.clone()];
+        if program.is_none_or(|program| beside(Path::new(program), &known)) {
+            upgrade(program)
+        } else {
+            Err("a roll may name a program only beside the one that runs, or the one of upgrade.program"
+                .to_owned())
+        }
+    })
+}
+
+/// Whether a program lies in the same folder as one of those that are known; links and detours are followed.
+fn beside(program: &Path, known: &[Option<PathBuf>]) -> bool {
+    let folder = |path: &Path| path.canonicalize().ok()?.parent().map(Path::to_path_buf);
+    let its = folder(program);
+    its.is_some() && known.iter().flatten().any(|known| folder(known) == its)
+}
+
 /// Lines of text or of JSON, written by a thread of their own.
 fn logger(how: &Log) -> slog::Logger {
     let level = std::env::var("JUNIPERDOCK_LOG").ok().and_then(|level| level.parse().ok());
@@ -312,3 +334,22 @@
     let drain = slog::LevelFilter::new(drain.fuse(), level).fuse();
     slog::Logger::root(drain, slog::o!())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_roll_starts_nothing_but_what_lies_beside_the_program() {
+        let own = std::env::current_exe().ok();
+        let path = own.clone().expect("its own path");
+        let known = [own, None];
+        assert!(beside(&path, &known) && !beside(Path::new("/bin/sh"), &known));
+        let detour = path.parent().expect("a folder").join("../../../../../../../../../bin/sh");
+        assert!(!beside(&detour, &known) && !beside(Path::new("nowhere"), &known));
+        assert!(beside(Path::new("/bin/sh"), &[Some(PathBuf::from("/bin/ls"))]));
+        let begun: mail::Upgrade = Arc::new(|_| Ok(7));
+        let rolled = rolled(&begun, &Upgrade::default());
+        assert!(rolled(Some("/bin/sh")).is_err() && rolled(None) == Ok(7));
+    }
+}
--- a/crates/front/tests/owners.rs
+++ b/crates/front/tests/owners.rs
@@ -3,7 +3,7 @@
 
 use juniperdock_lab::fleet::history::{Line, read};
 use juniperdock_lab::fleet::owners::{Figures, changes, probes};
-use juniperdock_lab::fleet::play::play;
+use juniperdock_lab::fleet::play::{Bend, play};
 use juniperdock_lab::fleet::{Harm, Mishap, Schedule};
 use serde_json::Value;
 use std::time::Duration;
@@ -24,7 +24,7 @@
 
 /// Plays mishaps over so many fronts that share work.
 fn played(name: &str, fronts: usize, lasts_s: f64, mishaps: Vec<Mishap>) -> (Vec<Line>, Figures) {
-    played_at(name, 40.0, fronts, lasts_s, mishaps, true)
+    played_at(name, 40.0, fronts, lasts_s, mishaps, true, None)
 }
 
 fn played_at(
@@ -34,6 +34,7 @@
     lasts_s: f64,
     mishaps: Vec<Mishap>,
     duties: bool,
+    bend: Option<Bend>,
 ) -> (Vec<Line>, Figures) {
     let schedule = Schedule {
         title: name.to_owned(),
@@ -46,7 +47,7 @@
         ..Schedule::default()
     };
     let path = std::env::temp_dir().join(format!("jd-{name}-{}.jsonl", std::process::id()));
-    play(&schedule, 11, PROGRAM, &path, None).unwrap_or_else(|why| panic!("{name}: {why}"));
+    play(&schedule, 11, PROGRAM, &path, bend).unwrap_or_else(|why| panic!("{name}: {why}"));
     let lines = read(&path).unwrap_or_else(|why| panic!("{name}: {why}"));
     if std::env::var_os("JUNIPERDOCK_KEEP").is_none() {
         let _ = std::fs::remove_file(&path);
@@ -87,7 +88,7 @@
         mishaps.push(of(front, Harm::FrontStopped, at_s + 0.9, 2.6));
     }
     // So many txns that members are asked for all: owners have something to say.
-    let (lines, seen) = played_at("wakes", 240.0, 5, 18.0, mishaps, true);
+    let (lines, seen) = played_at("wakes", 240.0, 5, 18.0, mishaps, true, None);
     assert!(seen.stale_sent > 0, "nothing came late: {seen}");
     assert!(seen.two_at_once + seen.stale_applied == 0 && seen.changes >= 3, "{seen}");
     // Whoever took over had a higher term.
@@ -229,6 +230,20 @@
     assert!(owners.len() > 1, "{owners:?}");
 }
 
+/// A program that does not come up: the roll stops at the first front, which serves on, as do the others.
+#[test]
+fn a_roll_stops_at_the_first_front_that_cannot_be_upgraded() {
+    let bend = |_: usize, _: &mut Value, charter: &mut Value| {
+        charter["upgrade"] = serde_json::json!({ "program": "/bin/false", "ready_ms": 1500 });
+    };
+    let order = vec![of(1, Harm::RollOrdered, 5.0, 0.0)];
+    let (lines, seen) = played_at("stops", 40.0, 3, 12.0, order, true, Some(&bend));
+    let (ended, turns) = rolls(&lines);
+    assert!(turns.len() == 1 && seen.fleet.lost == 0, "{turns:?} {seen}");
+    assert!(ended.iter().any(|(_, end)| end.starts_with("Failed")), "{ended:?}");
+    assert_eq!(logs(&lines, "this front could not be rolled").count(), 1);
+}
+
 /// The owner of a roll is killed in the middle: the next one goes on from what was told.
 #[test]
 fn the_next_owner_goes_on_with_a_roll() {
@@ -245,8 +260,8 @@
 /// Members are asked by a few for all: the same load takes far fewer probes, and no read is stale.
 #[test]
 fn members_are_asked_by_a_few_for_all() {
-    let (with, _) = played_at("asked", 360.0, 6, 9.0, Vec::new(), true);
-    let (without, _) = played_at("asks", 360.0, 6, 9.0, Vec::new(), false);
+    let (with, _) = played_at("asked", 360.0, 6, 9.0, Vec::new(), true, None);
+    let (without, _) = played_at("asks", 360.0, 6, 9.0, Vec::new(), false, None);
     let ([on, spared, txns], [off, none, others]) = (probes(&with), probes(&without));
     assert!(none == 0 && spared > 0, "{spared} {none}");
     let (on, off) = (on as f64 / txns as f64, off as f64 / others as f64);
