--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -1,6 +1,6 @@
 //! A client's actor: reads its statements one at a time, hands each to the desk, and writes the one answer.
 
-use crate::clock::Clock;
+use crate::clock::{BUSY, Clock};
 use crate::counters::Counters;
 use crate::fellows;
 use crate::mail::{Answer, Arrival, ToDesk};
@@ -25,6 +25,12 @@
 /// How long a connection is read on after its last answer.
 const LINGER: Duration = Duration::from_secs(1);
 
+/// Messages that are taken in one turn.
+const AT_ONCE: usize = 64;
+
+/// What is kept of what a client sends, in bytes.
+const IN_MOST: usize = 2 * pg::LONGEST;
+
 /// A client between txns for less than this is not asked to leave, nor one that came less long ago.
 const IDLE: Duration = Duration::from_millis(250);
 /// A connection without a txn may be closed after this.
@@ -202,8 +208,9 @@
     }
 
     /// Notes whether a client has no txn in hand, and whether it has its answers too. Gives when to look
-    /// again if nothing comes before; nothing if it is to leave.
-    fn rest(&self, id: u64, idle: bool, done: bool) -> Option<Duration> {
+    /// again if nothing comes before; nothing if it is to leave. A fresh one has a while for its first txn also
+    /// when this front ends: closed with no answer it would have come for nothing.
+    fn rest(&self, id: u64, idle: bool, done: bool, fresh: bool) -> Option<Duration> {
         let now = self.clock.now();
         let mut seats = self.seats();
         let present = seats.taken.len();
@@ -212,7 +219,8 @@
         seat.idle_since = idle.then_some(since);
         let leaves =
             present > self.crowd && since + IDLE <= now || present > self.keep && since + IDLE_LONG <= now;
-        if idle && (seat.asked_to_leave || done && leaves) || done && self.closing.load(Ordering::Relaxed) {
+        let closes = self.closing.load(Ordering::Relaxed) && !(fresh && now < since + IDLE);
+        if idle && (seat.asked_to_leave || done && leaves) || done && closes {
             return None;
         }
         let next = [since + IDLE, since + IDLE_LONG].into_iter().find(|&at| at > now);
@@ -243,6 +251,8 @@
     mail: Receiver<(u64, Answer)>,
     mailbox: Mailbox<(u64, Answer)>,
     open: bool,
+    /// It has had no txn here.
+    fresh: bool,
     in_hand: Option<InHand>,
     /// After a failed extended query, all is passed by up to Sync.
     skipping: bool,
@@ -272,6 +282,7 @@
         mail: read,
         mailbox,
         open,
+        fresh: true,
         in_hand,
         skipping,
         last,
@@ -300,7 +311,7 @@
     pub fn seat(self: Arc<Self>, stream: TcpStream, unread: &[u8], open: bool, skipping: bool) {
         self.counters.clients.add();
         // What goes out is one answer at a time, as long as the member's.
-        let link = match Link::came(stream, 2 * pg::LONGEST, usize::MAX) {
+        let link = match Link::came(stream, IN_MOST, usize::MAX) {
             Ok(mut link) => {
                 link.inbound.extend(unread);
                 link
@@ -318,7 +329,7 @@
         }
     }
 
-    /// Takes clients in as they come, for as long as the program runs.
+    /// Takes clients in as they come, until this front ends: then those that have come, and nobody after them.
     pub fn let_in(self: Arc<Self>, door: &Door) {
         self.doorman.store(true, Ordering::Release);
         while !self.shut.load(Ordering::Acquire) {
@@ -328,6 +339,10 @@
             }
             match door.next() {
                 Ok(Some(stream)) => self.clone().seat(stream, &[], false, false),
+                Ok(None) if self.closing.load(Ordering::Relaxed) => {
+                    door.shut();
+                    break;
+                }
                 Ok(None) => {}
                 Err(why) => {
                     // Out of descriptors in spite of the budget: once more when some may be free.
@@ -342,6 +357,7 @@
 
 impl Client {
     fn live(&mut self) {
+        let mut busy = 0;
         loop {
             self.hall.clock.pulse();
             if let Some(state) = &self.under_way {
@@ -368,25 +384,45 @@
                 }
             }
             self.guard();
-            if self.link.ended && (self.in_hand.is_some() || self.link.flushed()) {
+            if self.gone() && (self.in_hand.is_some() || self.link.flushed()) {
                 return;
             }
             if self.hall.moves(self.seat) && self.leave() {
                 continue;
             }
-            let mut read = false;
-            while self.in_hand.is_none() && !self.last && self.link.unsent() < pg::LONGEST && self.next() {
-                read = true;
+            let mut read = 0;
+            // Nothing is begun for a client that has left behind what it sent.
+            while self.in_hand.is_none()
+                && !self.last
+                && !self.gone()
+                && self.link.unsent() < pg::LONGEST
+                && read < AT_ONCE
+                && self.next()
+            {
+                read += 1;
             }
             self.finish();
             let done = self.in_hand.is_none() && self.link.flushed();
             if self.last && done && self.linger() {
                 return;
             }
-            if !moved && !read {
+            if !moved && read == 0 {
+                busy = 0;
                 let (idle, done) = (self.in_hand.is_none(), done && self.lingers.is_none());
-                let Some(looks) = self.hall.rest(self.seat, idle, done) else { return };
-                self.looks = looks;
+                let fresh = self.fresh && self.lingers.is_none();
+                match self.hall.rest(self.seat, idle, done, fresh) {
+                    Some(looks) => self.looks = looks,
+                    // As this front ends clients go on sending: to close over what comes in just now would reset
+                    // the connection, and could take the last answer away. What has come in by now is still answered.
+                    None if self.hall.closing.load(Ordering::Relaxed) && done => {
+                        if matches!(self.link.pump(), Ok(false)) {
+                            self.last = true;
+                            self.linger();
+                        }
+                        continue;
+                    }
+                    None => return,
+                }
                 if !self.link.flushed() {
                     // Queued since the last move; what can't go at once is waited for.
                     match self.link.pump() {
@@ -398,11 +434,21 @@
                 self.wait();
             } else {
                 // One that sends at full speed takes turns with the others.
-                may::coroutine::yield_now();
+                busy += 1;
+                if busy % BUSY == 0 {
+                    self.hall.clock.give_way();
+                } else {
+                    may::coroutine::yield_now();
+                }
             }
         }
     }
 
+    /// It has ended its sending. Where there is no room to read its end, the machine is asked for it.
+    fn gone(&self) -> bool {
+        self.link.ended || self.link.inbound.len() >= IN_MOST && self.link.has_left()
+    }
+
     /// Sets out for another process, if it is between txns.
     fn leave(&mut self) -> bool {
         let between = self.in_hand.is_none() && self.link.flushed() && !self.last && !self.link.ended;
@@ -604,7 +650,14 @@
                 return;
             }
             pg::Verb::Txn => match self.arrival(text) {
+                // It may have left right behind it, long ago if this front had no turn.
+                Ok(_) if self.link.pump().is_err() || self.gone() => {
+                    self.hall.counters.left.add();
+                    self.link.ended = true;
+                    return;
+                }
                 Ok(arrival) => {
+                    self.fresh = false;
                     self.hall.counters.txns.add();
                     let (ticket, expiry) = (arrival.ticket, arrival.expiry);
                     self.in_hand = Some(InHand { ticket, expiry });
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -3,6 +3,7 @@
 
 use juniperdock_door::Origin;
 use juniperdock_wheel::{Key, Wheel};
+use may::sync::mpsc::channel;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
@@ -22,6 +23,9 @@
     beaten: AtomicU64,
 }
 
+/// After so many turns in which an actor has not waited it gives way to all others.
+pub const BUSY: u32 = 8;
+
 /// What an alarm does; it must not wait.
 type Ring = Box<dyn FnOnce() + Send>;
 
@@ -94,12 +98,17 @@
     /// The earliest time at which bytes that are read now may have come in: right after a standstill of this
     /// front they may have waited since it began.
     pub fn came_in(&self) -> Duration {
-        if self.runs.ending.load(Ordering::Relaxed) == 0 {
+        if !self.stood_still() {
             return self.now();
         }
         Duration::from_micros(self.runs.stood_from.load(Ordering::Relaxed))
     }
 
+    /// Whether the worker stood still just now: what came in meanwhile may not have been read yet.
+    pub fn stood_still(&self) -> bool {
+        self.runs.ending.load(Ordering::Relaxed) > 0
+    }
+
     /// Calls `ring` from the clock's thread once that time has come; `ring` must not wait.
     pub fn at(&self, at: Duration, ring: impl FnOnce() + Send + 'static) -> Alarm {
         let mut alarms = self.bells.alarms();
@@ -110,6 +119,17 @@
         Alarm(key)
     }
 
+    /// Waits until all others have had their turn, those too that wait for their sockets. `may` looks at sockets and
+    /// takes up what other threads have woken only once nothing else is ready to run: who just yields in a loop is
+    /// always ready, and keeps them all waiting.
+    pub fn give_way(&self) {
+        let (again, waited) = channel();
+        self.at(self.now(), move || {
+            let _ = again.send(());
+        });
+        let _ = waited.recv();
+    }
+
     /// An alarm that has not rung does not.
     pub fn cancel(&self, alarm: &Alarm) {
         let ring = self.bells.alarms().wheel.cancel(alarm.0);
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -142,6 +142,8 @@
 
     fn release(&mut self, txn: usize) {
         if let Some(held) = self.txns[txn].take() {
+            // The router may have been lost in a panic: nothing is written for what has its answer.
+            held.out.iter().for_each(|(_, until)| until.set(Duration::ZERO));
             held.alarms.iter().for_each(|alarm| self.clock.cancel(alarm));
             self.tickets.remove(&held.arrival.ticket);
             self.free.push(txn);
@@ -402,6 +404,7 @@
         let now = self.hands.clock.now();
         match mail {
             ToDesk::Beat => {}
+            ToDesk::Turn(tell) => drop(tell.send(())),
             ToDesk::Short => {
                 (0..self.hands.members.len()).for_each(|member| self.hands.tell(member, ToMember::Spare));
             }
@@ -544,6 +547,10 @@
         let (member, ending, took) = (end.member, end.ending, end.at.saturating_sub(end.sent));
         let (role, position, hands) = (end.role, end.position, &mut self.hands);
         self.router.submission_ended(now, txn, over, member, ending, role, position, took, hands);
+        // A report is worth the same whether it was asked for or came with an answer.
+        if let Some(load) = end.load {
+            self.router.probed(now, member, Ending::Committed, load, &mut self.hands);
+        }
     }
 
     /// How groups stand: those in the order in which the list first named them, up to so many.
@@ -811,4 +818,65 @@
         assert!(matches!(told.recv(), Ok((2, Answer::Declined(_)))), "it goes on");
         assert_eq!(counters.panics.read(), 1);
     }
+
+    #[test]
+    fn after_a_panic_nothing_is_written_for_what_has_its_answer() {
+        let (clock, _ring) = Clock::start();
+        let ((mail, read), (list, _list), (jobs, job)) = (channel(), channel(), channel());
+        // The member's actor is the story's own: what it is given stays unwritten.
+        let hire: Hire = Box::new(move |_, _, read, _| {
+            let jobs = jobs.clone();
+            std::thread::spawn(move || {
+                while let Ok(mail) = read.recv() {
+                    let _ = jobs.send(mail);
+                }
+            });
+            Ok(())
+        });
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let kinds = vec!["order".to_owned()];
+        let (counters, zones) = (Arc::new(Counters::default()), Vec::new());
+        let desk =
+            Desk::new(Box::new(make), kinds, zones, clock.clone(), mail.clone(), list, hire, counters, log);
+        let desk = desk.expect("a desk");
+        std::thread::spawn(move || desk.run(&read));
+        let door = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
+        let at = door.local_addr().expect("an address");
+        let link = juniperdock_link::Link::connect(at, Duration::from_secs(9), 1, 1).expect("a link");
+        let (answers, told) = channel();
+        let client = Mailbox { mail: answers, bell: link.bell() };
+        let entry = serde_json::json!({"id": "m", "addr": at.to_string(), "cell": 3, "state": "up"});
+        let _ = mail.send(ToDesk::List(serde_json::json!({"full": true, "servers": [entry]})));
+        let report = Report { role: Some(Role::Primary), position: Some(clock.now()), ..Report::default() };
+        let _ = mail.send(ToDesk::Probed { member: 0, ending: Ending::Committed, report });
+        let (statement, expiry, at) = ("".into(), clock.now() + Duration::from_secs(900), clock.now());
+        let (retried, session, wrote_ago, left, kind, cell, ticket) = (false, None, None, 0..0, 0, 3, 1);
+        let _ = mail.send(ToDesk::Arrived(Box::new(Arrival {
+            ticket,
+            at,
+            kind,
+            cell,
+            expiry,
+            retried,
+            session,
+            wrote_ago,
+            statement,
+            left,
+            client,
+        })));
+        let submit = loop {
+            if let ToMember::Job(Job::Submit(submit)) = job.recv().expect("a job") {
+                break submit;
+            }
+        };
+        assert!(!submit.until.passed(clock.now()));
+        // An input that no router can take: the txn gets its answer while its connection is still to come up.
+        let _ =
+            mail.send(ToDesk::Probed { member: 99, ending: Ending::Committed, report: Report::default() });
+        assert!(matches!(told.recv(), Ok((1, Answer::Unknown(_)))));
+        let (tell, taken) = channel();
+        let _ = mail.send(ToDesk::Turn(tell));
+        let _ = taken.recv();
+        assert!(submit.until.close(clock.now()), "rule 1: nothing is sent after the answer");
+    }
 }
--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -18,6 +18,10 @@
 /// list has to tell counts as told after 6 s.
 const SILENCE: Duration = Duration::from_secs(5);
 
+/// The agent is on this machine: what is not connected by now is lost, and asked for again before what the list has
+/// to tell counts as told.
+const CONNECT: Duration = Duration::from_millis(500);
+
 /// A watch that is open or being opened.
 struct Open {
     number: u64,
@@ -144,7 +148,7 @@
     /// Watches until it fails, and says why it did.
     fn run(&self, after: Option<u64>) -> String {
         let request = watch_request(&self.address.to_string(), after);
-        let mut link = match Link::connect(self.address, SILENCE, LONGEST, LONGEST) {
+        let mut link = match Link::connect(self.address, CONNECT, LONGEST, LONGEST) {
             Ok(link) => link,
             Err(why) => return why.to_string(),
         };
--- a/crates/front/src/mail.rs
+++ b/crates/front/src/mail.rs
@@ -6,6 +6,7 @@
 use juniperdock_held::Most;
 use juniperdock_link::Bell;
 use juniperdock_router::host::{Ending, Report, Role};
+use may::sync::mpsc::Sender;
 use serde_json::Value;
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
@@ -50,6 +51,8 @@
     pub ending: Ending,
     pub role: Option<Role>,
     pub position: Option<Duration>,
+    /// The report of itself that the member's answer held, where answers hold one.
+    pub load: Option<Report>,
     pub sent: Duration,
     pub at: Duration,
     /// What the member said to the client, as it came.
@@ -70,6 +73,8 @@
     ListLost,
     /// Shows that the worker runs.
     Beat,
+    /// Whoever posts this hears back once all that was posted before it has been taken.
+    Turn(Sender<()>),
     /// Connections to members run short.
     Short,
     Due {
@@ -205,6 +210,11 @@
         now.as_micros() as u64 >= until
     }
 
+    /// Whether it is too late to write; nothing is settled by asking.
+    pub fn passed(&self, now: Duration) -> bool {
+        now.as_micros() as u64 >= self.0.load(Ordering::Relaxed)
+    }
+
     pub fn is_over(&self) -> bool {
         self.0.load(Ordering::Relaxed) == OVER
     }
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -1,7 +1,7 @@
 //! A member's actor and its connections. The actor keeps the pool; each connection carries one job at a time
 //! and tells the desk how it ended.
 
-use crate::clock::Clock;
+use crate::clock::{BUSY, Clock};
 use crate::counters::Counters;
 use crate::mail::{End, Job, ToDesk, ToMember};
 use juniperdock_door::{self as door, Origin};
@@ -9,13 +9,14 @@
 use juniperdock_pg as pg;
 use juniperdock_router::host::{Ending, Report, Role};
 use may::sync::mpsc::{Receiver, Sender, channel};
-use std::cell::Cell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::OwnedFd;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::TryRecvError;
 use std::time::Duration;
 
 /// What follows right behind an answer is read this soon after it.
@@ -48,6 +49,10 @@
     pub longest: usize,
 }
 
+/// How often the desk has its turn before something is written right after a standstill. Once would do but for
+/// clients whose actors are woken by an alarm: those run after the desk has been waited for.
+const TURNS: u32 = 2;
+
 /// Idle connections that follow to another process.
 const FOLLOW: usize = 2;
 
@@ -56,6 +61,7 @@
     bell: Option<Bell>,
     ticket: Option<u64>,
     idle_since: Option<Duration>,
+    to: SocketAddr,
 }
 
 pub struct Member {
@@ -76,8 +82,13 @@
         Member { index, address, mail, reach, connections, idle, next: 0, leaving: false }
     }
 
+    /// Mail that lies behind the one by which it ends is taken first: the list may have it again by then, and who
+    /// posted does not learn that nobody read it.
     pub fn run(mut self, mail: &Receiver<ToMember>) {
-        while let Ok(mail) = mail.recv() {
+        let ends = |member: &Member| member.leaving && member.connections.is_empty();
+        loop {
+            let next = if ends(&self) { mail.try_recv().ok() } else { mail.recv().ok() };
+            let Some(mail) = next else { break };
             if catch_unwind(AssertUnwindSafe(|| self.take(mail))).is_err() {
                 // The pool can't be trusted any more; connections end as their jobs do.
                 self.reach.counters.panics.add();
@@ -85,11 +96,8 @@
                 let all = std::mem::take(&mut self.connections);
                 all.values().for_each(|c| post(c, ToConnection::Close));
             }
-            if self.leaving && self.connections.is_empty() {
-                self.reach.counters.members_ended.add();
-                return;
-            }
         }
+        self.reach.counters.members_ended.add();
     }
 
     fn take(&mut self, mail: ToMember) {
@@ -134,7 +142,8 @@
                     (c.ticket, c.idle_since) = (None, Some(self.reach.clock.now()));
                     self.idle.push(id);
                 }
-                if self.leaving {
+                // One that was busy when the address changed leads to the old one.
+                if self.leaving || self.connections.get(&id).is_some_and(|c| c.to != self.address) {
                     self.close(id);
                 }
                 self.close_old();
@@ -175,6 +184,13 @@
 
     fn assign(&mut self, job: Job) {
         self.close_old();
+        if let Job::Submit(submit) = &job
+            && submit.until.passed(self.reach.clock.now())
+        {
+            // Put back from a connection that has ended, and its client may have left: none is opened for nobody.
+            tell(&self.reach, self.index, &job, Ending::Moot, Reply::default());
+            return;
+        }
         let ticket = if let Job::Submit(submit) = &job { Some(submit.ticket) } else { None };
         if let Some(id) = self.next_idle() {
             if let Some(c) = self.connections.get_mut(&id) {
@@ -202,14 +218,16 @@
         self.next += 1;
         self.reach.open.fetch_add(1, Ordering::Relaxed);
         let (mail, read) = channel();
-        self.connections.insert(id, Connection { mail, bell: None, ticket, idle_since: None });
+        self.connections
+            .insert(id, Connection { mail, bell: None, ticket, idle_since: None, to: self.address });
         let (member, address, pool, reach) =
             (self.index, self.address, self.mail.clone(), self.reach.clone());
         self.reach.counters.connections_opened.add();
         let stack = reach.stack;
         let wanted = if let Begins::Job(job) = &begins { Some(job.clone()) } else { None };
         let started = spawn("connection", stack, move || {
-            Line { id, member, address, pool, reach, mail: read, rings: Cell::default() }.run(begins);
+            let (kept, rings) = (RefCell::default(), Cell::default());
+            Line { id, member, address, pool, reach, mail: read, kept, rings }.run(begins);
         });
         if let Err(why) = started {
             slog::error!(self.reach.log, "no connection can be started"; "why" => why);
@@ -245,6 +263,7 @@
     error: Option<String>,
     role: Option<Role>,
     position: Option<Duration>,
+    load: Option<Report>,
     ready: bool,
 }
 
@@ -278,6 +297,8 @@
     pool: Sender<ToMember>,
     reach: Reach,
     mail: Receiver<ToConnection>,
+    /// Mail that came while a job was in hand, and is not about it.
+    kept: RefCell<VecDeque<ToConnection>>,
     /// When it is rung next, at the latest.
     rings: Cell<Duration>,
 }
@@ -298,7 +319,7 @@
         self.reach.open.fetch_sub(1, Ordering::Relaxed);
         let _ = self.pool.send(ToMember::Gone(self.id));
         // A job that was given out just now has not been written: it goes to another connection.
-        while let Ok(mail) = self.mail.recv() {
+        while let Ok(mail) = self.next_mail().or_else(|_| self.mail.recv()) {
             match mail {
                 ToConnection::Job(job) => {
                     // The actor of a member that left may have ended; nothing was written.
@@ -362,7 +383,7 @@
     fn rest(&self, mut link: Link, held: &mut Option<Job>) -> Option<Link> {
         let _ = self.pool.send(ToMember::Idle(self.id));
         loop {
-            match self.mail.try_recv() {
+            match self.next_mail() {
                 Ok(ToConnection::Job(job)) => {
                     // Checked for an end before it is used again.
                     if !still_quiet(&mut link) {
@@ -385,12 +406,27 @@
                     let _ = link.queue(&pg::terminate()).and_then(|()| link.pump());
                     return None;
                 }
+                // Nobody can use it any more.
+                Err(TryRecvError::Disconnected) => return None,
                 Err(_) if !still_quiet(&mut link) => return None,
                 Err(_) => link.wait(),
             }
         }
     }
 
+    /// All that is ready to run does, and the desk takes what was posted to it. To give way alone would not do:
+    /// `may` takes up what other threads have woken only once nothing else runs.
+    fn turn(&self) {
+        let (tell, told) = channel();
+        if self.reach.desk.send(ToDesk::Turn(tell)).is_ok() {
+            let _ = told.recv();
+        }
+    }
+
+    fn next_mail(&self) -> Result<ToConnection, TryRecvError> {
+        self.kept.borrow_mut().pop_front().map_or_else(|| self.mail.try_recv(), Ok)
+    }
+
     /// Connects, and waits for the member's welcome; the error says how the job ended that wanted it.
     fn welcome(&self, job: &Job, begun: Duration) -> Result<Link, Ending> {
         let (clock, limit) = (&self.reach.clock, begun + self.reach.connect);
@@ -411,7 +447,7 @@
         let _ = self.pool.send(ToMember::Up(self.id, bell.clone()));
         clock.at(limit.min(give_up), move || bell.ring());
         link.queue(&pg::startup("api", "ledger")).map_err(|_| Ending::Unreachable)?;
-        loop {
+        for busy in 1u32.. {
             let pumped = link.pump();
             while let Some((kind, body, length)) =
                 pg::message(link.inbound.make_contiguous(), self.reach.longest)
@@ -438,8 +474,12 @@
             }
             if matches!(pumped, Ok(false)) {
                 link.wait();
+            } else if busy % BUSY == 0 {
+                // It talks without an end, and nobody else would have a turn.
+                clock.give_way();
             }
         }
+        Err(Ending::Unreachable)
     }
 
     fn give_up(&self, job: &Job) -> Duration {
@@ -450,13 +490,21 @@
     }
 
     fn cancelled(&self, job: &Job) -> bool {
-        std::iter::from_fn(|| self.mail.try_recv().ok())
-            .any(|mail| matches!((mail, job), (ToConnection::Cancel(t), Job::Submit(s)) if t == s.ticket))
+        let mut kept = self.kept.borrow_mut();
+        kept.extend(std::iter::from_fn(|| self.mail.try_recv().ok()));
+        let before = kept.len();
+        kept.retain(
+            |mail| !matches!((mail, job), (ToConnection::Cancel(t), Job::Submit(s)) if *t == s.ticket),
+        );
+        kept.len() < before
     }
 
     /// Carries one job to its end.
     fn serve(&self, link: &mut Link, job: &Job) -> Outcome {
         let (clock, give_up, mut reply) = (&self.reach.clock, self.give_up(job), Reply::default());
+        // After a standstill its client's end may lie unread: the client's actor has its turn first, then the desk.
+        clock.pulse();
+        (0..TURNS).take_while(|_| clock.stood_still()).for_each(|_| self.turn());
         let now = clock.now();
         let text = match job {
             Job::Submit(submit) => {
@@ -472,7 +520,7 @@
         if let Err(failure) = link.queue(&pg::query(&text)) {
             return broken(&failure, reply);
         }
-        loop {
+        for busy in 1u32.. {
             let pumped = link.pump();
             if let Err(why) = self.read(link, &mut reply) {
                 slog::warn!(self.reach.log, "a member talks nonsense"; "member" => self.member, "why" => why);
@@ -493,8 +541,7 @@
                     let reached = if unsent { Reached::Connection } else { Reached::Written };
                     return broken(&Failure { reached, why: "the member ended".to_owned() }, reply);
                 }
-                Ok(true) => continue,
-                Ok(false) => {}
+                Ok(_) => {}
             }
             let stop = if self.cancelled(job) {
                 Some(Ending::Cancelled)
@@ -505,8 +552,14 @@
                 let ending = if unsent { Ending::Moot } else { ending };
                 return Outcome { ending, reply, usable: false };
             }
-            self.wait(link, give_up);
+            if matches!(pumped, Ok(false)) {
+                self.wait(link, give_up);
+            } else if busy % BUSY == 0 {
+                // An answer without an end, as fast as it is read: nobody else would have a turn.
+                clock.give_way();
+            }
         }
+        Outcome { ending: Ending::Spoilt, reply: Reply::default(), usable: false }
     }
 
     /// Waits, until that time at the longest. One alarm is out at a time: most txns end long before theirs.
@@ -535,6 +588,11 @@
                         reply.position = ms.and_then(|at| self.reach.clock.origin.position(at));
                         possible(reply.position, self.reach.clock.now())?;
                     }
+                    Some(("server_load", text)) => {
+                        let told = report(text, &self.reach.clock.origin)?;
+                        possible(told.position, self.reach.clock.now())?;
+                        reply.load = Some(told);
+                    }
                     _ => {}
                 },
                 b'T' => {
@@ -601,9 +659,9 @@
 fn tell(reach: &Reach, member: usize, job: &Job, ending: Ending, reply: Reply) {
     let mail = match job {
         Job::Submit(submit) => {
-            let (role, position) = (reply.role, reply.position);
+            let (role, position, load) = (reply.role, reply.position, reply.load);
             let (ticket, sent, row, at) = (submit.ticket, submit.at, reply.raw, reach.clock.now());
-            ToDesk::Ended(Box::new(End { ticket, member, ending, role, position, sent, at, row }))
+            ToDesk::Ended(Box::new(End { ticket, member, ending, role, position, load, sent, at, row }))
         }
         Job::Probe { .. } => {
             let text = String::from_utf8(reply.value.unwrap_or_default());
@@ -641,6 +699,73 @@
 mod tests {
     use super::*;
 
+    fn reach(desk: Sender<ToDesk>) -> Reach {
+        let (clock, _ring) = Clock::start();
+        let second = Duration::from_secs(1);
+        Reach {
+            clock,
+            desk,
+            counters: Arc::default(),
+            log: slog::Logger::root(slog::Discard, slog::o!()),
+            connect: second,
+            idle: 15 * second,
+            stack: 64 << 10,
+            open: Arc::default(),
+            most: 0,
+            longest: pg::LONGEST,
+        }
+    }
+
+    fn submit(until: Duration) -> Job {
+        let (statement, left, at) = ("".into(), 0..0, Duration::ZERO);
+        let (give_up, until) = (Duration::from_secs(3600), crate::mail::Until::new(until));
+        Job::Submit(crate::mail::Submit { ticket: 7, statement, left, give_up, until, at })
+    }
+
+    #[test]
+    fn mail_behind_the_word_to_leave_is_not_lost() {
+        let ((mail, read), (desk, told)) = (channel(), channel());
+        let member = Member::new(3, SocketAddr::from(([127, 0, 0, 1], 1)), mail.clone(), reach(desk));
+        // All in one go: the list lets it go, and the router asks it all the same. There is no room for a connection.
+        let _ = mail.send(ToMember::Leave);
+        let _ = mail.send(ToMember::Job(Job::Probe { at: Duration::ZERO }));
+        member.run(&read);
+        let full = |mail| matches!(mail, ToDesk::Probed { member: 3, ending: Ending::Full, .. });
+        assert!(told.try_iter().any(full), "it hears what came of its probe");
+    }
+
+    #[test]
+    fn nothing_is_connected_for_what_is_not_to_be_written_any_more() {
+        let ((mail, _read), (desk, told)) = (channel(), channel());
+        let mut reach = reach(desk);
+        reach.most = 9;
+        let mut member = Member::new(3, SocketAddr::from(([127, 0, 0, 1], 1)), mail, reach);
+        member.take(ToMember::Job(submit(Duration::ZERO)));
+        assert!(member.connections.is_empty(), "no handshake for nobody");
+        let moot = |mail| matches!(mail, ToDesk::Ended(end) if end.ticket == 7 && end.ending == Ending::Moot);
+        assert!(told.try_iter().any(moot));
+    }
+
+    #[test]
+    fn a_look_for_a_cancel_takes_no_other_mail_away() {
+        let ((pool, _pool), (desk, _desk), (mail, read)) = (channel(), channel(), channel());
+        let (kept, rings) = (RefCell::default(), Cell::default());
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let line = Line { id: 1, member: 3, address, pool, reach: reach(desk), mail: read, kept, rings };
+        let job = submit(Duration::MAX);
+        for ticket in [8, 9] {
+            let _ = mail.send(ToConnection::Cancel(ticket));
+        }
+        let _ = mail.send(ToConnection::Close);
+        assert!(!line.cancelled(&job), "another's");
+        let _ = mail.send(ToConnection::Cancel(7));
+        assert!(line.cancelled(&job));
+        drop(mail);
+        let mut left = std::iter::from_fn(|| line.next_mail().ok());
+        assert!(left.any(|mail| matches!(mail, ToConnection::Close)), "it is still told to close");
+        assert!(line.next_mail().is_err());
+    }
+
     #[test]
     fn a_report_not_made_yet_tells_no_role() {
         let origin = Origin { start: 1_796_135_196_000_000, zero: 0 };
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -23,6 +23,9 @@
 
 /// How long a new process waits for roles before it says that it is ready.
 const ROLES: Duration = Duration::from_millis(600);
+/// Free stacks that are kept for the next connections. `may` makes as many at the start and uses the one that has
+/// been free for longest: unless told otherwise a thousand, each touched by and by, 20 MB of memory that nobody needs.
+const STACKS: usize = 32;
 /// The stack, in bytes, of the coroutines that decide or read JSON.
 const DEEP_STACK: usize = 1 << 20;
 
@@ -100,7 +103,11 @@
         let log = log.clone();
         move |panic| slog::error!(log, "panic"; "at" => panic.location().map(ToString::to_string))
     }));
-    may::config().set_workers(1).set_stack_size(STACK / size_of::<usize>()).set_worker_pin(false);
+    may::config()
+        .set_workers(1)
+        .set_stack_size(STACK / size_of::<usize>())
+        .set_pool_capacity(STACKS)
+        .set_worker_pin(false);
 
     let counters = Arc::new(Counters::default());
     let (to_desk, desk_mail) = channel();
@@ -221,7 +228,7 @@
     slog::info!(log, "serving"; "listen" => %listen, "discovery" => %discovery);
     let now = Mutex::new(charter.clone());
     let laid_down = || again(file, &now, &hall);
-    signals::follow(signals, &told, &to_list, &laid_down, &hall, &counters, longest + grace, &log);
+    signals::follow(signals, &told, &to_list, &laid_down, &hall, &door, &counters, longest + grace, &log);
     Ok(())
 }
 
@@ -320,14 +327,16 @@
 fn logger(how: &Log) -> slog::Logger {
     let level = std::env::var("JUNIPERDOCK_LOG").ok().and_then(|level| level.parse().ok());
     let level = level.or_else(|| how.level.name().parse().ok()).unwrap_or(slog::Level::Info);
+    // A line at a time: while one process succeeds another both write there, and pieces of lines would mix.
+    let lines = std::io::LineWriter::new(std::io::stderr());
     let drain = match how.form {
         Form::Text => {
-            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let decorator = slog_term::PlainDecorator::new(lines);
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
             slog_async::Async::new(drain).chan_size(1024).build()
         }
         Form::Json => {
-            let drain = slog_json::Json::new(std::io::stderr()).add_default_keys().build();
+            let drain = slog_json::Json::new(lines).add_default_keys().build();
             slog_async::Async::new(Mutex::new(drain).fuse()).chan_size(1024).build()
         }
     };
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -5,9 +5,11 @@
 use crate::counters::Counters;
 use crate::mail::{ToFellows, ToList};
 use crate::told::Told;
+use juniperdock_link::Door;
 use may::sync::mpsc::Sender;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// After SIGTERM clients still come for 0.4 s; then those between txns are told to go elsewhere.
@@ -57,6 +59,7 @@
     list: &Sender<ToList>,
     laid_down: &dyn Fn() -> Result<Vec<&'static str>, String>,
     hall: &Hall,
+    door: &Door,
     counters: &Counters,
     longest: Duration,
     log: &slog::Logger,
@@ -71,8 +74,10 @@
     hall.fellows.iter().for_each(|fellows| fellows.post(ToFellows::Leave));
     std::thread::sleep(LINGER);
     hall.close();
+    // The doorman takes in who has come by now, and shuts the door.
+    door.bell().ring();
     let last = hall.clock.now() + longest;
-    while hall.present() > 0 && hall.clock.now() < last {
+    while (hall.doorman.load(Ordering::Acquire) || hall.present() > 0) && hall.clock.now() < last {
         std::thread::sleep(Duration::from_millis(5));
     }
     eprintln!("counters: {counters}");
--- /dev/null
+++ b/crates/front/tests/moments.rs
@@ -0,0 +1,622 @@
+//! Rare moments on sockets: an input comes between two steps of the front. Each crossing is held open by the other
+//! side, or laid in wait while the front stands still; what a story waits for it sees, in the machine's own table of
+//! sockets where nothing else tells.
+
+use juniperdock_standins::wire::{Said, Store, parameter, ready, serve};
+use juniperdock_standins::{Client, Does, Front, PATIENCE, address, message, row, txn, unix_ms};
+use socket2::{Domain, SockRef, Socket, Type};
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Mutex;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
+use town::{PROGRAM, Town, until};
+
+mod town;
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Closes,
+    Resets,
+    EndsItsSending,
+}
+
+const WAYS: [Way; 3] = [Way::Closes, Way::Resets, Way::EndsItsSending];
+
+/// One socket of the machine's table, as one end sees it.
+struct Row {
+    local: SocketAddr,
+    remote: SocketAddr,
+    state: u8,
+    unread: u32,
+}
+
+const ESTABLISHED: u8 = 1;
+const SYN_SENT: u8 = 2;
+const CLOSE_WAIT: u8 = 8;
+
+fn table() -> Vec<Row> {
+    let text = std::fs::read_to_string("/proc/net/tcp").expect("the machine's sockets");
+    let at = |text: &str| {
+        let (ip, port) = text.split_once(':')?;
+        let ip = u32::from_str_radix(ip, 16).ok()?.to_le_bytes();
+        Some(SocketAddr::from((ip, u16::from_str_radix(port, 16).ok()?)))
+    };
+    let row = |line: &str| {
+        let parts: Vec<&str> = line.split_whitespace().collect();
+        let state = u8::from_str_radix(parts.get(3)?, 16).ok()?;
+        let unread = u32::from_str_radix(parts.get(4)?.split_once(':')?.1, 16).ok()?;
+        Some(Row { local: at(parts[1])?, remote: at(parts[2])?, state, unread })
+    };
+    text.lines().filter_map(row).collect()
+}
+
+/// The end that the front has of a client's connection.
+fn end_of(front: &Front, client: SocketAddr) -> Option<Row> {
+    table().into_iter().find(|row| row.local == front.at && row.remote == client)
+}
+
+/// As `Town::front`, with connects that may take as long as a story needs.
+fn patient(town: &Town) -> Front {
+    let config =
+        Front::config(&town.known, 1024).replace("\"ConnectTimeout\":250.0", "\"ConnectTimeout\":20000.0");
+    Front::with(PROGRAM, address(), town.agent.at, &config, None)
+}
+
+/// Leaves; what it gives back is still open where only the sending has ended.
+fn leave(client: Client, way: Way) -> Option<TcpStream> {
+    match way {
+        Way::Closes => None,
+        Way::Resets => {
+            SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)).expect("a reset");
+            None
+        }
+        Way::EndsItsSending => {
+            client.stream.shutdown(Shutdown::Write).expect("an end");
+            Some(client.stream)
+        }
+    }
+}
+
+/// Leaves, and the front has had its turn since.
+fn leave_noticed(front: &Front, client: Client, way: Way) -> Option<TcpStream> {
+    let at = client.stream.local_addr().expect("an address");
+    let kept = leave(client, way);
+    until(|| end_of(front, at).is_none_or(|row| !matches!(row.state, ESTABLISHED | CLOSE_WAIT)));
+    for _ in 0..3 {
+        assert_eq!(front.client().ask("SET a = 1").last, b'Z');
+    }
+    kept
+}
+
+/// An order of another client is served by now.
+fn next_is_served(front: &Front) {
+    let mut other = front.client();
+    until(|| other.ask(&txn("order", 20_000, "next")).value.is_some());
+}
+
+/// Whether any member has been sent this one, up to now.
+fn was_sent(town: &Town, id: &str) -> bool {
+    (0..town.members.len()).filter(|&member| was_sent_to(town, member, id)).count() > 0
+}
+
+fn was_sent_to(town: &Town, member: usize, id: &str) -> bool {
+    let id = format!("id={id},");
+    town.members[member].seen.try_iter().filter(|text| text.contains(&id)).count() > 0
+}
+
+fn order(front: &Front, id: &str) -> Client {
+    let mut client = front.client();
+    client.say(&txn("order", 60_000, id));
+    client
+}
+
+/// The front has taken in all that was said before.
+fn turn(front: &Front) {
+    assert_eq!(front.client().ask("SET a = 1").last, b'Z');
+}
+
+#[test]
+fn who_leaves_while_there_is_no_writer_is_not_sent_on() {
+    for way in WAYS {
+        let town = Town::new();
+        town.members[0].be_primary(false);
+        let front = patient(&town);
+        assert!(front.client().ask(&txn("lookup", 20_000, "r")).value.is_some());
+        let client = order(&front, "gone");
+        turn(&front);
+        let _kept = leave_noticed(&front, client, way);
+        town.members[2].be_primary(true);
+        next_is_served(&front);
+        assert!(!was_sent(&town, "gone"), "{way:?}");
+    }
+}
+
+#[test]
+fn who_leaves_while_there_is_no_room_is_not_sent_on() {
+    for way in WAYS {
+        let town = Town::new();
+        let front = patient(&town);
+        assert!(front.client().ask(&txn("order", 20_000, "first")).value.is_some());
+        town.sent(0);
+        town.members[0].set(Does::Hangs);
+        let hang: Vec<Client> = (0..4).map(|i| order(&front, &format!("hangs{i}"))).collect();
+        (0..4).for_each(|_| drop(town.sent(0)));
+        let client = order(&front, "gone");
+        turn(&front);
+        assert!(town.quiet(0), "it waits for room");
+        let _kept = leave_noticed(&front, client, way);
+        town.members[0].set(Does::Serves);
+        town.members[0].cut();
+        next_is_served(&front);
+        assert!(!was_sent(&town, "gone"), "{way:?}");
+        drop(hang);
+    }
+}
+
+/// The primary has been served by before, and a connection to it is being made: it has accepted, and says nothing.
+fn being_made(town: &Town, front: &Front, id: &str) -> Client {
+    assert!(front.client().ask(&txn("order", 20_000, "first")).value.is_some());
+    town.sent(0);
+    town.members[0].welcome(false);
+    town.members[0].cut();
+    // Nothing idle is left to be used.
+    until(|| !table().iter().any(|row| row.remote == town.members[0].at && row.state == ESTABLISHED));
+    let client = order(front, id);
+    until(|| town.members[0].connections() > 0);
+    client
+}
+
+#[test]
+fn who_leaves_while_a_connection_is_being_made_is_not_sent_on() {
+    for way in WAYS {
+        let town = Town::new();
+        let front = patient(&town);
+        let client = being_made(&town, &front, "gone");
+        let _kept = leave_noticed(&front, client, way);
+        town.members[0].welcome(true);
+        next_is_served(&front);
+        assert!(!was_sent(&town, "gone"), "{way:?}");
+    }
+}
+
+#[test]
+fn who_leaves_after_an_unwritten_failure_is_not_sent_on() {
+    for way in WAYS {
+        let town = Town::new();
+        let front = patient(&town);
+        let client = being_made(&town, &front, "gone");
+        // It ends before the welcome: the txn is put back, and nobody is known as the primary.
+        town.members.iter().for_each(|member| member.welcome(false));
+        town.members[0].cut();
+        until(|| town.members[0].connections() > 0);
+        let _kept = leave_noticed(&front, client, way);
+        town.members.iter().for_each(|member| member.welcome(true));
+        next_is_served(&front);
+        assert!(!was_sent(&town, "gone"), "{way:?}");
+    }
+}
+
+#[test]
+fn who_leaves_after_being_handed_to_a_connection_that_has_ended_is_not_sent_on() {
+    for way in WAYS {
+        let town = Town::new();
+        let front = patient(&town);
+        let mut client = front.client();
+        assert!(client.ask(&txn("order", 20_000, "first")).value.is_some());
+        town.sent(0);
+        // The end of the idle connection and the next txn are laid in wait together.
+        front.signal("-STOP");
+        until(|| front.stopped());
+        town.members[0].welcome(false);
+        town.members[0].cut();
+        client.say(&txn("order", 60_000, "gone"));
+        until(|| end_of(&front, client.stream.local_addr().unwrap()).is_some_and(|row| row.unread > 0));
+        front.signal("-CONT");
+        until(|| town.members[0].connections() > 0);
+        let _kept = leave_noticed(&front, client, way);
+        town.members[0].welcome(true);
+        next_is_served(&front);
+        assert!(!was_sent(&town, "gone"), "{way:?}");
+    }
+}
+
+/// A primary whose machine answers no connect until it is told to.
+struct Late {
+    at: SocketAddr,
+    listener: TcpListener,
+    fill: Vec<TcpStream>,
+}
+
+impl Late {
+    fn new() -> Late {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let at = address();
+        socket.bind(&at.into()).and_then(|()| socket.listen(0)).expect("an address");
+        let listener = TcpListener::from(socket);
+        let mut fill = vec![TcpStream::connect(at).expect("the one that has room")];
+        // The machine may have room for one more than it was told.
+        while let Ok(more) = TcpStream::connect_timeout(&at, Duration::from_millis(300)) {
+            fill.push(more);
+        }
+        Late { at, listener, fill }
+    }
+
+    /// From now on connects come up, when they are next tried.
+    fn opens(self) -> Receiver<String> {
+        let (tell, seen) = channel();
+        std::thread::spawn(move || {
+            drop(self.fill);
+            let store = std::sync::Arc::new(Primary(Mutex::new(tell)));
+            for stream in self.listener.incoming().flatten() {
+                let store = store.clone();
+                std::thread::spawn(move || serve(stream, store.as_ref()));
+            }
+        });
+        seen
+    }
+}
+
+struct Primary(Mutex<Sender<String>>);
+
+impl Store for Primary {
+    fn welcome(&self, _: &TcpStream) -> bool {
+        true
+    }
+
+    fn statement(&self, text: &str) -> Said {
+        if text == "SHOW server_load" {
+            let report = format!("x0={:.3},x1=1,q=0,busy=0.1", unix_ms() as f64 / 1000.0);
+            return Said::Answer([row(report.as_bytes()), ready()].concat());
+        }
+        let _ = self.0.lock().expect("no panic there").send(text.to_owned());
+        Said::Answer([row(text.as_bytes()), parameter("node_role", "leader"), ready()].concat())
+    }
+}
+
+#[test]
+fn who_leaves_while_a_connection_comes_up_late_is_not_sent_on() {
+    for way in WAYS {
+        let town = Town::new();
+        let front = patient(&town);
+        assert!(front.client().ask(&txn("order", 20_000, "first")).value.is_some());
+        // The primary is at another address from now on.
+        let late = Late::new();
+        let moved = town.known.replace(&town.members[0].at.to_string(), &late.at.to_string());
+        town.agent.tell(moved.replace("\"version\":1", "\"version\":2"));
+        let at = late.at;
+        let coming = || table().into_iter().any(|row| row.remote == at && row.state == SYN_SENT);
+        let mut client = front.client();
+        // Once the list has come in, orders go there and wait.
+        let mut tries = 0;
+        until(|| {
+            tries += 1;
+            client = order(&front, &format!("gone{tries}"));
+            let begun = std::time::Instant::now();
+            while !coming() && begun.elapsed() < Duration::from_millis(50) {}
+            coming()
+        });
+        let _kept = leave_noticed(&front, client, way);
+        let seen = late.opens();
+        next_is_served(&front);
+        let next = seen.recv_timeout(PATIENCE).expect("an order");
+        assert!(next.contains("id=next,"), "{way:?}: {next}");
+    }
+}
+
+#[test]
+fn what_stands_behind_a_clients_own_statement_is_not_sent_on_when_it_leaves() {
+    for way in WAYS {
+        let town = Town::new();
+        let front = patient(&town);
+        assert!(front.client().ask(&txn("order", 20_000, "first")).value.is_some());
+        town.sent(0);
+        town.members[0].once(Does::Hangs);
+        let mut client = order(&front, "ahead");
+        client.say(&txn("order", 60_000, "gone"));
+        assert!(town.sent(0).contains("id=ahead,"));
+        let _kept = leave_noticed(&front, client, way);
+        town.members[0].cut();
+        next_is_served(&front);
+        assert!(!was_sent(&town, "gone"), "{way:?}");
+    }
+}
+
+#[test]
+fn who_sends_much_at_once_and_leaves_is_noticed_while_its_first_txn_is_out() {
+    for way in WAYS {
+        let town = Town::new();
+        let front = patient(&town);
+        assert!(front.client().ask(&txn("order", 20_000, "first")).value.is_some());
+        town.sent(0);
+        town.members[0].once(Does::Hangs);
+        let mut client = order(&front, "ahead");
+        assert!(town.sent(0).contains("id=ahead,"));
+        // More than the front keeps of what a client sends, and less than the machine takes beyond that.
+        let long = txn("order", 60_000, "gone").replace("\\x9f03", &format!("\\x{}", "9f".repeat(8 << 10)));
+        for _ in 0..18 {
+            client.say(&long);
+        }
+        let at = client.stream.local_addr().expect("an address");
+        until(|| end_of(&front, at).is_some_and(|row| row.unread > 0));
+        turn(&front);
+        assert!(end_of(&front, at).is_some_and(|row| row.unread > 0), "it is full");
+        let _kept = leave_noticed(&front, client, way);
+        front.signal("-TERM");
+        let (well, text) = front.end();
+        assert!(well && text.contains(" left=1 ") && text.contains(" guard_acts=0 "), "{way:?}: {text}");
+        town.members[0].cut();
+        assert!(!was_sent(&town, "gone"), "{way:?}");
+    }
+}
+
+#[test]
+fn who_leaves_while_the_front_has_no_turn_is_not_sent_on() {
+    for way in WAYS {
+        let town = Town::new();
+        let front = patient(&town);
+        let mut client = front.client();
+        assert!(client.ask(&txn("order", 20_000, "first")).value.is_some());
+        let at = client.stream.local_addr().expect("an address");
+        front.signal("-STOP");
+        until(|| front.stopped());
+        client.say(&txn("order", 60_000, "gone"));
+        until(|| end_of(&front, at).is_some_and(|row| row.unread > 0));
+        let _kept = leave(client, way);
+        until(|| end_of(&front, at).is_none_or(|row| row.state != ESTABLISHED));
+        front.signal("-CONT");
+        next_is_served(&front);
+        assert!(!was_sent(&town, "gone"), "{way:?}");
+    }
+}
+
+#[test]
+fn who_leaves_while_the_front_has_no_turn_is_seen_before_the_welcome_that_lies_there() {
+    for (way, welcome_first) in WAYS.into_iter().flat_map(|way| [(way, false), (way, true)]) {
+        let town = Town::new();
+        let front = patient(&town);
+        let client = being_made(&town, &front, "gone");
+        let at = client.stream.local_addr().expect("an address");
+        front.signal("-STOP");
+        until(|| front.stopped());
+        // For longer than the front takes for a turn of its own.
+        let stopped = std::time::Instant::now();
+        let lies = || table().iter().any(|row| row.remote == town.members[0].at && row.unread > 0);
+        let welcome = || {
+            town.members[0].welcome(true);
+            until(lies);
+        };
+        let mut kept = None;
+        let mut client = Some(client);
+        for step in 0..2 {
+            if (step == 0) == welcome_first {
+                welcome();
+            } else if let Some(client) = client.take() {
+                kept = leave(client, way);
+                until(|| end_of(&front, at).is_none_or(|row| row.state != ESTABLISHED));
+            }
+        }
+        until(|| stopped.elapsed() > Duration::from_millis(100));
+        front.signal("-CONT");
+        next_is_served(&front);
+        assert!(!was_sent(&town, "gone"), "{way:?}, welcome first: {welcome_first}");
+        drop(kept);
+    }
+}
+
+#[test]
+fn a_member_that_the_list_lets_go_is_asked_all_the_same_where_that_is_advice_only() {
+    let town = Town::new();
+    town.members[0].be_primary(false);
+    let config = Front::config(&town.known, 1024).replace("\"WarmUp\"", "\"GoneIsAdvice\":true,\"WarmUp\"");
+    let front = Front::with(PROGRAM, address(), town.agent.at, &config, None);
+    let mut client = front.client();
+    assert!(client.ask(&txn("lookup", 20_000, "r")).value.is_some());
+    // Its actor is told to end and, right behind that, to ask it: its idle connection is closed by then.
+    until(|| town.members[0].connections() > 0);
+    for version in 2..12 {
+        let gone = town.known.replace("\"version\":1", &format!("\"version\":{version}"));
+        let at = format!("\"addr\":\"{}\",", town.members[0].at);
+        let gone = gone.replace(&at, &format!("{at}\"role\":\"leader\","));
+        town.agent.tell(gone.replacen("\"up\"", if version % 2 == 0 { "\"removed\"" } else { "\"up\"" }, 1));
+        assert!(client.ask(&txn("lookup", 20_000, "r")).value.is_some());
+    }
+    town.members[0].be_primary(true);
+    next_is_served(&front);
+}
+
+#[test]
+fn who_has_come_when_the_front_ends_is_answered_and_nobody_is_let_in_after() {
+    for _ in 0..5 {
+        let town = Town::new();
+        let front = town.front();
+        assert!(front.client().ask(&txn("order", 20_000, "first")).value.is_some());
+        front.signal("-TERM");
+        front.signal("-STOP");
+        until(|| front.stopped());
+        // It has come, and said all it wants; the front's wait for such is over when it goes on.
+        let stopped = std::time::Instant::now();
+        let at = front.at;
+        let asks = std::thread::spawn(move || {
+            let mut stream = TcpStream::connect(at).expect("the machine takes it in");
+            stream.set_read_timeout(Some(PATIENCE)).expect("a time");
+            let query = message(b'Q', format!("{}\0", txn("order", 20_000, "last")).as_bytes());
+            stream.write_all(&[&[0, 0, 0, 9, 0, 3, 0, 0, 0][..], &query].concat()).expect("a query");
+            let mut text = Vec::new();
+            let _ = stream.read_to_end(&mut text);
+            String::from_utf8_lossy(&text).into_owned()
+        });
+        until(|| stopped.elapsed() > Duration::from_millis(700));
+        front.signal("-CONT");
+        let text = asks.join().expect("an end");
+        assert!(text.contains("id=last,"), "{text:?}");
+        assert!(front.end().0);
+    }
+}
+
+#[test]
+fn who_came_last_has_a_while_for_its_first_txn_when_the_front_ends() {
+    let served = || {
+        let town = Town::new();
+        let front = town.front();
+        assert!(front.client().ask(&txn("order", 20_000, "first")).value.is_some());
+        front.signal("-TERM");
+        front.signal("-STOP");
+        until(|| front.stopped());
+        let stopped = std::time::Instant::now();
+        let at = front.at;
+        let asks = std::thread::spawn(move || {
+            // Its opening is answered by a front that closes its connections already.
+            let mut client = Client::open(at)?;
+            client.tell(&txn("order", 20_000, "last")).then(|| client.reply().value.is_some())
+        });
+        until(|| stopped.elapsed() > Duration::from_millis(700));
+        front.signal("-CONT");
+        asks.join().expect("an end") == Some(true)
+    };
+    // A busy machine may take longer than that while, now and then.
+    assert!((0..10).any(|_| served()));
+}
+
+#[test]
+fn the_last_answer_is_not_lost_to_a_statement_that_crosses_the_end() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    client.say(&txn("order", 20_000, "first"));
+    let at = client.stream.local_addr().expect("an address");
+    let end = || table().into_iter().find(|row| row.local == at);
+    until(|| end().is_some_and(|row| row.unread > 0));
+    let idle = |row: Row| row.unread > 0 && row.state == CLOSE_WAIT;
+    front.signal("-TERM");
+    until(|| end().is_some_and(idle));
+    // It has not read its answer, nor the end behind it, and says the next.
+    client.say(&txn("order", 20_000, "crosses"));
+    client.say(&txn("order", 20_000, "crosses"));
+    assert!(client.reply().value.is_some());
+    assert_eq!(client.stream.read(&mut [0]).map_err(|e| e.kind()), Ok(0), "an end, no reset");
+    drop(client);
+    assert!(front.end().0);
+    assert!(!was_sent(&town, "crosses"));
+}
+
+#[test]
+fn an_address_that_does_not_answer_is_tried_again_before_what_it_has_counts_as_told() {
+    let town = Town::new();
+    let front = town.front();
+    town.agent.asked.recv_timeout(PATIENCE).expect("a watch");
+    let watched = || table().iter().any(|row| row.remote == town.agent.at && row.state == ESTABLISHED);
+    until(watched);
+    let late = Late::new();
+    let (mut tried, at) = (BTreeSet::new(), late.at);
+    front.reconfigure(&format!("{{\"discovery\":\"{at}\"}}"));
+    // The watch in hand is silent from now on: the front ends it before the 6 s are over.
+    while watched() {
+        tried.extend(
+            table().iter().filter(|row| row.remote == at && row.state == SYN_SENT).map(|row| row.local),
+        );
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(tried.len() > 1, "{tried:?}");
+}
+
+#[test]
+fn connections_that_came_and_went_leave_no_stacks_behind() {
+    let town = Town::new();
+    let front = town.front();
+    for i in 0..300 {
+        let mut client = front.client();
+        assert!(client.ask(&txn("lookup", 20_000, "r")).value.is_some());
+        if i % 3 == 0 {
+            town.members.iter().for_each(|member| member.cut());
+        }
+    }
+    // Its own actors' and a few that are free.
+    assert!((1..100).contains(&front.stacks(64 << 10)), "{}", front.stacks(64 << 10));
+}
+
+#[test]
+fn who_sends_without_a_pause_keeps_no_other_from_its_turn() {
+    let town = Town::new();
+    let front = town.front();
+    assert!(front.client().ask(&txn("lookup", 20_000, "r")).value.is_some());
+    let flood = front.client();
+    let (mut says, mut hears) = (flood.stream.try_clone().expect("a copy"), flood.stream);
+    let said = message(b'Q', b"SET a = 1\0").repeat(4096);
+    let says = std::thread::spawn(move || while says.write_all(&said).is_ok() {});
+    let stream = hears.try_clone().expect("a copy");
+    let hears = std::thread::spawn(move || {
+        let mut piece = vec![0; 1 << 16];
+        while hears.read(&mut piece).is_ok_and(|n| n > 0) {}
+    });
+    let mut other = front.client();
+    for i in 0..20 {
+        assert!(other.ask(&txn("order", 20_000, &format!("w{i}"))).value.is_some());
+    }
+    stream.shutdown(Shutdown::Both).expect("an end");
+    says.join().and(hears.join()).expect("no panic");
+}
+
+#[test]
+fn an_answer_without_an_end_keeps_no_other_from_its_turn_and_ends_with_its_time() {
+    let town = Town::new();
+    let front = town.front();
+    assert!(front.client().ask(&txn("order", 20_000, "first")).value.is_some());
+    // A stand-in in place of a replica, which has a great deal to say and never comes to its end.
+    let listener = TcpListener::bind(address()).expect("a free address");
+    let talks =
+        town.known.replace(&town.members[1].at.to_string(), &listener.local_addr().unwrap().to_string());
+    let (tell, said) = channel();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let tell = tell.clone();
+            std::thread::spawn(move || {
+                let welcome = [message(b'R', &[0; 4]), ready()].concat();
+                let _ = stream.read(&mut [0; 512]).and_then(|_| stream.write_all(&welcome));
+                let asked = stream.read(&mut [0; 4096]);
+                let notice = message(b'N', b"SNOTICE\0C00000\0Mstill at it\0\0").repeat(4096);
+                if asked.is_ok_and(|n| n > 0) {
+                    let _ = tell.send(());
+                    while stream.write_all(&notice).is_ok() {}
+                }
+            });
+        }
+    });
+    town.agent.tell(talks.replace("\"version\":1", "\"version\":2"));
+    let mut other = front.client();
+    until(|| {
+        assert!(other.ask(&txn("order", 20_000, "meanwhile")).value.is_some());
+        said.try_recv().is_ok()
+    });
+    for i in 0..20 {
+        assert!(other.ask(&txn("order", 20_000, &format!("w{i}"))).value.is_some());
+    }
+}
+
+#[test]
+fn reports_that_come_with_answers_prove_data_where_nothing_may_be_asked() {
+    let town = Town::new();
+    let config = Front::config(&town.known, 1024)
+        .replace("\"MayProbe\":true", "\"MayProbe\":false")
+        .replace("[300.0,", "[60000.0,")
+        .replace("[\"recent\",\"update\",", "[\"recent\",\"loose\",");
+    let front = Front::with(PROGRAM, address(), town.agent.at, &config, None);
+    let mut client = front.client();
+    // Loose reads go to replicas, whose answers tell how far they are.
+    until(|| {
+        let report = format!("busy=0.1,x1=0,x0={:.3}", unix_ms() as f64 / 1000.0);
+        for member in &town.members[1..] {
+            member.set(Does::Says([row(b"a"), parameter("server_load", &report)].concat()));
+        }
+        let loose = txn("lookup", 20_000, "loose").replace("c=lookup", "c=mark");
+        assert!(client.ask(&loose).value.is_some());
+        town.members[1].seen.try_iter().count() > 0
+    });
+    // A read with a bound on its age goes there too, by that proof.
+    until(|| {
+        let _ = client.ask(&txn("lookup", 200, "proven"));
+        was_sent_to(&town, 1, "proven")
+    });
+}
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -1,62 +1,13 @@
 //! Stories on sockets: the built program among stand-ins. Each waits for what is to happen, never for a time.
 
-use juniperdock_standins::{Agent, Does, Front, Member, PATIENCE, WATCH, error, list, message, row, txn};
+use juniperdock_standins::{Agent, Does, Front, PATIENCE, WATCH, error, list, message, row, txn};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::process::Command;
 use std::time::{Duration, Instant};
+use town::{PROGRAM, Town, until};
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperdock");
-
-/// One group: member 0 is its primary, 1 and 2 are replicas.
-struct Town {
-    agent: Agent,
-    members: Vec<Member>,
-    known: String,
-}
-
-impl Town {
-    fn new() -> Town {
-        Town::told(WATCH)
-    }
-
-    fn told(head: &'static str) -> Town {
-        let members: Vec<Member> = (0..3).map(|i| Member::start(i == 0)).collect();
-        let known = Town::list(&members, 1, ["up"; 3]);
-        Town { agent: Agent::start(head), members, known }
-    }
-
-    fn list(members: &[Member], version: u64, states: [&str; 3]) -> String {
-        let names = ["m-0", "m-1", "m-2"];
-        let entries: Vec<_> = (0..3).map(|i| (names[i], members[i].at, states[i])).collect();
-        list(version, true, &entries)
-    }
-
-    fn front(&self) -> Front {
-        Front::start(PROGRAM, self.agent.at, &self.known, 1024)
-    }
-
-    fn tell(&self, version: u64, states: [&str; 3]) {
-        self.agent.tell(Town::list(&self.members, version, states));
-    }
-
-    /// The next txn that a member is sent.
-    fn sent(&self, member: usize) -> String {
-        self.members[member].seen.recv_timeout(PATIENCE).expect("a txn goes there")
-    }
-
-    fn quiet(&self, member: usize) -> bool {
-        self.members[member].seen.try_recv().is_err()
-    }
-}
-
-/// Asks until an answer is as it should be.
-fn until(mut good: impl FnMut() -> bool) {
-    let begun = Instant::now();
-    while !good() {
-        assert!(begun.elapsed() < PATIENCE, "it does not come about");
-    }
-}
+mod town;
 
 #[test]
 fn reads_go_to_replicas_writes_to_the_primary_and_values_come_back_as_they_were() {
--- /dev/null
+++ b/crates/front/tests/town/mod.rs
@@ -0,0 +1,58 @@
+//! The built program among stand-ins: one group, and what stories wait for.
+#![allow(dead_code)] // Not every file of stories uses all of it.
+
+use juniperdock_standins::{Agent, Front, Member, PATIENCE, WATCH, list};
+use std::time::Instant;
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperdock");
+
+/// One group: member 0 is its primary, 1 and 2 are replicas.
+pub struct Town {
+    pub agent: Agent,
+    pub members: Vec<Member>,
+    pub known: String,
+}
+
+impl Town {
+    pub fn new() -> Town {
+        Town::told(WATCH)
+    }
+
+    pub fn told(head: &'static str) -> Town {
+        let members: Vec<Member> = (0..3).map(|i| Member::start(i == 0)).collect();
+        let known = Town::list(&members, 1, ["up"; 3]);
+        Town { agent: Agent::start(head), members, known }
+    }
+
+    pub fn list(members: &[Member], version: u64, states: [&str; 3]) -> String {
+        let names = ["m-0", "m-1", "m-2"];
+        let entries: Vec<_> = (0..3).map(|i| (names[i], members[i].at, states[i])).collect();
+        list(version, true, &entries)
+    }
+
+    pub fn front(&self) -> Front {
+        Front::start(PROGRAM, self.agent.at, &self.known, 1024)
+    }
+
+    pub fn tell(&self, version: u64, states: [&str; 3]) {
+        self.agent.tell(Town::list(&self.members, version, states));
+    }
+
+    /// The next txn that a member is sent.
+    pub fn sent(&self, member: usize) -> String {
+        self.members[member].seen.recv_timeout(PATIENCE).expect("a txn goes there")
+    }
+
+    pub fn quiet(&self, member: usize) -> bool {
+        self.members[member].seen.try_recv().is_err()
+    }
+}
+
+/// Asks until an answer is as it should be.
+pub fn until(mut good: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !good() {
+        assert!(begun.elapsed() < PATIENCE, "it does not come about");
+        std::thread::sleep(std::time::Duration::from_millis(1));
+    }
+}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -4,13 +4,15 @@
 use may::coroutine::Builder;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use may::net::TcpStream;
-use socket2::{Domain, Socket, Type};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::VecDeque;
 use std::fmt;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, UdpSocket};
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// What is read at once, and the most memory that an empty buffer keeps over a wait.
@@ -149,6 +151,16 @@
         self.outbound.len()
     }
 
+    /// Whether the other side has ended its sending or is gone, as far as the machine knows, though bytes before
+    /// that end are not read yet: where the buffer is full, its end can't be read. What the other side could not
+    /// yet hand over, its end too, is not known here.
+    pub fn has_left(&self) -> bool {
+        let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let now = Timespec::default();
+        let mut asked = [PollFd::new(self.stream.inner(), ends)];
+        self.ended || poll(&mut asked, Some(&now)).is_ok() && asked[0].revents().intersects(ends)
+    }
+
     pub fn queue(&mut self, bytes: &[u8]) -> Result<(), Failure> {
         if bytes.len() > self.most_out.saturating_sub(self.outbound.len()) {
             return Err(self.failure("the other side does not read".to_owned()));
@@ -231,7 +243,11 @@
 }
 
 /// A listener whose connections are taken in by one coroutine.
-pub struct Door(CoIo<std::net::TcpListener>);
+pub struct Door {
+    listener: CoIo<std::net::TcpListener>,
+    /// Another process has it too.
+    shared: AtomicBool,
+}
 
 impl Door {
     /// Connections beyond this many wait for their turn at the machine's own door.
@@ -247,28 +263,39 @@
 
     /// One that was opened by another process.
     pub fn of(listener: std::net::TcpListener) -> Result<Door, String> {
-        CoIo::new(listener).map(Door).map_err(|e| format!("listening: {e}"))
+        let door = |listener| Door { listener, shared: AtomicBool::new(false) };
+        CoIo::new(listener).map(door).map_err(|e| format!("listening: {e}"))
     }
 
     /// A descriptor of the same listener.
     pub fn descriptor(&self) -> Result<OwnedFd, String> {
-        self.0.inner().try_clone().map(OwnedFd::from).map_err(|e| format!("listening: {e}"))
+        self.shared.store(true, Ordering::Release);
+        self.listener.inner().try_clone().map(OwnedFd::from).map_err(|e| format!("listening: {e}"))
     }
 
     pub fn bell(&self) -> Bell {
-        Bell(Arc::new(self.0.waker()))
+        Bell(Arc::new(self.listener.waker()))
+    }
+
+    /// From now on the machine refuses who comes. Who has come and was not taken in is reset: they are to be taken
+    /// in before. One that another process has too stays open for that.
+    pub fn shut(&self) {
+        if !self.shared.load(Ordering::Acquire) {
+            // One that is shut already stays so.
+            let _ = SockRef::from(self.listener.inner()).shutdown(Shutdown::Both);
+        }
     }
 
     /// The next connection; `None` once the bell has rung and none is there.
     pub fn next(&self) -> std::io::Result<Option<std::net::TcpStream>> {
         for waited in [false, true] {
-            match self.0.inner().accept() {
+            match self.listener.inner().accept() {
                 Ok((stream, _)) => return Ok(Some(stream)),
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
                 Err(e) => return Err(e),
             }
             if !waited {
-                self.0.wait_io();
+                self.listener.wait_io();
             }
         }
         Ok(None)
--- a/crates/standins/src/front.rs
+++ b/crates/standins/src/front.rs
@@ -28,21 +28,25 @@
         sockets: u32,
         charter: Option<&str>,
     ) -> Front {
+        Front::with(program, at, agent, &Front::config(known, sockets), charter)
+    }
+
+    /// A small configuration: one zone, three txn types, limits as a machine's would be.
+    pub fn config(known: &str, sockets: u32) -> String {
         let kind = |name: &str, effect: &str| {
             format!(
                 r#"{{"DedupScope":"cell","Effect":"{effect}","HardLimit":5000.0,"LateWorth":0.5,"Name":"{name}","Objective":1500.0,"Value":1.0,"Window":2000.0}}"#
             )
         };
         let kinds = [kind("lookup", "pure"), kind("mark", "token"), kind("order", "side_effect")].join(",");
-        let config = format!(
+        format!(
             r#"{{"seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},
             "settings":{{"Balancers":1,"Me":0,"Zone":0,"Zones":["a"],"Services":[{kinds}],
             "Bounds":{{"Cancel":true,"ConnIdle":15000.0,"ConnectTimeout":250.0,"MaxRetryAfter":500.0,"MayProbe":true,
             "RetryAfter":true,"TryLimit":10}},"Guarantees":{{"ColdFrom":0.2,"GraceToAnswer":20.0,"OverloadFor":1500.0,
             "TipMultiple":2.5,"WarmUp":1000.0}},"Specifics":{{"MaxAge":[300.0,0.0,0.0],"ReadLevel":["recent","update",
             "update"],"ServerChecks":"off","SessionMarks":"client"}}}}}}"#
-        );
-        Front::with(program, at, agent, &config, charter)
+        )
     }
 
     /// Starts it with any configuration.
@@ -113,6 +117,17 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
     }
 
+    /// Stacks of this many bytes that it has mapped, used or free.
+    pub fn stacks(&self, size: u64) -> usize {
+        let maps = std::fs::read_to_string(format!("/proc/{}/maps", self.child.id())).expect("its memory");
+        let span = |line: &str| {
+            let (from, to) =
+                line.split_once(' ').filter(|(_, rest)| rest.starts_with("rw-p"))?.0.split_once('-')?;
+            Some(u64::from_str_radix(to, 16).ok()? - u64::from_str_radix(from, 16).ok()?)
+        };
+        maps.lines().filter(|line| span(line) == Some(size)).count()
+    }
+
     /// Whether it stands still, all of it.
     pub fn stopped(&self) -> bool {
         let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("its threads");
