Take a list that is indented over lines

Need: lists may come indented. Each line of a watch was read as a list of its own (discovery, take), so an indented one ended the watch as unreadable, again and again. A list now goes on up to its last bracket; an empty line inside one is an error, as a line cut short was before: the check of {"version":1 and a line end is replaced by three (with an empty line behind it, without the other fields, without its bracket), since that text may be the beginning of a list. Seen to fail on the text before: a_list_may_be_indented_over_lines_and_counts_once_it_is_whole.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -26,6 +26,10 @@
     line_end: usize,
     over: bool,
     line: Vec<u8>,
+    /// Brackets that are open in it, and whether its end is inside a text, perhaps behind a backslash.
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
     /// Lines come in, empty ones too.
     pub signs: u64,
 }
@@ -57,11 +61,16 @@
                 self.line_end = if self.left == 0 && self.chunked { 2 } else { 0 };
                 self.over = self.left == 0 && !self.chunked;
                 for byte in bytes.drain(..n) {
-                    if byte == b'\n' {
-                        self.signs += 1;
+                    self.signs += u64::from(byte == b'\n');
+                    // Where a list is indented it goes on over line ends up to its last bracket; an empty line is
+                    // never inside one.
+                    if byte == b'\n' && self.depth == 0 {
                         lists.extend(list(&self.line)?);
                         self.line.clear();
+                    } else if byte == b'\n' && self.at_line_start() {
+                        return Err("expected the rest of a list, found an empty line".to_owned());
                     } else {
+                        self.nest(byte);
                         self.line.push(byte);
                     }
                 }
@@ -82,6 +91,22 @@
         self.over
     }
 
+    /// Nothing has come since the last line end but blanks.
+    fn at_line_start(&self) -> bool {
+        self.line.iter().rev().take_while(|byte| byte.is_ascii_whitespace()).any(|&byte| byte == b'\n')
+    }
+
+    fn nest(&mut self, byte: u8) {
+        match byte {
+            _ if std::mem::take(&mut self.escaped) => {}
+            b'\\' => self.escaped = self.quoted,
+            b'"' => self.quoted = !self.quoted,
+            b'{' | b'[' if !self.quoted => self.depth += 1,
+            b'}' | b']' if !self.quoted => self.depth = self.depth.saturating_sub(1),
+            _ => {}
+        }
+    }
+
     fn head(&mut self, bytes: &mut VecDeque<u8>) -> Result<bool, String> {
         let mut headers = [httparse::EMPTY_HEADER; 32];
         let mut head = httparse::Response::new(&mut headers);
@@ -179,13 +204,38 @@
         }
     }
 
+    #[test]
+    fn a_list_may_be_indented_over_lines_and_counts_once_it_is_whole() {
+        let entry = r#"{"id":"m}\\\"{","addr":"127.0.0.1:5","cell":3,"state":"up"}"#;
+        let list: Value =
+            serde_json::from_str(&format!(r#"{{"version":4,"full":true,"servers":[{entry}]}}"#))
+                .expect("a list");
+        let text = serde_json::to_string_pretty(&list).expect("a text");
+        let text = format!("HTTP/1.1 200 OK\r\n\r\n\n{text}\n\n{list}\n{}\r\n", text.replace('\n', "\r\n"));
+        for piece in [1, 3, 4096] {
+            let (mut answer, mut bytes, mut lists) = (Answer::default(), VecDeque::new(), Vec::new());
+            for part in text.as_bytes().chunks(piece) {
+                bytes.extend(part);
+                lists.extend(answer.take(&mut bytes).expect("a good answer"));
+            }
+            assert_eq!(lists, [list.clone(), list.clone(), list.clone()]);
+        }
+        // One that stops in the middle of a line, or after one, is no list yet.
+        for part in ["{\"version\":1", "{\n \"version\":4,\n"] {
+            let mut bytes = VecDeque::from(format!("HTTP/1.1 200 OK\r\n\r\n{part}").into_bytes());
+            assert_eq!(Answer::default().take(&mut bytes), Ok(Vec::new()));
+        }
+    }
+
     #[test]
     fn what_is_no_list_is_an_error() {
         for text in [
             "HTTP/1.1 500 no\r\n\r\n",
             "hello\r\n\r\n",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-            "HTTP/1.1 200 OK\r\n\r\n{\"version\":1\n",
+            "HTTP/1.1 200 OK\r\n\r\n{\"version\":1\n\n",
+            "HTTP/1.1 200 OK\r\n\r\n{\"version\":1}\n",
+            "HTTP/1.1 200 OK\r\n\r\n\"version\":1}\n",
             "HTTP/1.1 200 OK\r\n\r\n{\"version\":1,\"full\":true,\"servers\":[{\"id\":\"m\"}]}\n",
         ] {
             let mut bytes = VecDeque::from(text.as_bytes().to_vec());
