Write no fresh read to a former primary after waiting for its connection

Seen to fail on the text before: a_fresh_read_that_waits_for_a_connection_is_not_written_to_a_former_primary.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -829,11 +829,14 @@
         (self.at_work(now, member) + 1) as f64 * slow * afar * down
     }
 
-    /// Whether a member's data is proven to be as new as a txn type, or a txn, needs it. A former primary's
-    /// proofs count from the beginning of the newest term.
+    /// A former primary's proofs count from the beginning of the newest term.
+    fn proof(&self, member: usize) -> Option<Duration> {
+        self.members[member].position.filter(|&position| position >= self.tenure.proof_from(member))
+    }
+
+    /// Whether a member's data is proven to be as new as a txn type, or a txn, needs it.
     fn proven(&self, now: Duration, kind: usize, must_see: Option<Duration>, member: usize) -> bool {
-        let from = self.tenure.proof_from(member);
-        let position = self.members[member].position.filter(|&position| position >= from);
+        let position = self.proof(member);
         match self.types[kind].level {
             Level::Write => false,
             Level::Loose => true,
@@ -924,11 +927,9 @@
         let led = self.tenure.held_term(member) > 0;
         match self.types[t.kind].level {
             _ if m.stopped => Duration::ZERO,
+            _ if !excused && t.must_see.is_some_and(|need| self.proof(member) < Some(need)) => Duration::ZERO,
             Level::Write if led && self.tenure.writer(m.group) != Some(member) => Duration::ZERO,
-            Level::Bounded(most) if !excused => {
-                let position = m.position.filter(|&position| position >= self.tenure.proof_from(member));
-                position.map_or(Duration::ZERO, |p| last.min(p + most))
-            }
+            Level::Bounded(b) if !excused => self.proof(member).map_or(Duration::ZERO, |p| last.min(p + b)),
             _ => last,
         }
     }
--- a/crates/router/tests/fake/mod.rs
+++ b/crates/router/tests/fake/mod.rs
@@ -55,6 +55,7 @@
 pub const LOOSE: usize = 1;
 pub const ONCE: usize = 2;
 pub const MARKED: usize = 3;
+pub const FRESH: usize = 4;
 
 pub struct Story {
     pub router: Router,
@@ -80,6 +81,7 @@
             kind(Effect::Repeatable, Level::Loose),
             kind(Effect::OnceOnly, Level::Write),
             kind(marked, Level::Write),
+            kind(Effect::Repeatable, Level::Fresh),
         ];
         let cold = ColdStart { share: 0.2, warm_up: ms(10_000), multiple: 2.5, window: ms(1500) };
         let mut router = Router::new(7 + standing.me as u64, standing, types, cold);
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -2,7 +2,7 @@
 
 mod fake;
 
-use fake::{Act, LOOSE, MARKED, ONCE, READ, Story, ms};
+use fake::{Act, FRESH, LOOSE, MARKED, ONCE, READ, Story, ms};
 use juniperdock_router::host::{Ending, Listed, Role, Standing};
 
 #[test]
@@ -907,6 +907,23 @@
     assert_eq!(s.router.holds_until(read), ms(0));
 }
 
+#[test]
+fn a_fresh_read_that_waits_for_a_connection_is_not_written_to_a_former_primary() {
+    let mut s = Story::running();
+    s.now += ms(50);
+    let read = s.arrive(FRESH, 2000);
+    assert_eq!(s.sends(read), [0]);
+    assert_eq!(s.router.holds_until(read), s.now + ms(2000), "until its expiry");
+    // Its connection is still to come up when the primary says that it is none any more.
+    s.now += ms(10);
+    s.report(0, Role::Replica, s.now - ms(30));
+    assert!(s.router.holds_until(read).is_zero(), "it may lack what was committed before the read came");
+    s.end(read, 0, Ending::Moot, 20);
+    s.now += ms(20);
+    s.report(1, Role::Primary, s.now - ms(1));
+    assert_eq!(s.sends(read), [0, 1]);
+}
+
 #[test]
 fn the_writer_is_polled_less_often_than_its_readers() {
     let mut s = Story::running();
