Find primaries by writes where no probe is allowed; keep sessions' commits bounded

Lines: choose() gives a write to the holder alone, ask() and probe_due() do nothing without probes. Change, the smallest exception: a write without a primary is its own probe (WIRE: NOT_FOUND, rejected untouched, for every effect); sound members first, then whom the list names, then who said longest ago that it is none; nobody twice in 250 ms.

Found on reading: a repeat of a referenced write whose first submission ran before this front's start is answered with the time of that commit, which Origin::position can't say (None), and submission_ended passed such a commit over: later reads of the session went to replicas that lacked it (rule 5). Now it binds as of now. After a panic at the desk all sessions are bound by its time.

--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -362,6 +362,7 @@
             self.hands.release(txn);
         }
         self.router = (self.make)()?;
+        self.router.sessions_lost(self.hands.clock.now());
         self.hold();
         let known: Vec<_> = self.hands.entries.iter().filter(|entry| !entry.is_null()).collect();
         let list = serde_json::json!({ "full": true, "servers": known });
--- a/crates/front/tests/moments.rs
+++ b/crates/front/tests/moments.rs
@@ -620,3 +620,109 @@
         was_sent_to(&town, 1, "proven")
     });
 }
+
+/// As `Town::front`, where members may not be probed.
+fn unasked(town: &Town, more: impl Fn(String) -> String) -> Front {
+    let config = Front::config(&town.known, 1024).replace("\"MayProbe\":true", "\"MayProbe\":false");
+    Front::with(PROGRAM, address(), town.agent.at, &more(config), None)
+}
+
+/// Orders that a member was sent, up to now.
+fn orders(town: &Town, member: usize) -> usize {
+    town.members[member].seen.try_iter().filter(|text| text.contains("c=order,")).count()
+}
+
+#[test]
+fn where_nothing_may_be_asked_a_write_finds_its_primary_and_finds_it_again() {
+    let town = Town::new();
+    town.members[0].be_primary(false);
+    town.members[2].be_primary(true);
+    let front = unasked(&town, |config| config);
+    let mut client = front.client();
+    assert!(client.ask(&txn("order", 20_000, "first")).value.is_some());
+    let sent: Vec<usize> = (0..3).map(|member| orders(&town, member)).collect();
+    assert!(sent[0] <= 1 && sent[1] <= 1 && sent[2] == 1, "each was asked once at most: {sent:?}");
+    for _ in 0..5 {
+        assert!(client.ask(&txn("order", 20_000, "known")).value.is_some());
+    }
+    assert_eq!((orders(&town, 0), orders(&town, 1), orders(&town, 2)), (0, 0, 5), "it is known by now");
+    // Another takes over: whoever was it turns the next away, untouched.
+    town.members[2].be_primary(false);
+    town.members[1].be_primary(true);
+    assert!(client.ask(&txn("order", 20_000, "after")).value.is_some());
+    assert_eq!(orders(&town, 1), 1);
+}
+
+#[test]
+fn where_nothing_may_be_asked_and_there_is_no_primary_a_write_is_declined_and_tried_sparingly() {
+    let town = Town::new();
+    town.members[0].be_primary(false);
+    let front = unasked(&town, |config| config);
+    let mut client = front.client();
+    let reply = client.ask(&txn("order", 2_000, "none"));
+    assert_eq!(reply.code.as_deref(), Some("53300"), "it never ran: {reply:?}");
+    // Each was asked at most every 250 ms, for the part of its time in which it is held.
+    let sent: usize = (0..3).map(|member| orders(&town, member)).sum();
+    assert!((3..=12).contains(&sent), "{sent}");
+    town.members[1].be_primary(true);
+    next_is_served(&front);
+}
+
+#[test]
+fn who_leaves_while_its_write_looks_for_a_primary_is_not_sent_on() {
+    for way in WAYS {
+        let town = Town::new();
+        town.members[0].be_primary(false);
+        let front = unasked(&town, |config| config);
+        let client = order(&front, "gone");
+        // All have turned it away.
+        until(|| was_sent_to(&town, 0, "gone"));
+        turn(&front);
+        let _kept = leave_noticed(&front, client, way);
+        town.members.iter().for_each(|member| member.seen.try_iter().for_each(drop));
+        town.members[2].be_primary(true);
+        next_is_served(&front);
+        assert!(!was_sent(&town, "gone"), "{way:?}");
+    }
+}
+
+#[test]
+fn a_repeat_whose_commit_is_older_than_the_front_binds_the_reads_of_its_session() {
+    let town = Town::new();
+    let front = unasked(&town, |config| {
+        config
+            .replace("\"SessionMarks\":\"client\"", "\"SessionMarks\":\"router\"")
+            .replace("[\"recent\",\"update\",", "[\"own_writes\",\"update\",")
+    });
+    // Its mark is known from a write through a front that has died since: the answer tells when that was committed.
+    let old = format!("{}", unix_ms() - 60_000);
+    town.members[0].once(Does::Says([row(b"a"), parameter("replay_position", &old)].concat()));
+    let mut client = front.client();
+    assert!(client.ask(&txn("mark", 20_000, "again")).value.is_some());
+    // Nothing proves of the replicas that they have it.
+    for i in 0..20 {
+        assert!(client.ask(&txn("lookup", 20_000, &format!("own{i}"))).value.is_some());
+    }
+    let read = |member: usize| town.members[member].seen.try_iter().any(|text| text.contains("c=lookup,"));
+    assert!(read(0) && !read(1) && !read(2));
+}
+
+#[test]
+fn a_load_that_cannot_be_read_takes_nothing_from_its_answer() {
+    let loads: [&[u8]; 6] =
+        [b"x0=soon,x1=1", b"util=,x0", b"=,=,=", b"x0=99999999999.0,x1=0", b"util=1e999", b"\xff\xfe"];
+    for load in loads {
+        let town = Town::new();
+        let front = unasked(&town, |config| config);
+        let told = [&b"server_load\0"[..], load, &[0]].concat();
+        town.members[0].set(Does::Says([row(b"whole"), message(b'S', &told)].concat()));
+        let mut client = front.client();
+        for i in 0..3 {
+            let reply = client.ask(&txn("order", 20_000, &format!("o{i}")));
+            assert_eq!(reply.value.as_deref(), Some(&b"whole"[..]), "{load:?}: {reply:?}");
+        }
+        front.signal("-TERM");
+        let (well, text) = front.end();
+        assert!(well && text.contains(" ended_spoilt=0 "), "{load:?}: {text}");
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod kept;
 pub mod ring;
 pub mod routing;
+mod sessions;
 mod state;
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -2,7 +2,7 @@
 //! the facts, then the ordered rules in `settle` run over the groups touched until none fires. Sends leave
 //! through `submit` alone, and only if `gate` lets them pass.
 
-use crate::host::Ending::{Invalid, Misplaced, Moot, Spoilt, Unreachable};
+use crate::host::Ending::*;
 use crate::host::{
     ColdStart, Effect, Ending, Host, Level, Listed, Phase, Plan, Report, Role, Standing, TxnType,
 };
@@ -13,7 +13,7 @@
 use juniperdock_held::{NoRoom, Rank, Wait};
 use juniperdock_tenure::Claim;
 use oorandom::Rand64;
-use std::time::Duration;
+use std::{cmp::Reverse, mem::take, time::Duration};
 
 /// Probes of a member within the tightest bound: measured from the design's start value of 4 downwards.
 const PROBES_PER_BOUND: u32 = 2;
@@ -73,6 +73,9 @@
 /// Part of a cold member's budget that is used; the rest is for chance, probes and handshakes.
 const COLD_PART: f64 = 0.5;
 
+/// A time that may not be told.
+type Told = Option<Duration>;
+
 impl Router {
     pub fn new(seed: u64, standing: Standing, types: Vec<TxnType>, cold: ColdStart) -> Self {
         let tightest = types.iter().filter_map(|t| match t.level {
@@ -150,7 +153,7 @@
                 self.drop_member(now, i, Member::new(now, self.part(ROOM_FIRST), self.cold.window), host);
             }
         }
-        self.settle(now, [], host);
+        self.settle(now, &[], host);
     }
 
     /// A client's txn; `wrote_ago` is the age of its session's last write where the client tells it.
@@ -173,7 +176,7 @@
             Level::Fresh => Some(now),
             Level::Session => match (wrote_ago, session) {
                 (Some(ago), _) => Some(now.saturating_sub(ago)).filter(|_| !ago.is_zero()),
-                (None, Some(key)) => self.sessions.get(&key).copied(),
+                (None, Some(key)) => self.sessions.must_see(key),
                 (None, None) => Some(now),
             },
             _ => None,
@@ -188,12 +191,12 @@
         // At arrival all may be placed: answer times of a bad time are unlearnt only by sending.
         self.held.retime(txn, Duration::MAX, Duration::MAX);
         self.unweighed.push(txn);
-        self.settle(now, [group], host);
+        self.settle(now, &[group], host);
         if self.held.get(txn).is_some() {
             let (soft, hard) = self.ends(self.txn(txn));
             self.held.retime(txn, soft, hard);
             while self.give_up(now, host) {}
-            self.remind_held(txn, host);
+            self.remind_held(txn, now + SHUN_FIRST, host);
         }
     }
 
@@ -225,18 +228,16 @@
         let answered_since = out.as_ref().is_some_and(|out| out.at < self.members[member].last_answer);
         let left = t.over;
         t.over |= over;
-        let (kind, group, session, called_off) =
-            (t.kind, t.group, t.session, std::mem::take(&mut t.called_off));
+        let (kind, group, session, called_off) = (t.kind, t.group, t.session, take(&mut t.called_off));
         self.members[member].in_hand.retain(|&held| held != txn);
-        if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Moot | Unreachable) {
+        if !matches!(ending, TimedOut | Cancelled | Moot | Unreachable) {
             self.members[member].last_answer = now;
         }
-        let heard =
-            matches!(ending, Ending::Committed | Ending::Errored | Invalid | Ending::Full | Misplaced);
+        let heard = matches!(ending, Committed | Errored | Invalid | Full | Misplaced);
         if heard || role.is_some() {
             self.heard(now, member, role, position, Some(out.map_or(now, |out| out.at)));
         }
-        let wrote = ending == Ending::Committed && self.types[kind].level == Level::Write;
+        let wrote = ending == Committed && self.types[kind].level == Level::Write;
         if ending == Misplaced && position.is_none() && self.types[kind].level != Level::Write {
             // It lags by more than was known, where it doesn't say by how much.
             let m = &mut self.members[member];
@@ -244,20 +245,16 @@
         }
         if wrote {
             self.tenure.committed(member);
+            // A repeat is told the time of its first commit. Where that was before this start it was before now.
+            self.sessions.learn(now, session, position.unwrap_or(now), FORGOTTEN);
         }
-        if wrote
-            && let (Some(key), Some(at)) = (session, position)
-            && self.types.iter().any(|t| t.level == Level::Session)
-        {
-            self.sessions.entry(key).and_modify(|newest| *newest = at.max(*newest)).or_insert(at);
-        }
-        let lost = ending != Ending::Committed && (called_off || self.lost(took, kind)) && answered_since;
+        let lost = ending != Committed && (called_off || self.lost(took, kind)) && answered_since;
         if !slept && !lost {
             self.judge(now, member, kind, ending, took);
         }
         if !slept && !matches!(ending, Unreachable | Moot | Misplaced | Invalid | Spoilt) {
             let sla = self.types[kind].sla;
-            let in_time = ending == Ending::Committed && !left && took <= sla.mul_f64(IN_TIME);
+            let in_time = ending == Committed && !left && took <= sla.mul_f64(IN_TIME);
             for tally in [&mut self.tallies[kind], &mut self.groups[group].tallies[kind]] {
                 tally.ended.add(now, 1.0);
                 tally.in_time.add(now, f64::from(in_time));
@@ -268,7 +265,7 @@
         } else {
             self.go_on(now, txn, ending, host);
         }
-        self.settle(now, [group], host);
+        self.settle(now, &[group], host);
     }
 
     pub fn client_left(&mut self, now: Duration, txn: usize, host: &mut impl Host) {
@@ -278,25 +275,25 @@
         if self.held.remove(txn).is_some() {
             self.forget(txn, host);
         }
-        self.settle(now, [group], host);
+        self.settle(now, &[group], host);
     }
 
     pub fn probed(&mut self, now: Duration, member: usize, end: Ending, told: Report, host: &mut impl Host) {
         let m = &mut self.members[member];
         m.probe_out = false;
-        if end == Ending::Committed {
+        if end == Committed {
             m.probe_failures = 0;
             let slack = self.probe_every.unwrap_or_default() * PROBES_PER_BOUND;
             m.barren = if told.position.is_some_and(|p| p + slack > now) { 0 } else { m.barren + 1 };
             let hint = Some(Role::Primary).filter(|_| m.hinted && !self.tenure.has_claimed(member));
             self.heard(now, member, told.role.or(hint), told.position, None);
-        } else if !matches!(end, Ending::Full | Spoilt) {
+        } else if !matches!(end, Full | Spoilt) {
             let many = self.standing.fronts as f64 > ASK_FRONTS && m.probe_failures > 0;
             m.refused |= many && end == Unreachable && m.asked.is_some_and(|at| now < at + REPORT_AWAITED);
             m.probe_failures += 1;
         }
         self.plan_probe(now, member, host);
-        self.settle(now, [self.members[member].group], host);
+        self.settle(now, &[self.members[member].group], host);
     }
 
     pub fn reminder_due(&mut self, now: Duration, handle: u64, host: &mut impl Host) {
@@ -304,10 +301,10 @@
         if handle == ASK_FOR_LIST {
             host.listen();
         } else if handle.is_multiple_of(2) {
-            self.settle(now, [self.members[at - 1].group], host);
+            self.settle(now, &[self.members[at - 1].group], host);
         } else if let Some(Some(t)) = self.txns.get(at) {
-            self.settle(now, [t.group], host);
-            self.remind_held(at, host);
+            self.settle(now, &[t.group], host);
+            self.remind_held(at, now + SHUN_FIRST, host);
         }
     }
 
@@ -324,14 +321,7 @@
     /// Records a claim of role: an answer's is as new as now, but proves no more than that it was made since
     /// its txn was sent; a report's is at least as new as its position. What a front reads right after it
     /// stood still may have waited since. Only of the slot's holder is the word as a primary a proof of data.
-    fn heard(
-        &mut self,
-        now: Duration,
-        m: usize,
-        role: Option<Role>,
-        at: Option<Duration>,
-        sent: Option<Duration>,
-    ) {
+    fn heard(&mut self, now: Duration, m: usize, role: Option<Role>, at: Told, sent: Told) {
         let group = self.members[m].group;
         let read =
             if now < self.awake + REPORT_AWAITED { self.stood.max(sent.unwrap_or_default()) } else { now };
@@ -362,26 +352,26 @@
     fn judge(&mut self, now: Duration, member: usize, kind: usize, ending: Ending, took: Duration) {
         let (sla, work, secs) = (self.types[kind].sla.as_secs_f64(), self.typical[kind], took.as_secs_f64());
         let usual = &mut self.usual[kind];
-        if ending == Ending::Committed || !ending.never_ran() && secs > *usual {
+        if ending == Committed || !ending.never_ran() && secs > *usual {
             *usual += 0.02 * (secs - *usual);
         }
         let usual = Duration::from_secs_f64(*usual);
         let (least, m) = (self.part(ROOM_LEAST), &mut self.members[member]);
         // A quick error must not look like low load: it counts as an answer at the SLA time.
-        let errored = matches!(ending, Ending::Errored | Ending::Dropped);
+        let errored = matches!(ending, Errored | Dropped);
         let counted = if errored { secs.max(sla) } else { secs };
-        if errored || matches!(ending, Ending::Committed | Ending::TimedOut | Ending::Cancelled) {
+        if errored || matches!(ending, Committed | TimedOut | Cancelled) {
             m.slow += 0.2 * (counted / work - m.slow);
             if m.slow * work > STRAIN * sla {
                 if now > m.last_cut + usual {
                     (m.room, m.last_cut) = ((m.room * 0.9).max(least), now);
                 }
-            } else if ending == Ending::Committed {
+            } else if ending == Committed {
                 m.room += 1.0 / m.room;
             }
         }
         match ending {
-            Ending::Committed => {
+            Committed => {
                 (m.failures, m.fulls, m.probe_failures) = (0, 0, 0);
                 m.shunned = Duration::ZERO;
                 m.done.add(now, work);
@@ -391,18 +381,18 @@
                 *typical += if secs < *typical { 0.05 } else { 0.01 } * (secs - *typical);
             }
             // Turned away at once, it looks idle: left alone for longer each time, also as the writer.
-            Ending::Full => {
+            Full => {
                 m.room = (m.room * 0.7).max(least);
                 m.fulls = (m.fulls + 1).min(8);
                 m.shunned = m.shunned.max(now + SHUN_FIRST / 8 * 2u32.pow(m.fulls.min(4)));
             }
             // Connections end now and then: its member is asked, and shunned if it was not the only one.
-            Ending::Dropped if m.failures == 0 => {
+            Dropped if m.failures == 0 => {
                 (m.failures, m.probe_failures, m.probe_due) = (1, 1, now);
                 self.tenure.shake(now, member);
                 return;
             }
-            Unreachable | Ending::Dropped => {
+            Unreachable | Dropped => {
                 let shunned = now + shun_for(m.failures);
                 (m.shunned, m.probe_failures, m.probe_due) = (shunned, m.probe_failures.max(1), now);
                 m.failures += 1;
@@ -412,7 +402,7 @@
         }
         // A failed submission to the writer empties the slot; only a claim made after this fills it again.
         let astray = ending == Misplaced && self.types[kind].level == Level::Write;
-        if astray || matches!(ending, Unreachable | Ending::Dropped) {
+        if astray || matches!(ending, Unreachable | Dropped) {
             self.doubt(now, member);
         }
     }
@@ -442,7 +432,7 @@
                 self.again.add(now, 1.0);
             }
             self.hold(txn, host);
-            self.remind_held(txn, host);
+            self.remind_held(txn, now + SHUN_FIRST, host);
         }
     }
 
@@ -461,8 +451,7 @@
         soft.saturating_sub(work).min(hard).max(t.arrived)
     }
 
-    /// A txn waits. Where there is no room, what is worth least gives way, of its group or of the fullest
-    /// one.
+    /// A txn waits; without room what is worth least gives way, of its group or of the fullest one.
     fn hold(&mut self, txn: usize, host: &mut impl Host) {
         let t = self.txn(txn);
         let ((soft, hard), tried) = (self.ends(t), t.fate.submissions() > 0);
@@ -500,9 +489,8 @@
         ranks
     }
 
-    /// The one final answer that is true: declined where that is harmless, else that its effect is not known.
-    /// At once: nothing is gained by waiting. Who wants a primary is to come back when changes of late were
-    /// over.
+    /// The one final answer that is true, at once: declined where that is harmless, else that its effect is not
+    /// known. Who wants a primary is to come back when changes of late were over.
     fn answer(&mut self, now: Duration, txn: usize, host: &mut impl Host) {
         let Txn { kind, group, fate, .. } = *self.txn(txn);
         match fate.verdict() {
@@ -537,13 +525,8 @@
         host.remind(now + pause, member as u64 * 2 + 2);
     }
 
-    pub(crate) fn settle(
-        &mut self,
-        now: Duration,
-        of: impl IntoIterator<Item = usize>,
-        host: &mut impl Host,
-    ) {
-        of.into_iter().for_each(|group| self.touch(group));
+    pub(crate) fn settle(&mut self, now: Duration, of: &[usize], host: &mut impl Host) {
+        of.iter().for_each(|&group| self.touch(group));
         self.wake(now);
         while let Some(group) = self.touched.pop() {
             self.groups[group].touched = false;
@@ -750,8 +733,10 @@
         let Txn { group, kind, .. } = *self.txn(txn);
         let fit = |w: &usize| self.has_room(now, *w, 1.0) && self.members[*w].shunned <= now;
         let writer = self.tenure.holder(group).filter(fit);
-        if matches!(self.types[kind].level, Level::Write | Level::Fresh) {
-            return writer.filter(|_| self.tenure.writer(group) == writer);
+        match self.types[kind].level {
+            Level::Write if self.calls(group) => return self.callee(now, txn),
+            Level::Write | Level::Fresh => return writer.filter(|_| self.tenure.writer(group) == writer),
+            _ => {}
         }
         // A later try that is worth nothing late leaves half of the room to first tries still to come.
         let share = if self.txn(txn).retried && self.types[kind].late_value == 0.0 { HALF } else { 1.0 };
@@ -792,6 +777,26 @@
         }
     }
 
+    /// Exception: where no probe is allowed a write without a primary is its own: who is none turns it away
+    /// untouched. Meets fronts that know nobody; harms by what is turned away.
+    fn calls(&self, group: usize) -> bool {
+        self.probe_every.is_none() && self.tenure.holder(group).is_none()
+    }
+
+    /// One that has not failed: whom the list names, then who said longest ago, or never, that it is a replica.
+    fn callee(&mut self, now: Duration, txn: usize) -> Option<usize> {
+        let mut best = None;
+        for m in self.groups[self.txn(txn).group].members.clone() {
+            let denied = self.tenure.denied(m);
+            let rested = denied.is_none_or(|at| at + SHUN_FIRST <= now) && self.members[m].shunned <= now;
+            if rested && self.has_room(now, m, 1.0) && self.gate(now, txn, m) {
+                let (sound, named) = (self.members[m].failures == 0, self.members[m].hinted);
+                best = best.max(Some((sound, named, Reverse(denied), self.rng.rand_u64(), m)));
+            }
+        }
+        best.map(|(.., m)| m)
+    }
+
     /// What only the primary takes comes in time there.
     fn idles(&mut self, now: Duration, group: usize) -> bool {
         let (mut in_time, mut ended) = (PRIOR, PRIOR);
@@ -858,11 +863,6 @@
         }
     }
 
-    /// Rule 1: nothing for a txn that has its answer, whose client has left, or whose time is up.
-    fn open(&self, now: Duration, t: &Txn) -> bool {
-        !t.over && now < t.expiry
-    }
-
     /// Every rule on sends, each in its place; no send passes by.
     fn gate(&mut self, now: Duration, txn: usize, member: usize) -> bool {
         let t = self.txn(txn);
@@ -876,7 +876,9 @@
             || self.tenure.trusted(member)
             || self.members_check
             || self.proven(now, t.kind, t.must_see, member);
-        self.open(now, t) && once && stays && current && self.within_cold_budget(now, member, t.kind)
+        // Rule 1: nothing for a txn that has its answer, whose client has left, or whose time is up.
+        let open = !t.over && now < t.expiry;
+        open && once && stays && current && self.within_cold_budget(now, member, t.kind)
     }
 
     /// Rule 4. Each front sends a cold member a part of what the same front gets done on a warm one, by lot. One
@@ -924,7 +926,7 @@
         let (member, m) = (out.place.member, &self.members[out.place.member]);
         let last = t.fate.window_ends().map_or(t.expiry, |ends| ends.min(t.expiry));
         let excused = self.members_check || self.tenure.trusted(member);
-        let led = self.tenure.held_term(member) > 0;
+        let led = self.tenure.held_term(member) > 0 && !self.calls(m.group);
         match self.types[t.kind].level {
             _ if m.stopped => Duration::ZERO,
             _ if !excused && t.must_see.is_some_and(|need| self.proof(member) < Some(need)) => Duration::ZERO,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -2,11 +2,11 @@
 
 use crate::host::{ColdStart, Host, Level, Plan, Standing, TxnType};
 use crate::ring::Ring;
+use crate::sessions::Sessions;
 use juniperdock_fate::{Fate, Place};
 use juniperdock_held::{Held, Most, Rank};
 use juniperdock_tenure::Tenure;
 use oorandom::Rand64;
-use std::collections::HashMap;
 use std::time::Duration;
 
 /// No limit but memory.
@@ -231,7 +231,7 @@
     /// Members that are or were of late.
     pub(crate) known: usize,
     /// Newest commit told to each session.
-    pub(crate) sessions: HashMap<u64, Duration>,
+    pub(crate) sessions: Sessions,
     /// Typical answer time by txn type, in seconds.
     pub(crate) typical: Vec<f64>,
     /// Mean answer time by txn type of late, over all members, in seconds.
@@ -254,6 +254,7 @@
     /// A router that remembers nothing and was allowed nothing yet.
     pub(crate) fn blank(rng: Rand64, standing: Standing, types: Vec<TxnType>, cold: ColdStart) -> Self {
         let (none, kinds) = (Ring::new(Duration::ZERO, 1), types.len());
+        let sessions = Sessions::new(types.iter().any(|t| t.level == Level::Session));
         Router {
             rng,
             standing,
@@ -277,7 +278,7 @@
             held: Held::new(kinds, ALL),
             unweighed: Vec::new(),
             known: 0,
-            sessions: HashMap::new(),
+            sessions,
             typical: Vec::new(),
             usual: Vec::new(),
             warm_work: 0.0,
@@ -344,7 +345,8 @@
     /// Asks every member for its role and position now, though no txn waits for it.
     pub fn ask_all(&mut self, now: Duration, host: &mut impl Host) {
         self.members.iter_mut().for_each(|member| member.probe_due = now);
-        self.settle(now, 0..self.groups.len(), host);
+        (0..self.groups.len()).for_each(|group| self.touch(group));
+        self.settle(now, &[], host);
     }
 
     /// A member is asked as soon as the rules on probes let it be.
@@ -352,7 +354,7 @@
         let Some(m) = self.members.get_mut(member).filter(|m| m.listed) else { return };
         m.probe_due = m.probe_due.min(now);
         let group = m.group;
-        self.settle(now, [group], host);
+        self.settle(now, &[group], host);
     }
 
     /// Txns a second that have come here of late.
@@ -415,13 +417,20 @@
         }
     }
 
-    /// Has a txn that waits looked at when it is given up.
-    pub(crate) fn remind_held(&self, txn: usize, host: &mut impl Host) {
+    /// Has a txn that waits looked at when it is given up; where no probe brings news by then, at `next`.
+    pub(crate) fn remind_held(&self, txn: usize, next: Duration, host: &mut impl Host) {
         if self.held.get(txn).is_some() {
-            host.remind(self.hope(self.txn(txn)), txn as u64 * 2 + 1);
+            let last = self.hope(self.txn(txn));
+            let at = if self.probe_every.is_some() { last } else { last.min(next) };
+            host.remind(at, txn as u64 * 2 + 1);
         }
     }
 
+    /// What sessions have written before `now` is not known any more: their reads must see all of it.
+    pub fn sessions_lost(&mut self, now: Duration) {
+        self.sessions.lost(now);
+    }
+
     pub(crate) fn txn(&self, txn: usize) -> &Txn {
         self.txns[txn].as_ref().expect("a txn in hand")
     }
@@ -439,7 +448,7 @@
         host: &mut impl Host,
     ) -> Result<Plan, String> {
         let plan = self.tenure.order(now, group, successor)?;
-        self.settle(now, [group], host);
+        self.settle(now, &[group], host);
         Ok(plan)
     }
 
@@ -447,7 +456,7 @@
     pub fn call_off_change(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let off = self.tenure.call_off(now, group);
         if off {
-            self.settle(now, [group], host);
+            self.settle(now, &[group], host);
         }
         off
     }
--- a/crates/router/tests/fake/mod.rs
+++ b/crates/router/tests/fake/mod.rs
@@ -56,6 +56,7 @@
 pub const ONCE: usize = 2;
 pub const MARKED: usize = 3;
 pub const FRESH: usize = 4;
+pub const SESSION: usize = 5;
 
 pub struct Story {
     pub router: Router,
@@ -82,6 +83,7 @@
             kind(Effect::OnceOnly, Level::Write),
             kind(marked, Level::Write),
             kind(Effect::Repeatable, Level::Fresh),
+            kind(Effect::Repeatable, Level::Session),
         ];
         let cold = ColdStart { share: 0.2, warm_up: ms(10_000), multiple: 2.5, window: ms(1500) };
         let mut router = Router::new(7 + standing.me as u64, standing, types, cold);
@@ -130,6 +132,21 @@
         txn
     }
 
+    /// A txn of a session whose clients do not carry what it has written.
+    pub fn arrive_of(&mut self, session: u64, kind: usize, left: u64) -> usize {
+        self.next += 1;
+        let (now, txn, session) = (self.now, self.next, Some(session));
+        let host = &mut self.host;
+        self.router.txn_arrived(now, txn, kind, 0, ms(left), false, None, session, None, 100, host);
+        txn
+    }
+
+    /// An answer that tells its member's role, and a position if there is one.
+    pub fn told(&mut self, txn: usize, member: usize, ending: Ending, role: Role, at: Option<Duration>) {
+        let (over, now, host) = (ending == Ending::Committed, self.now, &mut self.host);
+        self.router.submission_ended(now, txn, over, member, ending, Some(role), at, ms(1), host);
+    }
+
     pub fn end(&mut self, txn: usize, member: usize, ending: Ending, took: u64) {
         let over = ending == Ending::Committed;
         let (now, took) = (self.now, ms(took));
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -2,7 +2,7 @@
 
 mod fake;
 
-use fake::{Act, FRESH, LOOSE, MARKED, ONCE, READ, Story, ms};
+use fake::{Act, FRESH, LOOSE, MARKED, ONCE, READ, SESSION, Story, ms};
 use juniperdock_router::host::{Ending, Listed, Role, Standing};
 
 #[test]
@@ -981,3 +981,145 @@
     assert!(declined[READ] > 30, "{declined:?}");
     assert!(declined[LOOSE] * 10 < declined[READ], "{declined:?}");
 }
+
+/// Where a txn is sent to, if it is.
+fn goes(s: &Story, txn: usize) -> Option<usize> {
+    s.host
+        .0
+        .iter()
+        .rev()
+        .find_map(|act| if let Act::Sent(t, to) = act { (*t == txn).then_some(*to) } else { None })
+}
+
+#[test]
+fn a_commit_from_before_this_start_binds_the_reads_of_its_session() {
+    // The mark was known: the time of its commit, which is from before this front's start, can't be said here.
+    for told in [None, Some(ms(900))] {
+        let mut s = Story::running();
+        let write = s.arrive_of(7, MARKED, 2000);
+        s.now += ms(5);
+        s.told(write, 0, Ending::Committed, Role::Primary, told);
+        let other = s.arrive_of(8, SESSION, 2000);
+        let to = goes(&s, other).expect("it goes at once");
+        assert_ne!(to, 0, "another session has written nothing");
+        s.told(other, to, Ending::Committed, Role::Replica, None);
+        // The replicas were at 1000 when they reported: that proves a commit at 900, and none whose time is not told.
+        for _ in 0..20 {
+            let read = s.arrive_of(7, SESSION, 2000);
+            let to = goes(&s, read).expect("it goes at once");
+            assert_eq!(to == 0, told.is_none(), "{told:?}: {to}");
+            s.told(read, to, Ending::Committed, if to == 0 { Role::Primary } else { Role::Replica }, None);
+        }
+    }
+}
+
+#[test]
+fn after_a_panic_no_read_is_older_than_what_its_session_may_have_written_before() {
+    let mut s = Story::running();
+    s.now += ms(5);
+    s.router.sessions_lost(s.now);
+    let read = s.arrive_of(7, SESSION, 2000);
+    assert_eq!(goes(&s, read), Some(0));
+    s.told(read, 0, Ending::Committed, Role::Primary, None);
+    s.now += ms(1);
+    s.report_all(0);
+    let read = s.arrive_of(7, SESSION, 2000);
+    assert_ne!(goes(&s, read), Some(0), "a replica that has reported since has all of it");
+}
+
+/// Where members may not be probed: the writes there are.
+fn without_probes() -> Story {
+    let mut s = Story::new();
+    s.router.allow_probes(false);
+    s
+}
+
+#[test]
+fn where_no_probe_is_allowed_a_write_finds_its_primary() {
+    let mut s = without_probes();
+    let write = s.arrive(ONCE, 2000);
+    let mut tried = vec![goes(&s, write).expect("it calls")];
+    for _ in 0..2 {
+        s.now += ms(1);
+        s.told(write, tried[tried.len() - 1], Ending::Misplaced, Role::Replica, None);
+        tried.push(goes(&s, write).expect("it calls at the next"));
+    }
+    let found = tried[2];
+    tried.sort_unstable();
+    assert_eq!(tried, [0, 1, 2], "each once");
+    s.told(write, found, Ending::Committed, Role::Primary, None);
+    for _ in 0..3 {
+        let next = s.arrive(MARKED, 2000);
+        assert_eq!(goes(&s, next), Some(found), "it is known now");
+        s.told(next, found, Ending::Committed, Role::Primary, None);
+    }
+    let fresh = s.arrive(FRESH, 2000);
+    assert_eq!(goes(&s, fresh), Some(found));
+}
+
+#[test]
+fn a_write_that_finds_no_primary_waits_before_it_calls_again() {
+    let mut s = without_probes();
+    let write = s.arrive(ONCE, 2000);
+    for _ in 0..3 {
+        let to = goes(&s, write).expect("it calls");
+        s.told(write, to, Ending::Misplaced, Role::Replica, None);
+    }
+    let calls = |s: &Story| s.host.0.iter().filter(|act| matches!(act, Act::Sent(..))).count();
+    assert_eq!(calls(&s), 3);
+    s.wait(249, write);
+    assert_eq!(calls(&s), 3, "all have just said that they are none");
+    s.wait(1, write);
+    assert_eq!(calls(&s), 4, "one may have become it");
+    // Only what is read at any member, and writes, go out while there is none.
+    let (fresh, bounded) = (s.arrive(FRESH, 2000), s.arrive(READ, 2000));
+    assert_eq!((goes(&s, fresh), goes(&s, bounded)), (None, None));
+}
+
+#[test]
+fn a_write_calls_first_at_whom_the_list_names_while_that_has_not_failed() {
+    for fails in [false, true] {
+        let mut s = without_probes();
+        s.router.listed(s.now, 1, 0, 0, Listed::Up, true, None);
+        s.router.list_ended(s.now, None, &mut s.host);
+        if fails {
+            let read = s.arrive(LOOSE, 2000);
+            let first = goes(&s, read).expect("any takes it");
+            // It may go to any; it is the named one's failure that counts.
+            s.told(read, first, Ending::Committed, Role::Replica, None);
+            let write = s.arrive(ONCE, 2000);
+            assert_eq!(goes(&s, write), Some(1));
+            s.end(write, 1, Ending::Unreachable, 5);
+            assert!(goes(&s, write).is_some_and(|to| to != 1), "it goes on elsewhere");
+            s.now += ms(300);
+        }
+        let write = s.arrive(ONCE, 2000);
+        assert_eq!(goes(&s, write) == Some(1), !fails, "{fails}");
+    }
+}
+
+#[test]
+fn where_probes_are_allowed_no_write_calls() {
+    let mut s = Story::new();
+    let write = s.arrive(ONCE, 2000);
+    s.wait(300, write);
+    assert_eq!(goes(&s, write), None);
+}
+
+#[test]
+fn a_call_at_a_former_primary_holds_while_there_is_none() {
+    let mut s = without_probes();
+    s.router.listed(s.now, 1, 0, 0, Listed::Up, true, None);
+    s.router.list_ended(s.now, None, &mut s.host);
+    let write = s.arrive(ONCE, 2000);
+    s.told(write, 1, Ending::Committed, Role::Primary, None);
+    let write = s.arrive(ONCE, 2000);
+    s.told(write, 1, Ending::Misplaced, Role::Replica, None);
+    for _ in 0..2 {
+        let to = goes(&s, write).expect("it calls at the others");
+        s.told(write, to, Ending::Misplaced, Role::Replica, None);
+    }
+    s.wait(250, write);
+    let (to, now) = (goes(&s, write).expect("it calls again"), s.now);
+    assert!(s.router.holds_until(write) > now, "it may be written, also at {to}, the former one");
+}
--- a/crates/tenure/src/record.rs
+++ b/crates/tenure/src/record.rs
@@ -535,6 +535,11 @@
         record.began.time().filter(|_| former).unwrap_or_default()
     }
 
+    /// When a member said last that it is a replica.
+    pub fn denied(&self, member: usize) -> Option<Duration> {
+        self.seats.get(member)?.replica.time()
+    }
+
     /// Whether a member has ever claimed to be primary.
     pub fn has_claimed(&self, member: usize) -> bool {
         self.seats.get(member).is_some_and(|seat| seat.claim > Stamp::NEVER)
