--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -781,4 +781,30 @@
         assert_eq!((made.role, made.position), (Some(Role::Primary), Some(Duration::from_millis(444))));
         assert!(report("x0=soon", &origin).is_err());
     }
+
+    #[test]
+    fn what_is_called_off_while_its_connection_comes_up_is_not_written() {
+        let door = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
+        let address = door.local_addr().expect("an address");
+        let ((pool, _pool), (desk, told), (mail, read)) = (channel(), channel(), channel());
+        // There is no bell yet: the cancel lies in the mail, and the welcome comes in one go.
+        let _ = mail.send(ToConnection::Cancel(7));
+        let seen = std::thread::spawn(move || {
+            let (mut stream, _) = door.accept().expect("a connection");
+            let mut welcome = Vec::new();
+            pg::welcome(&mut welcome);
+            let _ = std::io::Write::write_all(&mut stream, &welcome);
+            let mut all = Vec::new();
+            let _ = std::io::Read::read_to_end(&mut stream, &mut all);
+            all
+        });
+        let (kept, rings) = (RefCell::default(), Cell::default());
+        let line = Line { id: 1, member: 3, address, pool, reach: reach(desk), mail: read, kept, rings };
+        drop(mail);
+        let mut held = Some(submit(Duration::from_secs(3600)));
+        line.live(&mut held, None);
+        let moot = |mail| matches!(mail, ToDesk::Ended(end) if end.ticket == 7 && end.ending == Ending::Moot);
+        assert!(told.try_iter().any(moot), "it never ran");
+        assert_eq!(seen.join().expect("an end"), pg::startup("api", "ledger"), "nothing but the opening");
+    }
 }
--- a/crates/front/tests/moments.rs
+++ b/crates/front/tests/moments.rs
@@ -35,7 +35,9 @@
 
 const ESTABLISHED: u8 = 1;
 const SYN_SENT: u8 = 2;
+const TIME_WAIT: u8 = 6;
 const CLOSE_WAIT: u8 = 8;
+const LISTEN: u8 = 10;
 
 fn table() -> Vec<Row> {
     let text = std::fs::read_to_string("/proc/net/tcp").expect("the machine's sockets");
@@ -726,3 +728,153 @@
         assert!(well && text.contains(" ended_spoilt=0 "), "{load:?}: {text}");
     }
 }
+
+/// An agent of which a story says what each watch is answered with, in turn; the last answer goes for all that follow.
+/// A watch stays open, and says nothing more.
+struct Scripted {
+    at: SocketAddr,
+    asked: Receiver<String>,
+}
+
+impl Scripted {
+    fn start(answers: Vec<String>) -> Scripted {
+        let listener = TcpListener::bind(address()).expect("a free address");
+        let (at, (tell, asked)) = (listener.local_addr().expect("an address"), channel());
+        std::thread::spawn(move || {
+            let mut open = Vec::new();
+            for (i, mut stream) in listener.incoming().flatten().enumerate() {
+                let mut asks = [0; 4096];
+                let n = stream.read(&mut asks).unwrap_or(0);
+                let _ =
+                    tell.send(String::from_utf8_lossy(&asks[..n]).lines().next().unwrap_or("").to_owned());
+                let _ = stream.write_all(answers[i.min(answers.len() - 1)].as_bytes());
+                open.push(stream);
+            }
+        });
+        Scripted { at, asked }
+    }
+}
+
+/// The head of an answer and one list in one piece.
+fn told(list: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\n\r\n", list.len() + 1)
+}
+
+#[test]
+fn a_watch_that_is_opened_anew_and_says_nothing_is_not_waited_for_as_long_as_one_that_has_spoken() {
+    let town = Town::new();
+    let drains = Town::list(&town.members, 9, ["up", "draining", "draining"]);
+    let cut = told(&drains);
+    // The first falls silent. The next has nothing to say, or only the beginning of a list.
+    for next in [String::new(), cut[..cut.len() / 2].to_owned()] {
+        let agent = Scripted::start(vec![told(&town.known), next, cut.clone()]);
+        let front = Front::start(PROGRAM, agent.at, &town.known, 1024);
+        let mut client = front.client();
+        assert!(client.ask(&txn("lookup", 20_000, "r")).value.is_some());
+        agent.asked.recv_timeout(PATIENCE).expect("a watch");
+        let silent = std::time::Instant::now();
+        (0..2).for_each(|_| drop(agent.asked.recv_timeout(PATIENCE).expect("a watch")));
+        // 5.5 s, and 10.5 s before: what there is to tell counts as told after 6 s.
+        assert!(silent.elapsed() < Duration::from_secs(9), "{:?}", silent.elapsed());
+        // The replicas drain: all goes to the primary from now on.
+        until(|| {
+            town.members.iter().for_each(|member| member.seen.try_iter().for_each(drop));
+            assert!(client.ask(&txn("lookup", 20_000, "r")).value.is_some());
+            town.members[0].seen.try_iter().count() > 0
+        });
+        for _ in 0..20 {
+            assert!(client.ask(&txn("lookup", 20_000, "r")).value.is_some());
+        }
+        assert!(town.quiet(1) && town.quiet(2));
+    }
+}
+
+#[test]
+fn of_two_new_addresses_the_last_counts_and_the_watch_in_hand_does_until_then() {
+    let town = Town::new();
+    let front = town.front();
+    let mut client = front.client();
+    assert!(client.ask(&txn("lookup", 20_000, "r")).value.is_some());
+    town.agent.asked.recv_timeout(PATIENCE).expect("a watch");
+    // The first new address takes the watch and says nothing; the second comes while it is waited for.
+    let (mute, last) = (Scripted::start(vec![String::new()]), Scripted::start(vec![String::new()]));
+    front.reconfigure(&format!("{{\"discovery\":\"{}\"}}", mute.at));
+    mute.asked.recv_timeout(PATIENCE).expect("a watch");
+    front.reconfigure(&format!("{{\"discovery\":\"{}\"}}", last.at));
+    last.asked.recv_timeout(PATIENCE).expect("a watch");
+    // Nobody new has told anything: the old one still does.
+    town.tell(2, ["draining", "up", "up"]);
+    town.members[1].be_primary(true);
+    let mut other = front.client();
+    until(|| other.ask(&txn("order", 2_000, "moved")).value.is_some() && was_sent_to(&town, 1, "moved"));
+    // What has to be asked again is asked at the last.
+    last.asked.recv_timeout(PATIENCE).expect("another watch");
+    assert!(mute.asked.try_iter().count() <= 1, "at most one was on its way");
+}
+
+/// How much of a process is in memory, in KB.
+fn resident(front: &Front) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", front.id())).expect("its memory");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a line");
+    line.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
+/// Ten of each kind of bad client, a good one among them. All are gone at its end.
+fn bad_clients(front: &Front, round: usize) {
+    let raw = |bytes: &[u8]| {
+        let mut stream = TcpStream::connect(front.at).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time");
+        let _ = stream.write_all(bytes);
+        stream
+    };
+    let open = [0, 0, 0, 9, 0, 3, 0, 0, 0];
+    let said = |text: &str| message(b'Q', format!("{text}\0").as_bytes());
+    let mut kept = Vec::new();
+    let mut good = front.client();
+    for i in 0..10 {
+        // What can't be followed is told so, or closed.
+        for bytes in [&[0xff; 64][..], &[&open[..], b"Q\xff\xff\xff\xff"].concat()] {
+            let mut text = Vec::new();
+            let _ = raw(bytes).read_to_end(&mut text);
+            assert!(text.windows(5).any(|at| at == b"08P01"), "{text:?}");
+        }
+        // A message without its end, and gone; hundreds at once, and gone; one that never reads what it is sent.
+        drop(raw(&[&open[..], b"Q\0\0\x10\0/* id="].concat()));
+        drop(raw(&[&open[..], &said(&txn("order", 300, "much")).repeat(300)].concat()));
+        kept.push(raw(&[&open[..], &said(&txn("lookup", 300, "unread")).repeat(300)].concat()));
+        let half = raw(&[&open[..], &said(&txn("lookup", 300, "half"))].concat());
+        half.shutdown(Shutdown::Write).expect("an end");
+        kept.push(half);
+        // A type that does not exist is an error; the session goes on.
+        let unknown = good.ask(&txn("order", 20_000, "x").replace("c=order", "c=none"));
+        assert_eq!(unknown.code.as_deref(), Some("08P01"));
+        let id = format!("good{round}x{i}");
+        let reply = good.ask(&txn("lookup", 20_000, &id));
+        let value = String::from_utf8_lossy(&reply.value.clone().unwrap_or_default()).into_owned();
+        assert!(value.contains(&format!("id={id},")), "its own answer: {reply:?}");
+    }
+}
+
+#[test]
+fn bad_clients_leave_no_descriptor_no_seat_and_no_memory_behind() {
+    let town = Town::new();
+    let front = town.front();
+    // What the machine keeps of connections that have ended is not the front's.
+    let ended = |row: &Row| matches!(row.state, TIME_WAIT | LISTEN);
+    let clients = || table().iter().filter(|row| row.local == front.at && !ended(row)).count();
+    bad_clients(&front, 0);
+    until(|| clients() == 0);
+    let (held, memory) = (front.descriptors(), resident(&front));
+    for round in 1..6 {
+        bad_clients(&front, round);
+    }
+    until(|| clients() == 0);
+    // Connections to members may be one more or less.
+    until(|| front.descriptors() <= held + 3);
+    let grown = resident(&front).saturating_sub(memory);
+    assert!(grown < 4 << 10, "{grown} KB more than {memory}");
+    assert!(front.client().ask(&txn("order", 20_000, "after")).value.is_some());
+    front.signal("-TERM");
+    let (well, text) = front.end();
+    assert!(well && text.contains(" panics=0 "), "{text}");
+}
