Let a fresh read look for its primary where members check and no probe is allowed

Found on reading the exception for writes: a fresh read goes to the primary alone, and where no write comes in a group nothing would ever find it. Seen to fail without the level in calls(): where_members_check_reads_a_fresh_one_calls_too.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -25,7 +25,7 @@
 /// The writer, or whoever checks reads, is polled so many times less often: answers tell as much.
 const WRITER_SELDOM: u32 = 4;
 /// A read waits so long for a report that may prove a reader.
-const REPORT_AWAITED: Duration = Duration::from_millis(40);
+const REPORT_DUE: Duration = Duration::from_millis(40);
 /// A member that fails is left alone this long at first, then twice as long each time, up to the longest.
 const SHUN_FIRST: Duration = Duration::from_millis(250);
 const SHUN_LONGEST: Duration = Duration::from_secs(4);
@@ -289,7 +289,7 @@
             self.heard(now, member, told.role.or(hint), told.position, None);
         } else if !matches!(end, Full | Spoilt) {
             let many = self.standing.fronts as f64 > ASK_FRONTS && m.probe_failures > 0;
-            m.refused |= many && end == Unreachable && m.asked.is_some_and(|at| now < at + REPORT_AWAITED);
+            m.refused |= many && end == Unreachable && m.asked.is_some_and(|at| now < at + REPORT_DUE);
             m.probe_failures += 1;
         }
         self.plan_probe(now, member, host);
@@ -323,8 +323,7 @@
     /// stood still may have waited since. Only of the slot's holder is the word as a primary a proof of data.
     fn heard(&mut self, now: Duration, m: usize, role: Option<Role>, at: Told, sent: Told) {
         let group = self.members[m].group;
-        let read =
-            if now < self.awake + REPORT_AWAITED { self.stood.max(sent.unwrap_or_default()) } else { now };
+        let read = if now < self.awake + REPORT_DUE { self.stood.max(sent.unwrap_or_default()) } else { now };
         let date = at.filter(|_| sent.is_none()).unwrap_or(read);
         let claim = role.map(|role| Claim { role, date, proof: sent.unwrap_or(date) });
         self.tenure.heard(now, m, claim, sent.is_some());
@@ -647,7 +646,7 @@
     }
 
     fn awaits(&self, now: Duration, group: usize) -> bool {
-        let just = |at| now < at + REPORT_AWAITED;
+        let just = |at| now < at + REPORT_DUE;
         let out = |&i: &usize| self.members[i].probe_out && self.members[i].asked.is_some_and(just);
         self.groups[group].members.iter().any(out)
     }
@@ -660,8 +659,8 @@
         if let Some(i) = due {
             (self.members[i].probe_out, self.members[i].asked) = (true, Some(now));
             host.probe(i);
-            self.due = self.due.min(now + REPORT_AWAITED);
-            host.remind(now + REPORT_AWAITED, i as u64 * 2 + 2);
+            self.due = self.due.min(now + REPORT_DUE);
+            host.remind(now + REPORT_DUE, i as u64 * 2 + 2);
         }
         due.is_some()
     }
@@ -734,7 +733,7 @@
         let fit = |w: &usize| self.has_room(now, *w, 1.0) && self.members[*w].shunned <= now;
         let writer = self.tenure.holder(group).filter(fit);
         match self.types[kind].level {
-            Level::Write if self.calls(group) => return self.callee(now, txn),
+            Level::Write | Level::Fresh if self.calls(group, kind) => return self.callee(now, txn),
             Level::Write | Level::Fresh => return writer.filter(|_| self.tenure.writer(group) == writer),
             _ => {}
         }
@@ -777,10 +776,11 @@
         }
     }
 
-    /// Exception: where no probe is allowed a write without a primary is its own: who is none turns it away
-    /// untouched. Meets fronts that know nobody; harms by what is turned away.
-    fn calls(&self, group: usize) -> bool {
-        self.probe_every.is_none() && self.tenure.holder(group).is_none()
+    /// Exception: where no probe is allowed a write without a primary is its own, and a fresh read where members
+    /// check: who is none turns it away untouched. Meets fronts that know nobody; harms by what is turned away.
+    fn calls(&self, group: usize, kind: usize) -> bool {
+        let own = self.types[kind].level == Level::Write || self.members_check;
+        own && self.probe_every.is_none() && self.tenure.holder(group).is_none()
     }
 
     /// One that has not failed: whom the list names, then who said longest ago, or never, that it is a replica.
@@ -926,7 +926,7 @@
         let (member, m) = (out.place.member, &self.members[out.place.member]);
         let last = t.fate.window_ends().map_or(t.expiry, |ends| ends.min(t.expiry));
         let excused = self.members_check || self.tenure.trusted(member);
-        let led = self.tenure.held_term(member) > 0 && !self.calls(m.group);
+        let led = self.tenure.held_term(member) > 0 && !self.calls(m.group, t.kind);
         match self.types[t.kind].level {
             _ if m.stopped => Duration::ZERO,
             _ if !excused && t.must_see.is_some_and(|need| self.proof(member) < Some(need)) => Duration::ZERO,
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -1098,6 +1098,28 @@
     }
 }
 
+#[test]
+fn where_members_check_reads_a_fresh_one_calls_too() {
+    for checks in [false, true] {
+        let mut s = without_probes();
+        if checks {
+            s.router.members_check_reads();
+        }
+        let fresh = s.arrive(FRESH, 2000);
+        assert_eq!(goes(&s, fresh).is_some(), checks, "else it could be answered from old data");
+        for _ in 0..2 {
+            let Some(to) = goes(&s, fresh) else { break };
+            s.told(fresh, to, Ending::Misplaced, Role::Replica, None);
+        }
+        if checks {
+            let found = goes(&s, fresh).expect("the last of them");
+            s.told(fresh, found, Ending::Committed, Role::Primary, None);
+            let next = s.arrive(ONCE, 2000);
+            assert_eq!(goes(&s, next), Some(found));
+        }
+    }
+}
+
 #[test]
 fn where_probes_are_allowed_no_write_calls() {
     let mut s = Story::new();
