Remember sessions where the settings say so, whatever age comes beside

Cause: txn_arrived took a told age before the router's own memory; the wire tells 0 also where Specifics.SessionMarks is router. The term was not read by the router's door at all (only the front read it, and there no age comes). Ruled out: rounding of positions, the order of the batches. Now the door reads it for both hosts.

Seen to fail on the text before: whose_sessions_are_remembered_here_is_not_told_by_an_age_that_comes_all_the_same.

--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -230,6 +230,11 @@
     if matches!(terms.text("Specifics.ServerChecks").as_deref(), Some("reject" | "hold")) {
         router.members_check_reads();
     }
+    // By whom a session's writes are remembered says the term alone: where it is the router, a host may still tell an
+    // age, and that of none would let a read pass by what its session wrote (rule 5).
+    if terms.text("Specifics.SessionMarks").as_deref() == Some("client") {
+        router.clients_carry_marks();
+    }
     if terms.flag("Guarantees.GoneIsAdvice")? {
         router.gone_is_advice();
     }
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -174,7 +174,7 @@
         self.make_place(group, txn);
         let must_see = match self.types[kind].level {
             Level::Fresh => Some(now),
-            Level::Session => match (wrote_ago, session) {
+            Level::Session => match (wrote_ago.filter(|_| self.marks_carried), session) {
                 (Some(ago), _) => Some(now.saturating_sub(ago)).filter(|_| !ago.is_zero()),
                 (None, Some(key)) => self.sessions.must_see(key),
                 (None, None) => Some(now),
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -206,6 +206,8 @@
     pub(crate) may_cancel: bool,
     /// Members turn away reads that they are too far behind for.
     pub(crate) members_check: bool,
+    /// Clients say how old their session's last write is; else what they say of it counts for nothing.
+    pub(crate) marks_carried: bool,
     /// A member that is gone but was never seen draining may still be used.
     pub(crate) gone_is_advice: bool,
     pub(crate) come_back_most: Option<Duration>,
@@ -263,6 +265,7 @@
             max_submissions: 1,
             may_cancel: false,
             members_check: false,
+            marks_carried: false,
             gone_is_advice: false,
             come_back_most: None,
             tenants: Vec::new(),
@@ -322,6 +325,11 @@
         self.members_check = true;
     }
 
+    /// Clients carry the age of their session's last write.
+    pub fn clients_carry_marks(&mut self) {
+        self.marks_carried = true;
+    }
+
     /// How many txns may wait for a member, and how large they may be together.
     pub fn hold_at_most(&mut self, most: Most) {
         self.held.limit(most);
--- a/crates/simhost/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -147,3 +147,32 @@
         );
     }
 }
+
+#[test]
+fn whose_sessions_are_remembered_here_is_not_told_by_an_age_that_comes_all_the_same() {
+    for (marks, reads_at) in [("client", "10.0.0.2:80"), ("router", "10.0.0.1:80")] {
+        let born = BORN
+            .replace("Services.count=1", "Services.count=2 Services.1.Effect=pure Services.1.Objective=300.0")
+            .replace(
+                "ReadLevel=update",
+                &format!("ReadLevel=update,own_writes Specifics.SessionMarks={marks}"),
+            );
+        let output = play(&format!(
+            "ROUND Time=1000.0 turn=1\n{born}\nROSTER List=0 Hosts=2\n\
+             ROW Cell=9 IsPrimary=1 Store=10.0.0.1:80 RegionPart=0 Units=1 Health=up\n\
+             ROW Cell=9 IsPrimary=0 Store=10.0.0.2:80 RegionPart=0 Units=1 Health=up\n\
+             UPDATE Revision=1 How=Persisted Front=3 List=0\nCOMMIT\n\
+             ROUND turn=2 Time=1010.0\n\
+             HEALTH_RESULT Front=3 Verdict=OK Store=10.0.0.1:80 CostTime=1 Stats=x1:1,x0:0.505\n\
+             HEALTH_RESULT Front=3 Verdict=OK Store=10.0.0.2:80 CostTime=1 Stats=x1:0,x0:0.505\n\
+             JOB_IN Shard=9 Left=900.0 Class=0 Corr=1 ClientKey=5 Front=3\nCOMMIT\n\
+             ROUND turn=3 Time=1030.0\n\
+             ATTEMPT_END Front=3 Corr=1 DoneFlag=1 N=0 CostTime=20 Verdict=OK Stand=2101 Store=10.0.0.1:80\nCOMMIT\n\
+             ROUND turn=4 Time=1040.0\n\
+             JOB_IN Shard=9 Left=900.0 Class=1 Corr=2 ClientKey=5 WroteMsAgo=0 Front=3\nCOMMIT\n"
+        ));
+        let replies = text(&output.stdout);
+        assert!(replies.contains("PLACE Front=3 Corr=1 Store=10.0.0.1:80"), "{marks}: {replies}");
+        assert!(replies.contains(&format!("PLACE Front=3 Corr=2 Store={reads_at} ")), "{marks}: {replies}");
+    }
+}
