Let a session read see what its session's write may have committed, answered or not

Lines: txn_arrived asked only for commits that were told; submission_ended learnt nothing of what may have run. Now a session read that comes while a write of its session is out must see all there is (the primary, or proof since), and what may have run binds as of its end.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -1,6 +1,5 @@
-//! All decisions of the router. The host (interface: [`crate::host`]) calls one method per input; each notes
-//! the facts, then the ordered rules in `settle` run over the groups touched until none fires. Sends leave
-//! through `submit` alone, and only if `gate` lets them pass.
+//! All decisions of the router. The host ([`crate::host`]) calls one method per input; each notes the facts, then
+//! the rules in `settle` run until none fires. Sends leave through `submit` alone, and only if `gate` lets them pass.
 
 use crate::host::Ending::*;
 use crate::host::{
@@ -73,7 +72,6 @@
 /// Part of a cold member's budget that is used; the rest is for chance, probes and handshakes.
 const COLD_PART: f64 = 0.5;
 
-/// A time that may not be told.
 type Told = Option<Duration>;
 
 impl Router {
@@ -176,6 +174,7 @@
             Level::Fresh => Some(now),
             Level::Session => match (wrote_ago.filter(|_| self.marks_carried), session) {
                 (Some(ago), _) => Some(now.saturating_sub(ago)).filter(|_| !ago.is_zero()),
+                (None, Some(key)) if self.writes_out(group, key) => Some(now),
                 (None, Some(key)) => self.sessions.must_see(key),
                 (None, None) => Some(now),
             },
@@ -183,9 +182,8 @@
         };
         let (fate, expiry) = (Fate::new(self.types[kind].effect), now + left);
         let beyond = tenant.is_some_and(|tenant| self.beyond_share(now, tenant, retried));
-        let mut t = Txn::new(kind, group, now, retried || beyond, expiry, must_see, session, fate, bytes);
-        t.beyond = beyond;
-        self.txns[txn] = Some(t);
+        let t = Txn::new(kind, group, now, retried || beyond, expiry, must_see, session, fate, bytes);
+        self.txns[txn] = Some(Txn { beyond, ..t });
         self.first.add(now, 1.0);
         self.hold(txn, host);
         // At arrival all may be placed: answer times of a bad time are unlearnt only by sending.
@@ -237,16 +235,19 @@
         if heard || role.is_some() {
             self.heard(now, member, role, position, Some(out.map_or(now, |out| out.at)));
         }
-        let wrote = ending == Committed && self.types[kind].level == Level::Write;
-        if ending == Misplaced && position.is_none() && self.types[kind].level != Level::Write {
+        let writes = self.types[kind].level == Level::Write;
+        if ending == Misplaced && position.is_none() && !writes {
             // It lags by more than was known, where it doesn't say by how much.
             let m = &mut self.members[member];
             (m.told_at, m.lag) = (now, (m.lag.max(SHUN_FIRST) * 2).min(SHUN_LONGEST));
         }
-        if wrote {
+        if writes && ending == Committed {
             self.tenure.committed(member);
-            // A repeat is told the time of its first commit. Where that was before this start it was before now.
-            self.sessions.learn(now, session, position.unwrap_or(now), FORGOTTEN);
+        }
+        if writes && !ending.never_ran() {
+            // What may have run binds as of now; so does a repeat that is told its first commit, before this start.
+            let at = position.filter(|_| ending == Committed).unwrap_or(now);
+            self.sessions.learn(now, session, at, FORGOTTEN);
         }
         let lost = ending != Committed && (called_off || self.lost(took, kind)) && answered_since;
         if !slept && !lost {
@@ -588,8 +589,7 @@
         fired || !off.is_empty()
     }
 
-    /// The record of who is primary goes by its rules; who takes the slot starts with little room. The host
-    /// hears of each change, and a planned one is looked at when its time is over.
+    /// Keeps the record of who is primary; who takes the slot starts with little room. The host hears of it.
     fn fill_slot(&mut self, now: Duration, group: usize, host: &mut impl Host) -> bool {
         let (before, looked) = (self.tenure.holder(group), self.tenure.looks(group));
         let write = |&&t: &&usize| self.types[self.txn(t).kind].level == Level::Write;
@@ -754,8 +754,8 @@
         // Exception: reads spill into half of the writer's room; one just promoted has its writes first.
         let writes = |&(kind, _): &(usize, bool)| self.types[kind].level == Level::Write;
         let busy = self.tenure.phase(group) == Phase::Settling && self.ranks(group).iter().any(writes);
-        let spare = !busy && (!known || self.idles(now, group));
-        let spare = writer.filter(|&w| spare && self.has_room(now, w, HALF));
+        let spare = |&w: &usize| !busy && (!known || self.idles(now, group)) && self.has_room(now, w, HALF);
+        let spare = writer.filter(spare);
         let bounded = matches!(self.types[kind].level, Level::Bounded(_));
         let reader = match inside.len() {
             0 if known => None,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -425,6 +425,15 @@
         }
     }
 
+    /// Whether a write of a session is out: it may have been committed, and its answer be lost on the way.
+    pub(crate) fn writes_out(&self, group: usize, session: u64) -> bool {
+        let its = |&txn: &usize| {
+            let t = self.txn(txn);
+            t.session == Some(session) && self.types[t.kind].level == Level::Write
+        };
+        self.groups[group].members.iter().any(|&m| self.members[m].in_hand.iter().any(its))
+    }
+
     /// Has a txn that waits looked at when it is given up; where no probe brings news by then, at `next`.
     pub(crate) fn remind_held(&self, txn: usize, next: Duration, host: &mut impl Host) {
         if self.held.get(txn).is_some() {
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -1013,6 +1013,36 @@
     }
 }
 
+#[test]
+fn a_session_read_beside_a_write_of_its_session_must_see_all_that_may_be_committed() {
+    let mut s = Story::running();
+    let write = s.arrive_of(7, MARKED, 2000);
+    assert_eq!(goes(&s, write), Some(0));
+    s.now += ms(20);
+    // It may be committed by now, and its answer be lost on the way: the replicas have reported before.
+    let (read, other) = (s.arrive_of(7, SESSION, 2000), s.arrive_of(8, SESSION, 2000));
+    assert_eq!(goes(&s, read), Some(0));
+    assert_ne!(goes(&s, other), Some(0), "another session has written nothing");
+    s.told(read, 0, Ending::Committed, Role::Primary, None);
+    // Its connection is reset. What may have run binds as of then.
+    s.now += ms(20);
+    s.end(write, 0, Ending::Dropped, 40);
+    s.now += ms(5);
+    s.report_all(0);
+    let read = s.arrive_of(7, SESSION, 2000);
+    assert_ne!(goes(&s, read), Some(0), "the replicas have reported since");
+}
+
+#[test]
+fn a_write_that_never_ran_binds_no_read_of_its_session() {
+    let mut s = Story::running();
+    let write = s.arrive_of(7, ONCE, 2000);
+    s.now += ms(5);
+    s.end(write, 0, Ending::Full, 5);
+    let read = s.arrive_of(7, SESSION, 2000);
+    assert_ne!(goes(&s, read), Some(0));
+}
+
 #[test]
 fn after_a_panic_no_read_is_older_than_what_its_session_may_have_written_before() {
     let mut s = Story::running();
