Ask nobody for reports where the settings say that there are none

Line: the router's door read Bounds.MayProbe alone. Now both terms; writes look for their primary then, as where no probe is allowed. Seen to fail before: where_there_are_no_reports_nobody_is_probed_and_a_write_finds_its_primary.

--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -223,7 +223,9 @@
     if terms.flag("Bounds.Cancel")? {
         router.allow_cancelling();
     }
-    router.allow_probes(terms.flag("Bounds.MayProbe")?);
+    // Where there are no reports, the answer to a probe tells neither role nor position.
+    let reports = terms.text("LoadInfo.Via").is_none_or(|via| via != "off");
+    router.allow_probes(terms.flag("Bounds.MayProbe")? && reports);
     if terms.flag("Bounds.RetryAfter")? {
         router.allow_come_back(terms.span("Bounds.MaxRetryAfter")?.unwrap_or_default());
     }
--- a/crates/simhost/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -176,3 +176,17 @@
         assert!(replies.contains(&format!("PLACE Front=3 Corr=2 Store={reads_at} ")), "{marks}: {replies}");
     }
 }
+
+#[test]
+fn where_there_are_no_reports_nobody_is_probed_and_a_write_finds_its_primary() {
+    for (via, probes) in [("on_probe", true), ("inline", true), ("off", false)] {
+        let born = BORN.replace("Via=on_probe", &format!("Via={via}"));
+        let output = play(&format!(
+            "ROUND Time=1000.0 turn=1\n{born}\n{LISTED}\n\
+             JOB_IN Shard=9 Left=900.0 Class=0 Corr=1 Front=3\nCOMMIT\n"
+        ));
+        let replies = text(&output.stdout);
+        assert_eq!(replies.contains("PROBE Front=3"), probes, "{via}: {replies}");
+        assert_eq!(replies.contains("PLACE Front=3 Corr=1"), !probes, "{via}: {replies}");
+    }
+}
