--- a/crates/front/tests/moments.rs
+++ b/crates/front/tests/moments.rs
@@ -878,3 +878,39 @@
     let (well, text) = front.end();
     assert!(well && text.contains(" panics=0 "), "{text}");
 }
+
+#[test]
+fn a_read_that_comes_while_its_sessions_write_is_out_sees_what_that_may_have_committed() {
+    let town = Town::new();
+    let marks = |config: String| {
+        config
+            .replace("\"SessionMarks\":\"client\"", "\"SessionMarks\":\"router\"")
+            .replace("[\"recent\",\"update\",", "[\"own_writes\",\"update\",")
+    };
+    let front = unasked(&town, marks);
+    let mut client = front.client();
+    assert!(client.ask(&txn("order", 20_000, "first")).value.is_some());
+    town.sent(0);
+    // The primary has it, may have committed it, and the answer does not come.
+    town.members[0].once(Does::Hangs);
+    let write = order(&front, "out");
+    assert!(town.sent(0).contains("id=out,"));
+    town.members[1..].iter().for_each(|member| member.seen.try_iter().for_each(drop));
+    // Where the primary does not answer its reads are declined; none is answered from older data.
+    let at_replicas = |id: &str| {
+        let served =
+            (0..20).filter(|i| front.client().ask(&txn("lookup", 500, &format!("{id}{i}"))).value.is_some());
+        (served.count(), town.quiet(1) && town.quiet(2))
+    };
+    assert!(at_replicas("beside").1);
+    // Nor does it ever: its connection is reset. Another session's order finds the primary again.
+    town.members[0].cut();
+    let told = Client { stream: write.stream }.reply();
+    assert!(told.value.is_none() && told.code.as_deref() != Some("53300"), "it may have run: {told:?}");
+    until(|| {
+        let other = txn("order", 2_000, "next").replace("'7f3a'", "'8a41'");
+        front.client().ask(&other).value.is_some()
+    });
+    town.members[1..].iter().for_each(|member| member.seen.try_iter().for_each(drop));
+    assert_eq!(at_replicas("after"), (20, true));
+}
