--- a/crates/router/src/sessions.rs
+++ b/crates/router/src/sessions.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Commits by session. One that is not renewed for a while is forgotten: from then on every session that is
-/// not known must see what any forgotten one wrote. So memory stays bounded, and no read gets an older answer
-/// than its session may have seen (rule 5); a session that never wrote asks for a little more than it needs.
+/// Commits by session. One that is not renewed for a while is forgotten: from then on every session must
+/// see what any forgotten one wrote. So memory stays bounded, and no read gets an older answer than its session
+/// may have seen (rule 5); most ask for a little more than they need.
 #[derive(Debug, Default)]
 pub(crate) struct Sessions {
     /// There are reads that need it.
