Log each request's changes of state and the reason of every close, at debug level

JUNIPERDOCK_LOG=debug now writes one line for each change (received, started, assigned, written, attempt ended, overdue, answered, abandoned), each client connection's end with its reason and what it still held, and hold-ups of the worker with the kernel's account of the thread. Off, it costs one comparison.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -6,6 +6,7 @@
 use crate::counters::{Count, Counters};
 use crate::mail::{Answer, Arrival, ToDesk};
 use crate::mailbox::Mailbox;
+use crate::request_log::{CloseReason, RequestEvent};
 use juniperdock_link::{Failure, Link};
 use juniperdock_pg as pg;
 use juniperdock_pipeline::{ArrivalTimes, Limits, Overdue, Pipeline, Reply, Request, Start};
@@ -57,8 +58,8 @@
     arrival_times: ArrivalTimes,
     /// After a failed extended query, all is passed by up to Sync.
     skipping: bool,
-    /// Nothing more is taken: the connection ends once all is written.
-    last: bool,
+    /// Nothing more is taken, for this reason: the connection ends once all is written.
+    last: Option<CloseReason>,
     /// Until when it is read on after the end of its sending.
     lingers: Option<Duration>,
     /// Until when the opening or the message that has begun must be whole.
@@ -87,7 +88,7 @@
         pipeline: Pipeline::new(PIPELINE),
         arrival_times: ArrivalTimes::default(),
         skipping,
-        last: false,
+        last: None,
         lingers: None,
         due: None,
         looks: Duration::ZERO,
@@ -95,21 +96,25 @@
         under_way: None,
     };
     client.arrival_times.received(client.link.inbound.len(), client.shared.clock.came_in());
-    if catch_unwind(AssertUnwindSafe(|| client.live())).is_err() {
+    let reason = catch_unwind(AssertUnwindSafe(|| client.live())).unwrap_or(CloseReason::Panicked);
+    if reason == CloseReason::Panicked {
         client.shared.counters.panics.add();
         let mut out = Vec::new();
         pg::error(&mut out, true, pg::INTERNAL, "the connection's actor failed", None);
         let _ = client.link.queue(&out).and_then(|()| client.link.pump());
     }
-    (0..client.pipeline.requests()).for_each(|_| client.shared.counters.left.add());
+    let (unanswered, unsent) = (client.pipeline.requests(), client.link.unsent());
+    client.shared.request_log.client_closed(slot, reason, unanswered, unsent, client.link.inbound.len());
+    (0..unanswered).for_each(|_| client.shared.counters.left.add());
     for ticket in client.pipeline.begun() {
+        client.shared.request_log.request(ticket, RequestEvent::Abandoned);
         let _ = client.shared.desk.send(ToDesk::Left(ticket));
     }
     client.shared.slots().taken.remove(&slot);
 }
 
 impl Client {
-    fn live(&mut self) {
+    fn live(&mut self) -> CloseReason {
         let mut busy = 0;
         loop {
             self.shared.clock.pulse();
@@ -119,7 +124,7 @@
                         self.link.wait();
                         continue;
                     }
-                    TAKEN => return,
+                    TAKEN => return CloseReason::Transferred,
                     _ => self.under_way = None,
                 }
             }
@@ -127,7 +132,7 @@
                 Ok(moved) => moved,
                 Err(why) => {
                     slog::debug!(self.shared.log, "a client is gone"; "why" => %why);
-                    return;
+                    return CloseReason::Broken;
                 }
             };
             while let Ok((ticket, answer)) = self.mail.try_recv() {
@@ -135,7 +140,7 @@
             }
             self.guard();
             if self.gone() && (!self.pipeline.is_empty() || self.link.flushed()) {
-                return;
+                return self.last.unwrap_or(CloseReason::ClientLeft);
             }
             if self.shared.moves(self.slot) && self.leave() {
                 continue;
@@ -151,8 +156,11 @@
             self.reply();
             self.finish();
             let done = self.pipeline.is_empty() && self.link.flushed();
-            if self.last && done && self.linger() {
-                return;
+            if let Some(reason) = self.last
+                && done
+                && self.linger()
+            {
+                return reason;
             }
             if !moved && read == 0 {
                 busy = 0;
@@ -164,19 +172,19 @@
                     // the connection, and could take the last answer away. What has come in by now is still answered.
                     None if self.shared.closing.load(Ordering::Relaxed) && done => {
                         if matches!(self.pump(), Ok(false)) {
-                            self.last = true;
+                            self.last = Some(CloseReason::ShuttingDown);
                             self.linger();
                         }
                         continue;
                     }
-                    None => return,
+                    None => return self.shared.idle_reason(self.slot),
                 }
                 if !self.link.flushed() {
                     // Queued since the last move; what can't go at once is waited for.
                     match self.pump() {
                         Ok(false) => {}
                         Ok(true) => continue,
-                        Err(_) => return,
+                        Err(_) => return CloseReason::Broken,
                     }
                 }
                 self.wait();
@@ -202,7 +210,7 @@
 
     /// More of what it sends is taken: not while it leaves much unread.
     fn reads(&self) -> bool {
-        !self.last && self.link.unsent() + self.pipeline.answer_bytes() < pg::LONGEST
+        self.last.is_none() && self.link.unsent() + self.pipeline.answer_bytes() < pg::LONGEST
     }
 
     /// It has ended its sending. Where there is no room to read its end, the machine is asked for it.
@@ -212,7 +220,8 @@
 
     /// Sets out for another process, if it is between txns.
     fn leave(&mut self) -> bool {
-        let between = self.pipeline.is_empty() && self.link.flushed() && !self.last && !self.link.ended;
+        let between =
+            self.pipeline.is_empty() && self.link.flushed() && self.last.is_none() && !self.link.ended;
         let Some(descriptor) = Some(between).filter(|b| *b).and_then(|_| self.link.descriptor().ok()) else {
             return false;
         };
@@ -258,7 +267,7 @@
             pg::error(&mut out, true, pg::PROTOCOL_VIOLATION, "expected a whole message by now", None);
             self.pipeline.push_answer(out);
             self.reply();
-            self.last = true;
+            self.last = Some(CloseReason::ProtocolViolation);
         }
     }
 
@@ -284,6 +293,7 @@
         while let Some(overdue) = self.pipeline.overdue(now, self.shared.grace) {
             match overdue {
                 Overdue::Begun(ticket) => {
+                    self.shared.request_log.request(ticket, RequestEvent::Overdue);
                     self.shared.counters.guard_acts.add();
                     let _ = self.shared.desk.send(ToDesk::Left(ticket));
                     self.answer(ticket, Answer::Unknown("out of time; it may have run"));
@@ -301,6 +311,7 @@
                 let told = arrival.wrote_ago.filter(|told| !told.is_zero());
                 arrival.wrote_ago = Some(told.map_or(ago, |told| told.min(ago)));
             }
+            self.shared.request_log.request(arrival.ticket, RequestEvent::Started);
             let _ = self.shared.desk.send(ToDesk::Arrived(arrival));
         }
     }
@@ -325,8 +336,10 @@
 
     /// Notes the answer of a txn, unless it has one already.
     fn answer(&mut self, ticket: u64, answer: Answer) {
+        let name = answer.name();
         let (count, out) = encode(&self.shared.counters, answer);
         if self.pipeline.answer(self.shared.clock.now(), ticket, out) {
+            self.shared.request_log.request(ticket, RequestEvent::Answered { answer: name });
             count.add();
         }
     }
@@ -350,7 +363,7 @@
             Err(why) => {
                 self.shared.counters.bad_messages.add();
                 pg::error(&mut out, true, pg::PROTOCOL_VIOLATION, &why, None);
-                self.last = true;
+                self.last = Some(CloseReason::ProtocolViolation);
                 true
             }
         };
@@ -368,7 +381,7 @@
                 length
             }
             Some((pg::Opening::Cancel, length)) => {
-                self.last = true;
+                self.last = Some(CloseReason::Terminated);
                 length
             }
             Some((pg::Opening::Startup, length)) => {
@@ -394,7 +407,7 @@
                 self.skipping = false;
                 self.statement(text, at, out);
             }
-            b'X' => self.last = true,
+            b'X' => self.last = Some(CloseReason::Terminated),
             b'S' => {
                 self.skipping = false;
                 pg::ready(out);
@@ -421,7 +434,7 @@
             pg::Verb::Txn if !self.find_slot() => {
                 self.shared.counters.clients_refused.add();
                 pg::error(out, true, pg::TOO_MANY, "too many clients, trying again is harmless", None);
-                self.last = true;
+                self.last = Some(CloseReason::NoSlot);
                 return;
             }
             pg::Verb::Txn => match self.arrival(text, at) {
@@ -451,8 +464,11 @@
             writes: self.shared.writes.get(arrival.kind).copied().unwrap_or(true),
             bytes: arrival.statement.len() + REQUEST_OVERHEAD,
         };
+        self.shared.request_log.of_client(self.slot, request.id);
         // One that is over the limits is refused in its turn.
-        let _ = self.pipeline.push(request, Box::new(arrival));
+        if self.pipeline.push(request, Box::new(arrival)).is_err() {
+            self.shared.request_log.request(request.id, RequestEvent::OverLimits);
+        }
     }
 
     /// Whether there is room for it by now.
@@ -495,6 +511,10 @@
         });
         let ticket = self.shared.tickets.fetch_add(1, Ordering::Relaxed);
         let (retried, expiry) = (field("r") == Some("1"), at + Duration::from_millis(ms));
+        let waits = expiry.saturating_sub(self.shared.clock.now());
+        let received =
+            RequestEvent::Received { id: field("id").unwrap_or_default(), class: kind, left: waits };
+        self.shared.request_log.request(ticket, received);
         let (left, client) = (pg::place(&statement, left), self.mailbox.clone());
         Ok(Arrival { ticket, at, kind, cell, expiry, retried, session, wrote_ago, statement, left, client })
     }
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -4,6 +4,7 @@
 use crate::counters::Counters;
 use crate::fellows;
 use crate::mail::ToDesk;
+use crate::request_log::{CloseReason, RequestLog};
 use juniperdock_door::Indices;
 use juniperdock_link::Bell;
 use may::sync::mpsc::{Sender, channel};
@@ -26,6 +27,7 @@
     pub desk: Sender<ToDesk>,
     pub counters: Arc<Counters>,
     pub log: slog::Logger,
+    pub request_log: RequestLog,
     /// The txn types by name.
     pub kinds: Indices<String>,
     /// Which of them write.
@@ -213,6 +215,12 @@
         Some(next.unwrap_or(now + LONG_REST)).map(|at| if idle { at } else { Duration::MAX })
     }
 
+    /// Why a client between requests is told to leave.
+    pub(crate) fn idle_reason(&self, id: u64) -> CloseReason {
+        let asked = self.slots().taken.get(&id).is_none_or(|slot| slot.asked_to_leave);
+        if asked { CloseReason::MadeRoom } else { CloseReason::Idle }
+    }
+
     /// Comes back a little later.
     pub(crate) fn pause(&self) {
         let (again, waited) = channel();
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -21,6 +21,8 @@
     stood_from: AtomicU64,
     ending: AtomicU64,
     beaten: AtomicU64,
+    /// How long the latest standstill was, until it is asked for.
+    untold: AtomicU64,
 }
 
 /// After so many turns in which an actor has not waited it gives way to all others.
@@ -81,9 +83,16 @@
         if last > 0 && now.saturating_sub(last) > 2 * PULSE.as_micros() as u64 {
             self.runs.stood_from.store(last, Ordering::Relaxed);
             self.runs.ending.store(2, Ordering::Relaxed);
+            self.runs.untold.store(now - last, Ordering::Relaxed);
         }
     }
 
+    /// A standstill that nobody has asked for yet.
+    pub fn take_standstill(&self) -> Option<Duration> {
+        let untold = self.runs.untold.swap(0, Ordering::Relaxed);
+        (untold > 0).then(|| Duration::from_micros(untold))
+    }
+
     /// Notes a beat. After two of them, a while apart, all that had come in before has been read.
     pub fn beat(&self) {
         self.pulse();
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -4,6 +4,7 @@
 use crate::clock::{Alarm, Clock, PULSE};
 use crate::counters::Counters;
 use crate::mail::{Answer, Arrival, End, Job, Submit, ToDesk, ToDiscovery, ToFellows, ToMember, Until};
+use crate::request_log::{RequestEvent, RequestLog};
 use juniperdock_door::{Indices, span};
 use juniperdock_duties as duties;
 use juniperdock_duties::{Care, Fact};
@@ -49,6 +50,7 @@
     cells: Indices<u64>,
     hire: Hire,
     log: slog::Logger,
+    request_log: RequestLog,
     clock: Clock,
     desk: Sender<ToDesk>,
     discovery: Sender<ToDiscovery>,
@@ -120,6 +122,8 @@
     fn send(&mut self, txn: usize, member: usize, until: Duration) {
         let at = self.clock.now();
         let Some(held) = self.txns[txn].as_mut() else { return };
+        let event = RequestEvent::Assigned { server: member, valid_until: until };
+        self.request_log.request(held.arrival.ticket, event);
         let until = Until::new(until);
         self.unwritten.push(txn);
         held.out = Some((member, until.clone()));
@@ -249,6 +253,7 @@
         probes: ProbeQueue,
         counters: Arc<Counters>,
         log: slog::Logger,
+        request_log: RequestLog,
     ) -> Result<Desk, String> {
         let mut known = Indices::default();
         zones.into_iter().for_each(|zone| {
@@ -267,6 +272,7 @@
             cells: Indices::default(),
             hire,
             log: its_log,
+            request_log,
             clock,
             desk,
             discovery,
@@ -284,6 +290,10 @@
         while let Ok(mail) = mail.recv() {
             if matches!(mail, ToDesk::Beat) {
                 self.hands.clock.beat();
+                if let Some(spell) = self.hands.clock.take_standstill() {
+                    self.hands.counters.worker_standstills.add();
+                    self.hands.request_log.held_up(spell);
+                }
                 continue;
             }
             self.hands.clock.pulse();
@@ -548,6 +558,8 @@
             Ending::Moot => count.ended_moot.add(),
             Ending::Misplaced => count.ended_misplaced.add(),
         }
+        let event = RequestEvent::AttemptEnded { server: end.member, ending: end.ending };
+        self.hands.request_log.request(end.ticket, event);
         let Some(&txn) = self.hands.tickets.get(&end.ticket) else { return };
         if let Some(held) = self.hands.txns[txn].as_mut() {
             held.out = None;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod mailbox;
 pub mod member;
 pub mod migrate;
+pub mod request_log;
 pub mod serve;
 pub mod signals;
 pub mod told;
--- a/crates/front/src/mail.rs
+++ b/crates/front/src/mail.rs
@@ -30,6 +30,19 @@
     Unknown(&'static str),
 }
 
+impl Answer {
+    /// What it is called in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Answer::Committed(_) => "served",
+            Answer::Invalid(_) => "invalid",
+            Answer::Declined(_) => "refused",
+            Answer::RolledBack(_) => "rolled back",
+            Answer::Unknown(_) => "unknown",
+        }
+    }
+}
+
 /// A txn as its client's actor read it.
 pub struct Arrival {
     pub ticket: u64,
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -4,6 +4,7 @@
 use crate::clock::{BUSY, Clock};
 use crate::counters::Counters;
 use crate::mail::{End, Job, ToDesk, ToMember};
+use crate::request_log::{RequestEvent, RequestLog};
 use juniperdock_door::{self as door, Origin};
 use juniperdock_link::{Bell, Failure, Link, Reached, spawn};
 use juniperdock_pg as pg;
@@ -37,6 +38,7 @@
     pub desk: Sender<ToDesk>,
     pub counters: Arc<Counters>,
     pub log: slog::Logger,
+    pub request_log: RequestLog,
     /// A connection comes up in this time or not at all; a probe is answered in it.
     pub connect: Duration,
     /// Members close connections that stand idle for this long.
@@ -522,6 +524,7 @@
         if let Err(failure) = link.queue(&pg::query(&text)) {
             return broken(&failure, reply);
         }
+        let mut written = false;
         for busy in 1u32.. {
             let pumped = link.pump();
             if let Err(why) = self.read(link, &mut reply) {
@@ -530,6 +533,13 @@
                 return Outcome { ending: Ending::Spoilt, reply: Reply::default(), usable: false };
             }
             let unsent = !link.flushed();
+            if !unsent
+                && !std::mem::replace(&mut written, true)
+                && let Job::Submit(submit) = job
+            {
+                let event = RequestEvent::Written { server: self.member, connection: self.id };
+                self.reach.request_log.request(submit.ticket, event);
+            }
             if reply.ready {
                 // Ready without an answer is no proof of anything.
                 let Some(ending) = reply.ending().filter(|_| !unsent) else {
@@ -713,6 +723,7 @@
             desk,
             counters: Arc::default(),
             log: slog::Logger::root(slog::Discard, slog::o!()),
+            request_log: RequestLog::new(slog::Logger::root(slog::Discard, slog::o!()), false),
             connect: second,
             idle: 15 * second,
             stack: 64 << 10,
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::mail::{self, ToDesk, ToDiscovery, ToFellows};
+use crate::request_log::RequestLog;
 use crate::told::{Told, TxnTypes};
 use crate::upgrade::{self, Taking};
 use crate::{control, desk, discovery_client, fellows, keep, member, signals};
@@ -100,7 +101,9 @@
     let grace = told.millis("Guarantees.GraceToAnswer")?;
     let TxnTypes { names: kinds, writes, longest } = told.txn_types()?;
 
-    let log = logger(&charter.log);
+    let level = log_level(&charter.log);
+    let log = logger(&charter.log, level);
+    let request_log = RequestLog::new(log.clone(), level >= slog::Level::Debug);
     std::panic::set_hook(Box::new({
         let log = log.clone();
         move |panic| slog::error!(log, "panic"; "at" => panic.location().map(ToString::to_string))
@@ -130,6 +133,7 @@
         desk: to_desk.clone(),
         counters: counters.clone(),
         log: log.clone(),
+        request_log: request_log.clone(),
         connect,
         idle,
         stack: CONNECTION_STACK,
@@ -152,6 +156,7 @@
         ProbeQueue::new(told.seed()?, ProbeLimits::of(room.most)),
         counters.clone(),
         log.clone(),
+        request_log.clone(),
     )?;
     match known {
         Ok(known) => drop(to_desk.send(ToDesk::List(known))),
@@ -186,6 +191,7 @@
         desk: to_desk.clone(),
         counters: counters.clone(),
         log: log.clone(),
+        request_log: request_log.clone(),
         kinds,
         writes,
         marks: told.term("Specifics.SessionMarks").as_deref() == Some("client"),
@@ -343,10 +349,14 @@
     its.is_some() && known.iter().flatten().any(|known| folder(known) == its)
 }
 
-/// Lines of text or of JSON, written by a thread of their own.
-fn logger(how: &Log) -> slog::Logger {
+/// What is logged: by the environment, else by the operators' file.
+fn log_level(how: &Log) -> slog::Level {
     let level = std::env::var("JUNIPERDOCK_LOG").ok().and_then(|level| level.parse().ok());
-    let level = level.or_else(|| how.level.name().parse().ok()).unwrap_or(slog::Level::Info);
+    level.or_else(|| how.level.name().parse().ok()).unwrap_or(slog::Level::Info)
+}
+
+/// Lines of text or of JSON, written by a thread of their own.
+fn logger(how: &Log, level: slog::Level) -> slog::Logger {
     // A line at a time: while one process succeeds another both write there, and pieces of lines would mix.
     let lines = std::io::LineWriter::new(std::io::stderr());
     let drain = match how.form {
--- a/crates/front/tests/desk.rs
+++ b/crates/front/tests/desk.rs
@@ -5,6 +5,7 @@
 use juniperdock_front::desk::{Desk, Hire};
 use juniperdock_front::mail::{Answer, Arrival, Job, ToDesk, ToMember};
 use juniperdock_front::mailbox::Mailbox;
+use juniperdock_front::request_log::RequestLog;
 use juniperdock_router::host::Ending;
 use juniperdock_router::host::Role;
 use juniperdock_router::host::{ColdStart, Effect, Level, Report, Standing, TxnType};
@@ -50,7 +51,8 @@
         hire,
         probes(),
         counters.clone(),
-        log,
+        log.clone(),
+        RequestLog::new(log, false),
     );
     let desk = desk.expect("a desk");
     std::thread::spawn(move || desk.run(&read));
@@ -115,7 +117,8 @@
         hire,
         probes(),
         counters,
-        log,
+        log.clone(),
+        RequestLog::new(log, false),
     );
     let desk = desk.expect("a desk");
     std::thread::spawn(move || desk.run(&read));
