Guard every start, send, answer and end; leave nothing unanswered when the process ends

Cause: as the process ended, a client that always had a request in hand was read and served until the exit (client.rs, rest: closes only when done), half a statement counted as done, and the exit (signals.rs) left what had more time than the process. Change: crates/request-guard (no I/O): one guard a request, shared by the client's actor, the dispatcher and the server connections. An attempt's permit is asked right before its first byte, and again before each further piece that the machine did not take at once; it also asks the machine whether the client is still there (no second descriptor, a weak handle). What is done all the same is counted: violations=N in the counters. Connections drain: what comes behind a request in hand is refused at once, half a statement is read to its end, then the end of sending without a further read; the exit answers what is left. accept is called again after EINTR (link: it counted as nobody waiting, and the door was shut over who waits).

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -7,10 +7,12 @@
 use crate::mail::{Answer, Arrival, ToDesk};
 use crate::mailbox::Mailbox;
 use crate::request_log::{CloseReason, RequestEvent};
-use juniperdock_link::{Failure, Link};
+use juniperdock_link::{Failure, Link, PeerWatch};
 use juniperdock_pg as pg;
 use juniperdock_pipeline::{ArrivalTimes, Limits, Overdue, Pipeline, Reply, Request, Start};
+use juniperdock_request_guard::{ClientPresence, Debt, EndedBy, RequestGuard, Violation};
 use may::sync::mpsc::{Receiver, channel};
+use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -42,6 +44,17 @@
 const MIN_WRITE_AGE: Duration = Duration::from_micros(1);
 
 const TOO_MANY_AT_ONCE: &str = "too much sent ahead on this connection, trying again is harmless";
+const SHUTTING_DOWN: &str = "this process ends, trying again elsewhere is harmless";
+
+/// Asks the machine whether a client has left.
+struct Presence(PeerWatch);
+
+impl ClientPresence for Presence {
+    fn has_left(&self) -> bool {
+        self.0.has_left()
+    }
+}
+
 struct Client {
     shared: Arc<SharedClients>,
     slot: u64,
@@ -54,12 +67,16 @@
     /// It has had no txn here.
     fresh: bool,
     pipeline: Pipeline<Box<Arrival>>,
+    /// Of the requests that are not answered.
+    guards: HashMap<u64, RequestGuard>,
     /// When what lies in the inbound buffer came in.
     arrival_times: ArrivalTimes,
     /// After a failed extended query, all is passed by up to Sync.
     skipping: bool,
     /// Nothing more is taken, for this reason: the connection ends once all is written.
     last: Option<CloseReason>,
+    /// It ends for this reason once nothing is owed. What comes behind a request in hand is refused meanwhile.
+    draining: Option<CloseReason>,
     /// Until when it is read on after the end of its sending.
     lingers: Option<Duration>,
     /// Until when the opening or the message that has begun must be whole.
@@ -86,9 +103,11 @@
         open,
         fresh: true,
         pipeline: Pipeline::new(PIPELINE),
+        guards: HashMap::new(),
         arrival_times: ArrivalTimes::default(),
         skipping,
         last: None,
+        draining: None,
         lingers: None,
         due: None,
         looks: Duration::ZERO,
@@ -103,17 +122,35 @@
         pg::error(&mut out, true, pg::INTERNAL, "the connection's actor failed", None);
         let _ = client.link.queue(&out).and_then(|()| client.link.pump());
     }
-    let (unanswered, unsent) = (client.pipeline.requests(), client.link.unsent());
-    client.shared.request_log.client_closed(slot, reason, unanswered, unsent, client.link.inbound.len());
-    (0..unanswered).for_each(|_| client.shared.counters.left.add());
-    for ticket in client.pipeline.begun() {
-        client.shared.request_log.request(ticket, RequestEvent::Abandoned);
-        let _ = client.shared.desk.send(ToDesk::Left(ticket));
-    }
+    client.end(reason);
     client.shared.slots().taken.remove(&slot);
 }
 
 impl Client {
+    /// The end of the connection, whoever ends it: nothing more is done for what it still holds.
+    fn end(&mut self, reason: CloseReason) {
+        let debt = self.debt();
+        self.shared.request_log.client_closed(self.slot, reason, debt);
+        debt.settle(ended_by(reason), &self.shared.counters.invariants);
+        (0..debt.unanswered).for_each(|_| self.shared.counters.left.add());
+        for guard in self.guards.values() {
+            guard.abandon();
+        }
+        for ticket in self.pipeline.begun() {
+            self.shared.request_log.request(ticket, RequestEvent::Abandoned);
+            let _ = self.shared.desk.send(ToDesk::Left(ticket));
+        }
+    }
+
+    /// What is owed to the client now.
+    fn debt(&self) -> Debt {
+        Debt {
+            unanswered: self.pipeline.requests(),
+            unsent: self.link.unsent() + self.pipeline.answer_bytes(),
+            half_read: self.link.inbound.len(),
+        }
+    }
+
     fn live(&mut self) -> CloseReason {
         let mut busy = 0;
         loop {
@@ -128,6 +165,7 @@
                     _ => self.under_way = None,
                 }
             }
+            self.drain();
             let moved = match self.pump() {
                 Ok(moved) => moved,
                 Err(why) => {
@@ -155,6 +193,12 @@
             }
             self.reply();
             self.finish();
+            if self.draining.is_some() && self.link.flush().is_err() {
+                return CloseReason::Broken;
+            }
+            if self.debt().is_none() {
+                self.last = self.last.or(self.draining);
+            }
             let done = self.pipeline.is_empty() && self.link.flushed();
             if let Some(reason) = self.last
                 && done
@@ -165,18 +209,8 @@
             if !moved && read == 0 {
                 busy = 0;
                 let (idle, done) = (self.pipeline.is_empty(), done && self.lingers.is_none());
-                let fresh = self.fresh && self.lingers.is_none();
-                match self.shared.rest(self.slot, idle, done, fresh) {
+                match self.shared.rest(self.slot, idle, done) {
                     Some(looks) => self.looks = looks,
-                    // As this front ends clients go on sending: to close over what comes in just now would reset
-                    // the connection, and could take the last answer away. What has come in by now is still answered.
-                    None if self.shared.closing.load(Ordering::Relaxed) && done => {
-                        if matches!(self.pump(), Ok(false)) {
-                            self.last = Some(CloseReason::ShuttingDown);
-                            self.linger();
-                        }
-                        continue;
-                    }
                     None => return self.shared.idle_reason(self.slot),
                 }
                 if !self.link.flushed() {
@@ -200,6 +234,60 @@
         }
     }
 
+    /// As the process ends. What has come in by now is still read; then this connection ends as soon as nothing is
+    /// owed on it. A fresh one has a while for its first request.
+    fn drain(&mut self) {
+        if self.draining.is_none() && self.last.is_none() && self.shared.shuts_down(self.slot, self.fresh) {
+            self.draining = Some(CloseReason::ShuttingDown);
+            if !self.shared.last_call.load(Ordering::Relaxed) {
+                return;
+            }
+        }
+        if self.draining.is_some() && self.shared.last_call.load(Ordering::Relaxed) {
+            self.answer_all();
+        }
+        let limit = if self.draining.is_some() { self.drain_limit() } else { MAX_INBOUND };
+        self.link.set_read_limit(limit);
+    }
+
+    /// How much is read while the connection drains: behind a request in hand all, to refuse it; else what a message
+    /// that has begun still lacks. The rest is unread when the connection ends, and its client sends it elsewhere.
+    fn drain_limit(&mut self) -> usize {
+        let inbound = &mut self.link.inbound;
+        if self.last.is_some() || self.pipeline.requests() > 0 {
+            MAX_INBOUND
+        } else if inbound.is_empty() {
+            0
+        } else if self.open {
+            pg::message_length(inbound.make_contiguous())
+        } else {
+            pg::opening_length(inbound.make_contiguous())
+        }
+    }
+
+    /// The process is about to exit: what is unanswered gets its final answer now.
+    fn answer_all(&mut self) {
+        for ticket in self.pipeline.begun().collect::<Vec<_>>() {
+            let _ = self.shared.desk.send(ToDesk::Left(ticket));
+            self.answer(ticket, Answer::Unknown("this process ends; it may have run"));
+        }
+        for ticket in self.pipeline.waiting().collect::<Vec<_>>() {
+            self.answer(ticket, Answer::Declined(None));
+        }
+        if self.last.is_none() && !self.link.inbound.is_empty() {
+            self.refuse_half_read();
+        }
+    }
+
+    /// Ends a connection on which half a request was read, with a word.
+    fn refuse_half_read(&mut self) {
+        let mut out = Vec::new();
+        pg::error(&mut out, true, pg::CANNOT_CONNECT_NOW, SHUTTING_DOWN, None);
+        self.pipeline.push_answer(out);
+        self.link.inbound.clear();
+        self.last = self.draining;
+    }
+
     /// Moves bytes both ways, and notes when those that came in did.
     fn pump(&mut self) -> Result<bool, Failure> {
         let before = self.link.inbound.len();
@@ -215,7 +303,8 @@
 
     /// It has ended its sending. Where there is no room to read its end, the machine is asked for it.
     fn gone(&self) -> bool {
-        self.link.ended || self.link.inbound.len() >= MAX_INBOUND && self.link.has_left()
+        let unread = self.draining.is_some() || self.link.inbound.len() >= MAX_INBOUND;
+        self.link.ended || unread && self.link.has_left()
     }
 
     /// Sets out for another process, if it is between txns.
@@ -339,6 +428,9 @@
         let name = answer.name();
         let (count, out) = encode(&self.shared.counters, answer);
         if self.pipeline.answer(self.shared.clock.now(), ticket, out) {
+            if !self.guards.remove(&ticket).is_none_or(|guard| guard.answer()) {
+                self.shared.counters.invariants.count(Violation::AnsweredTwice);
+            }
             self.shared.request_log.request(ticket, RequestEvent::Answered { answer: name });
             count.add();
         }
@@ -437,6 +529,10 @@
                 self.last = Some(CloseReason::NoSlot);
                 return;
             }
+            pg::Verb::Txn if self.draining.is_some() && self.pipeline.requests() > 0 => {
+                self.shared.counters.declined.add();
+                pg::error(out, false, pg::CANNOT_CONNECT_NOW, SHUTTING_DOWN, None);
+            }
             pg::Verb::Txn => match self.arrival(text, at) {
                 Ok(arrival) => {
                     // It may have left right behind it, long ago if this front had no turn: then none begins.
@@ -466,7 +562,10 @@
         };
         self.shared.request_log.of_client(self.slot, request.id);
         // One that is over the limits is refused in its turn.
-        if self.pipeline.push(request, Box::new(arrival)).is_err() {
+        let (ticket, guard) = (request.id, arrival.guard.clone());
+        if self.pipeline.push(request, Box::new(arrival)).is_ok() {
+            self.guards.insert(ticket, guard);
+        } else {
             self.shared.request_log.request(request.id, RequestEvent::OverLimits);
         }
     }
@@ -516,7 +615,36 @@
             RequestEvent::Received { id: field("id").unwrap_or_default(), class: kind, left: waits };
         self.shared.request_log.request(ticket, received);
         let (left, client) = (pg::place(&statement, left), self.mailbox.clone());
-        Ok(Arrival { ticket, at, kind, cell, expiry, retried, session, wrote_ago, statement, left, client })
+        let watch = self.link.peer_watch().ok_or("a client's connection comes in")?;
+        let invariants = self.shared.counters.invariants.clone();
+        let guard = RequestGuard::new(expiry, Box::new(Presence(watch)), invariants);
+        Ok(Arrival {
+            ticket,
+            at,
+            kind,
+            cell,
+            expiry,
+            retried,
+            session,
+            wrote_ago,
+            statement,
+            left,
+            client,
+            guard,
+        })
+    }
+}
+
+fn ended_by(reason: CloseReason) -> EndedBy {
+    match reason {
+        CloseReason::ClientLeft
+        | CloseReason::Broken
+        | CloseReason::Terminated
+        | CloseReason::Transferred => EndedBy::Client,
+        CloseReason::ProtocolViolation | CloseReason::Panicked => EndedBy::ProcessWithError,
+        CloseReason::Idle | CloseReason::MadeRoom | CloseReason::NoSlot | CloseReason::ShuttingDown => {
+            EndedBy::Process
+        }
     }
 }
 
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -39,6 +39,8 @@
     pub tickets: AtomicU64,
     /// Connections end once they are between txns.
     pub closing: AtomicBool,
+    /// The process is about to exit: all is answered now.
+    pub last_call: AtomicBool,
     /// How many clients there may be, and how many more to be told that there is no room.
     pub most: usize,
     pub standing: usize,
@@ -175,6 +177,22 @@
         *self.moves.lock().unwrap_or_else(PoisonError::into_inner) = None;
     }
 
+    /// Whether a client's connection is to end. A fresh one has a while for its first request.
+    pub(crate) fn shuts_down(&self, id: u64, fresh: bool) -> bool {
+        if !self.closing.load(Ordering::Relaxed) {
+            return false;
+        }
+        let now = self.clock.now();
+        let since = self.slots().taken.get(&id).and_then(|slot| slot.idle_since);
+        !(fresh && since.is_some_and(|since| now < since + MIN_REST))
+    }
+
+    /// Has all that is unanswered answered, as the process is about to exit.
+    pub fn call_last(&self) {
+        self.last_call.store(true, Ordering::Relaxed);
+        self.slots().taken.values().for_each(|slot| slot.bell.ring());
+    }
+
     /// From now on connections end between txns.
     pub fn close(&self) {
         self.closing.store(true, Ordering::Relaxed);
@@ -196,9 +214,8 @@
     }
 
     /// Notes whether a client has no txn in hand, and whether it has its answers too. Gives when to look
-    /// again if nothing comes before; nothing if it is to leave. A fresh one has a while for its first txn also
-    /// when this front ends: closed with no answer it would have come for nothing.
-    pub(crate) fn rest(&self, id: u64, idle: bool, done: bool, fresh: bool) -> Option<Duration> {
+    /// again if nothing comes before; nothing if it is to leave.
+    pub(crate) fn rest(&self, id: u64, idle: bool, done: bool) -> Option<Duration> {
         let now = self.clock.now();
         let mut slots = self.slots();
         let present = slots.taken.len();
@@ -207,8 +224,7 @@
         slot.idle_since = idle.then_some(since);
         let leaves = present > self.crowd && since + MIN_REST <= now
             || present > self.keep && since + LONG_REST <= now;
-        let closes = self.closing.load(Ordering::Relaxed) && !(fresh && now < since + MIN_REST);
-        if idle && (slot.asked_to_leave || done && leaves) || done && closes {
+        if idle && (slot.asked_to_leave || done && leaves) {
             return None;
         }
         let next = [since + MIN_REST, since + LONG_REST].into_iter().find(|&at| at > now);
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -1,6 +1,8 @@
 //! What the front has taken in, sent and answered; printed on request and at exit.
 
+use juniperdock_request_guard::Invariants;
 use std::fmt;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 macro_rules! counters {
@@ -8,12 +10,14 @@
         #[derive(Debug, Default)]
         pub struct Counters {
             $(pub $name: Count,)+
+            /// What must never happen.
+            pub invariants: Arc<Invariants>,
         }
 
         impl fmt::Display for Counters {
             fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
                 $(write!(f, concat!(stringify!($name), "={} "), self.$name.read())?;)+
-                Ok(())
+                write!(f, "{}", self.invariants)
             }
         }
     };
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -3,12 +3,13 @@
 
 use crate::clock::{Alarm, Clock, PULSE};
 use crate::counters::Counters;
-use crate::mail::{Answer, Arrival, End, Job, Submit, ToDesk, ToDiscovery, ToFellows, ToMember, Until};
+use crate::mail::{Answer, Arrival, End, Job, Submit, ToDesk, ToDiscovery, ToFellows, ToMember};
 use crate::request_log::{RequestEvent, RequestLog};
 use juniperdock_door::{Indices, span};
 use juniperdock_duties as duties;
 use juniperdock_duties::{Care, Fact};
 use juniperdock_held::Most;
+use juniperdock_request_guard::{AttemptPermit, Withheld};
 use juniperdock_router::host::{Change, Ending, Host, Listed, Phase, Report, Role};
 use juniperdock_router::kept::KeptMember;
 use juniperdock_router::routing::Router;
@@ -26,8 +27,8 @@
 struct Held {
     arrival: Box<Arrival>,
     answered: bool,
-    /// The submission that is out: its member, and until when it may still be written.
-    out: Option<(usize, Until)>,
+    /// The attempt that is out: its server, and whether it may still be written.
+    out: Option<(usize, AttemptPermit)>,
     /// Reminders of it that have not been due.
     alarms: Vec<Alarm>,
 }
@@ -124,12 +125,12 @@
         let Some(held) = self.txns[txn].as_mut() else { return };
         let event = RequestEvent::Assigned { server: member, valid_until: until };
         self.request_log.request(held.arrival.ticket, event);
-        let until = Until::new(until);
+        let permit = held.arrival.guard.permit(until);
         self.unwritten.push(txn);
-        held.out = Some((member, until.clone()));
+        held.out = Some((member, permit.clone()));
         let Arrival { ticket, expiry, .. } = *held.arrival;
         let (statement, left) = (held.arrival.statement.clone(), held.arrival.left.clone());
-        let submit = Submit { ticket, statement, left, give_up: expiry, until, at };
+        let submit = Submit { ticket, statement, left, give_up: expiry, permit, at };
         self.counters.submitted.add();
         self.tell(member, ToMember::Job(Job::Submit(submit)));
     }
@@ -153,7 +154,7 @@
     fn release(&mut self, txn: usize) {
         if let Some(held) = self.txns[txn].take() {
             // The router may have been lost in a panic: nothing is written for what has its answer.
-            held.out.iter().for_each(|(_, until)| until.set(Duration::ZERO));
+            held.out.iter().for_each(|(_, permit)| permit.hold_until(Duration::ZERO));
             held.alarms.iter().for_each(|alarm| self.clock.cancel(alarm));
             self.tickets.remove(&held.arrival.ticket);
             self.free.push(txn);
@@ -406,8 +407,8 @@
     fn refresh(&mut self) {
         let (txns, router) = (&self.hands.txns, &self.router);
         self.hands.unwritten.retain(|&txn| match &txns[txn] {
-            Some(Held { out: Some((_, until)), .. }) if !until.is_over() => {
-                until.set(router.holds_until(txn));
+            Some(Held { out: Some((_, permit)), .. }) if !permit.is_settled() => {
+                permit.hold_until(router.holds_until(txn));
                 true
             }
             _ => false,
@@ -524,6 +525,12 @@
 
     fn arrived(&mut self, now: Duration, a: Box<Arrival>) {
         self.hands.counters.held_up_most_us.at_least(now.saturating_sub(a.at).as_micros() as u64);
+        match a.guard.may_start(now) {
+            Ok(()) => {}
+            Err(Withheld::OutOfTime) => return a.client.post((a.ticket, Answer::Declined(None))),
+            // Its client has gone, or has its answer.
+            Err(Withheld::Ended | Withheld::ClientLeft) => return,
+        }
         if self.hands.cells.known(&a.cell).is_none() && !self.hands.cells.is_empty() {
             a.client.post((a.ticket, Answer::RolledBack("expected a cluster that the list names")));
             return;
--- a/crates/front/src/mail.rs
+++ b/crates/front/src/mail.rs
@@ -5,6 +5,7 @@
 use juniperdock_fellows::Keys;
 use juniperdock_held::Most;
 use juniperdock_link::Bell;
+use juniperdock_request_guard::{AttemptPermit, RequestGuard};
 use juniperdock_router::host::{Ending, Report, Role};
 use juniperdock_server_list::ServerList;
 use may::sync::mpsc::Sender;
@@ -13,7 +14,6 @@
 use std::ops::Range;
 use std::os::fd::OwnedFd;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
 
@@ -57,6 +57,8 @@
     /// Where the statement tells the time left.
     pub left: Range<usize>,
     pub client: Mailbox<(u64, Answer)>,
+    /// What may still be done for it.
+    pub guard: RequestGuard,
 }
 
 pub struct End {
@@ -199,43 +201,11 @@
     pub left: Range<usize>,
     /// When the front stops waiting.
     pub give_up: Duration,
-    /// Nothing is written after this; the desk keeps it up to date.
-    pub until: Until,
+    /// Whether it may still be written; the desk keeps it up to date.
+    pub permit: AttemptPermit,
     pub at: Duration,
 }
 
-/// Written, or never to be written.
-const OVER: u64 = u64::MAX;
-
-/// Until when a submission may still be written.
-#[derive(Clone)]
-pub struct Until(Arc<AtomicU64>);
-
-impl Until {
-    pub fn new(at: Duration) -> Until {
-        Until(Arc::new(AtomicU64::new(at.as_micros() as u64)))
-    }
-
-    pub fn set(&self, at: Duration) {
-        self.0.store(at.as_micros() as u64, Ordering::Relaxed);
-    }
-
-    /// Whether it is too late to write, and that it needs no setting any more.
-    pub fn close(&self, now: Duration) -> bool {
-        let until = self.0.swap(OVER, Ordering::Relaxed);
-        now.as_micros() as u64 >= until
-    }
-
-    /// Whether it is too late to write; nothing is settled by asking.
-    pub fn passed(&self, now: Duration) -> bool {
-        now.as_micros() as u64 >= self.0.load(Ordering::Relaxed)
-    }
-
-    pub fn is_over(&self) -> bool {
-        self.0.load(Ordering::Relaxed) == OVER
-    }
-}
-
 #[derive(Clone)]
 pub enum Job {
     Submit(Submit),
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -2,6 +2,7 @@
 //! (`JUNIPERDOCK_LOG=debug`). Every line of a request has its number in this process; the first also has the id that its
 //! client gave it. Every close names its reason.
 
+use juniperdock_request_guard::{Debt, Withheld};
 use juniperdock_router::host::Ending;
 use std::time::Duration;
 
@@ -48,6 +49,11 @@
         server: usize,
         valid_until: Duration,
     },
+    /// Not written after all.
+    Withheld {
+        server: usize,
+        why: Withheld,
+    },
     /// All of it is handed to the machine.
     Written {
         server: usize,
@@ -87,17 +93,10 @@
 
     /// The requests that a client's connection has taken and not answered, and the bytes of answers and of requests
     /// that it still held when it ended.
-    pub fn client_closed(
-        &self,
-        client: u64,
-        reason: CloseReason,
-        unanswered: usize,
-        unsent: usize,
-        unread: usize,
-    ) {
+    pub fn client_closed(&self, client: u64, reason: CloseReason, debt: Debt) {
         if self.enabled {
-            slog::debug!(self.log, "client closed"; "unread" => unread, "unsent" => unsent, "unanswered" => unanswered,
-                "reason" => ?reason, "client" => client);
+            slog::debug!(self.log, "client closed"; "half_read" => debt.half_read, "unsent" => debt.unsent,
+                "unanswered" => debt.unanswered, "reason" => ?reason, "client" => client);
         }
     }
 
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -198,6 +198,7 @@
         grace: grace / 2,
         tickets: AtomicU64::new(0),
         closing: AtomicBool::new(false),
+        last_call: AtomicBool::new(false),
         most: room.most,
         standing: room.standing,
         keep: room.keep,
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -19,6 +19,19 @@
     Signals::new([SIGHUP, SIGTERM, SIGUSR1]).map_err(|e| format!("signals: {e}"))
 }
 
+/// A supervisor may kill the process this long and 0.7 s after SIGTERM, however long a request may take.
+const MAX_SHUTDOWN: Duration = Duration::from_secs(3);
+/// What is answered last gets this long to be handed over.
+const LAST_CALL: Duration = Duration::from_millis(100);
+
+/// Waits until nobody is taken in any more and all clients have gone, for so long at the longest.
+fn await_clients(clients: &SharedClients, longest: Duration) {
+    let last = clients.clock.now() + longest;
+    while (clients.acceptor.load(Ordering::Acquire) || clients.present() > 0) && clients.clock.now() < last {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// Reads the configuration again. Where the list is to be had counts at once; all else at the next start.
 fn reload(
     told: &Told,
@@ -76,9 +89,8 @@
     clients.close();
     // The acceptor takes in who has come by now, and shuts the door.
     door.bell().ring();
-    let last = clients.clock.now() + longest;
-    while (clients.acceptor.load(Ordering::Acquire) || clients.present() > 0) && clients.clock.now() < last {
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    await_clients(clients, longest.min(MAX_SHUTDOWN));
+    clients.call_last();
+    await_clients(clients, LAST_CALL);
     eprintln!("counters: {counters}");
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -11,8 +11,8 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, UdpSocket};
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 /// What is read at once, and the most memory that an empty buffer keeps over a wait.
@@ -96,6 +96,24 @@
     }
 }
 
+/// Asks the machine whether the other side of a connection that came in has left, without holding the socket open.
+#[derive(Clone)]
+pub struct PeerWatch(Weak<std::net::TcpStream>);
+
+impl PeerWatch {
+    /// The connection is closed here, or the other side has ended its sending or is gone, as far as the machine knows.
+    pub fn has_left(&self) -> bool {
+        self.0.upgrade().is_none_or(|stream| hung_up(&stream))
+    }
+}
+
+/// A socket that the other side has reset, closed or ended its sending on, also behind bytes that are not read yet.
+fn hung_up(stream: &std::net::TcpStream) -> bool {
+    let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut asked = [PollFd::new(stream, ends)];
+    poll(&mut asked, Some(&Timespec::default())).is_ok() && asked[0].revents().intersects(ends)
+}
+
 pub struct Link {
     stream: Stream,
     pub inbound: VecDeque<u8>,
@@ -155,10 +173,20 @@
     /// that end are not read yet: where the buffer is full, its end can't be read. What the other side could not
     /// yet hand over, its end too, is not known here.
     pub fn has_left(&self) -> bool {
-        let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-        let now = Timespec::default();
-        let mut asked = [PollFd::new(self.stream.inner(), ends)];
-        self.ended || poll(&mut asked, Some(&now)).is_ok() && asked[0].revents().intersects(ends)
+        self.ended || hung_up(self.stream.inner())
+    }
+
+    /// For others who act for the client at the other end of a connection that came in; none for one opened here.
+    pub fn peer_watch(&self) -> Option<PeerWatch> {
+        match &self.stream {
+            Stream::Opened(_) => None,
+            Stream::Came(_, stream) => Some(PeerWatch(Arc::downgrade(&stream.0))),
+        }
+    }
+
+    /// From now on nothing is read while so many bytes are kept.
+    pub fn set_read_limit(&mut self, bytes: usize) {
+        self.most_in = bytes;
     }
 
     pub fn queue(&mut self, bytes: &[u8]) -> Result<(), Failure> {
@@ -176,6 +204,12 @@
 
     /// Moves what can be moved both ways without waiting; true if anything moved.
     pub fn pump(&mut self) -> Result<bool, Failure> {
+        let moved = self.flush()?;
+        Ok(self.read()? || moved)
+    }
+
+    /// Hands over what can be without waiting, and reads nothing unless that fails; true if anything moved.
+    pub fn flush(&mut self) -> Result<bool, Failure> {
         let mut moved = false;
         while !self.outbound.is_empty() {
             let (head, _) = self.outbound.as_slices();
@@ -195,7 +229,7 @@
                 }
             }
         }
-        Ok(self.read()? || moved)
+        Ok(moved)
     }
 
     fn read(&mut self) -> Result<bool, Failure> {
@@ -289,9 +323,9 @@
     /// The next connection; `None` once the bell has rung and none is there.
     pub fn next(&self) -> std::io::Result<Option<std::net::TcpStream>> {
         for waited in [false, true] {
-            match self.listener.inner().accept() {
+            match accept(self.listener.inner()) {
                 Ok((stream, _)) => return Ok(Some(stream)),
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 Err(e) => return Err(e),
             }
             if !waited {
@@ -302,6 +336,16 @@
     }
 }
 
+/// Accepts; a call that a signal interrupts is made again, as it says nothing of who waits.
+fn accept(listener: &std::net::TcpListener) -> std::io::Result<(std::net::TcpStream, SocketAddr)> {
+    loop {
+        match listener.accept() {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            accepted => return accepted,
+        }
+    }
+}
+
 /// A socket for datagrams, owned by one coroutine.
 pub struct Post(CoIo<UdpSocket>);
 
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -40,6 +40,17 @@
     Ok(rest.get(4..length).map(|body| (kind, body, length + 1)))
 }
 
+/// How many bytes the typed message at the head of `bytes` takes, as far as they tell: of one whose length has not come
+/// in yet, those up to it.
+pub fn message_length(bytes: &[u8]) -> usize {
+    bytes.get(1..).map_or(5, |rest| 1 + opening_length(rest))
+}
+
+/// The same of an opening message, which has no type.
+pub fn opening_length(bytes: &[u8]) -> usize {
+    bytes.first_chunk::<4>().map_or(4, |head| u32::from_be_bytes(*head) as usize)
+}
+
 fn length(bytes: &[u8], most: usize) -> Result<Option<usize>, String> {
     let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
     match u32::from_be_bytes(*head) as usize {
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -133,6 +133,14 @@
         })
     }
 
+    /// Ids of all requests that have not begun.
+    pub fn waiting(&self) -> impl Iterator<Item = u64> {
+        self.entries.iter().filter_map(|entry| match entry {
+            Entry::Waiting { request, .. } => Some(request.id),
+            _ => None,
+        })
+    }
+
     /// Takes a request in behind all others. One that is over the limits is refused in its turn, and its payload given
     /// back. A single request is never over them, however long.
     pub fn push(&mut self, request: Request, payload: T) -> Result<(), T> {
--- /dev/null
+++ b/crates/request-guard/tests/guard.rs
@@ -0,0 +1,85 @@
+//! What the guard lets through, and what it counts.
+
+use juniperdock_request_guard::{
+    ClientPresence, Debt, EndedBy, Invariants, RequestGuard, Violation, Withheld,
+};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+#[derive(Clone, Default)]
+struct Client(Arc<AtomicBool>);
+
+impl ClientPresence for Client {
+    fn has_left(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn request(deadline: Duration) -> (RequestGuard, Client, Arc<Invariants>) {
+    let (client, invariants) = (Client::default(), Arc::new(Invariants::default()));
+    (RequestGuard::new(deadline, Box::new(client.clone()), invariants.clone()), client, invariants)
+}
+
+#[test]
+fn an_attempt_is_written_once_and_only_while_its_reasons_hold() {
+    let (request, _client, _) = request(ms(500));
+    let permit = request.permit(ms(300));
+    assert_eq!(permit.check(ms(299)), Ok(()));
+    assert_eq!(permit.check(ms(300)), Err(Withheld::OutOfTime));
+    permit.hold_until(ms(200));
+    assert_eq!(permit.settle(ms(200)), Err(Withheld::OutOfTime));
+    assert!(permit.is_settled());
+    assert_eq!(request.permit(ms(300)).settle(ms(299)), Ok(()));
+}
+
+#[test]
+fn a_client_that_left_a_moment_ago_is_seen_by_the_last_look() {
+    let (request, client, _) = request(ms(500));
+    let permit = request.permit(ms(500));
+    client.0.store(true, Ordering::Relaxed);
+    assert_eq!(permit.check(ms(1)), Ok(()), "as far as is known");
+    assert_eq!(permit.settle(ms(1)), Err(Withheld::ClientLeft));
+    assert_eq!(permit.may_go_on(ms(1)), Err(Withheld::ClientLeft));
+}
+
+#[test]
+fn nothing_is_started_sent_or_answered_after_the_end() {
+    for end in [RequestGuard::answer, RequestGuard::abandon] {
+        let (request, _client, _) = request(ms(500));
+        let (permit, begun) = (request.permit(ms(500)), request.permit(ms(500)));
+        assert!(end(&request));
+        assert_eq!(request.may_start(ms(1)), Err(Withheld::Ended));
+        assert_eq!(permit.settle(ms(1)), Err(Withheld::Ended));
+        assert_eq!(begun.may_go_on(ms(1)), Err(Withheld::Ended));
+        assert!(!request.answer() && !request.abandon());
+    }
+    let (late, _client, _) = request(ms(500));
+    assert_eq!(late.may_start(ms(500)), Err(Withheld::OutOfTime));
+}
+
+#[test]
+fn what_was_done_all_the_same_is_counted() {
+    let (request, _client, invariants) = request(ms(500));
+    let permit = request.permit(ms(500));
+    permit.written(ms(499));
+    assert_eq!(invariants.to_string(), "violations=0");
+    permit.written(ms(700));
+    request.abandon();
+    permit.written(ms(10));
+    let owed = Debt { unanswered: 1, unsent: 2, half_read: 3 };
+    owed.settle(EndedBy::Client, &invariants);
+    assert_eq!(invariants.total(), 2);
+    owed.settle(EndedBy::ProcessWithError, &invariants);
+    owed.settle(EndedBy::Process, &invariants);
+    Debt::default().settle(EndedBy::Process, &invariants);
+    assert_eq!(
+        invariants.to_string(),
+        "violations=7 sent_after_end=1 sent_after_deadline=1 ended_unanswered=2 ended_unsent=2 ended_half_read=1"
+    );
+    assert_eq!(invariants.read(Violation::EndedHalfRead), 1);
+}
