--- a/crates/front/tests/endings.rs
+++ b/crates/front/tests/endings.rs
@@ -1,14 +1,24 @@
 //! A connection or a process ends while something is owed on it: an answer that is not out yet, a statement that is
 //! half read, statements behind one that is refused. Whatever was taken gets its final answer first.
 
-use juniperdock_standins::{Client, Does, Front, message, txn};
-use std::io::Write;
+use juniperdock_standins::{Client, Does, Front, PATIENCE, address, message, row, txn};
+use socket2::{Domain, Socket, Type};
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
-use town::{Town, until};
+use town::{PROGRAM, Town, until};
 
 mod town;
 
+/// Descriptors of a front that has room for 18 clients, closes idle ones soon beyond 13, and asks one to leave for
+/// each that comes beyond 18.
+const FEW_DESCRIPTORS: u32 = 52;
+const CLIENTS: usize = 18;
+
+fn few_descriptors(town: &Town) -> Front {
+    Front::start(PROGRAM, town.agent.at, &town.known, FEW_DESCRIPTORS)
+}
+
 /// As `txn`, of a session of its own.
 fn of_session(session: &str, kind: &str, ms: u32, id: &str) -> String {
     txn(kind, ms, id).replace("'7f3a'", &format!("'{session}'"))
@@ -47,6 +57,14 @@
     client
 }
 
+/// Whether the other side has ended the connection; what it says is passed over.
+fn has_ended(client: &mut Client) -> bool {
+    client.stream.set_nonblocking(true).expect("a socket");
+    let ended = matches!(client.stream.read(&mut [0; 64]), Ok(0));
+    client.stream.set_nonblocking(false).expect("a socket");
+    ended
+}
+
 #[test]
 fn half_a_statement_is_answered_when_the_process_ends() {
     let town = Town::new();
@@ -62,6 +80,53 @@
     assert!(front.end().0);
 }
 
+#[test]
+fn half_a_statement_is_no_idle_connection() {
+    let town = Town::new();
+    let front = few_descriptors(&town);
+    begin(&town, &front);
+    let mut idle = front.client();
+    let mut client = front.client();
+    let (first, second) = halves(&txn("order", 20_000, "half"));
+    client.stream.write_all(&first).expect("the front reads");
+    let _crowd: Vec<Client> = (0..CLIENTS - 3).map(|_| front.client()).collect();
+    until(|| has_ended(&mut idle));
+    let _ = client.stream.write_all(&second);
+    let reply = client.reply();
+    assert!(reply.value.is_some() || reply.code.is_some(), "{reply:?}");
+}
+
+#[test]
+fn an_answer_that_is_half_out_is_not_cut_off_to_make_room() {
+    const LENGTH: usize = 16 << 20;
+    let town = Town::new();
+    let config =
+        Front::config(&town.known, FEW_DESCRIPTORS).replace("\"memory_mb\":192", "\"memory_mb\":4096");
+    let front = Front::with(PROGRAM, address(), town.agent.at, &config, None);
+    begin(&town, &front);
+    let long = [row(&vec![b'x'; LENGTH]), juniperdock_standins::wire::ready()].concat();
+    town.members.iter().for_each(|member| member.once(Does::Says(long.clone())));
+    // Its machine takes next to nothing that it does not read.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a size");
+    socket.connect(&front.at.into()).expect("the front is there");
+    let mut client = Client { stream: socket.into() };
+    client.stream.set_read_timeout(Some(PATIENCE)).expect("a time");
+    client.stream.write_all(&[0, 0, 0, 9, 0, 3, 0, 0, 0]).expect("an opening");
+    assert_eq!(client.reply().last, b'Z');
+    client.say(&txn("order", 20_000, "long"));
+    assert!(town.sent(0).contains("id=long,"));
+    // The first byte has come, so all of it has been handed on as far as it goes.
+    assert_eq!(client.stream.peek(&mut [0]).expect("an answer"), 1);
+    // Others come until somebody has been asked to leave for them, more than once.
+    let mut others: Vec<Client> = (0..CLIENTS).map(|_| front.client()).collect();
+    let waited = Instant::now();
+    until(|| waited.elapsed() > Duration::from_millis(400));
+    others.extend((0..CLIENTS).map(|_| front.client()));
+    until(|| others.iter_mut().any(has_ended));
+    assert_eq!(client.reply().value.map(|value| value.len()), Some(LENGTH));
+}
+
 #[test]
 fn what_comes_behind_a_statement_in_hand_while_the_process_ends_is_answered() {
     let town = Town::new();
@@ -91,3 +156,27 @@
     let _ = client.stream.shutdown(Shutdown::Both);
     assert!(front.end().0);
 }
+
+#[test]
+fn a_statement_that_crosses_being_asked_to_leave_is_answered_or_not_sent_on() {
+    for _ in 0..5 {
+        let town = Town::new();
+        let front = few_descriptors(&town);
+        begin(&town, &front);
+        let mut clients: Vec<Client> = (0..CLIENTS - 5).map(|_| front.client()).collect();
+        let rested = Instant::now();
+        until(|| rested.elapsed() > Duration::from_millis(300));
+        // While the process has no turn the client that has rested longest says something, and others come that
+        // need its slot.
+        front.signal("-STOP");
+        until(|| front.stopped());
+        clients[0].say(&txn("order", 20_000, "crosses"));
+        let _others: Vec<TcpStream> =
+            (0..CLIENTS).map(|_| TcpStream::connect(front.at).expect("the machine takes it in")).collect();
+        front.signal("-CONT");
+        let reply = clients[0].reply();
+        let answered = reply.value.is_some() || reply.code.is_some();
+        let sent = town.members[0].seen.try_iter().any(|text| text.contains("id=crosses,"));
+        assert!(answered || !sent, "{reply:?}");
+    }
+}
