Let a connection drain before its place is taken; nothing in hand is cut off for room

A client that rests is marked to leave for another (clients.rs, ask_to_leave) by the time at which it was idle when last looked at. A request that is read between the mark and the client actor's next look is sent on; the answer wakes the actor, which queues it and, in the same turn, asks rest(): idle (nothing in hand) and asked to leave, so the connection was dropped with the answer unsent (client.rs, 'None => return'; rest() asked for 'done' in the other two cases only). Class: a decision made on a state that is carried out later, on another state, with nobody asking again. Change: to be asked to leave, to be idle for long and the end of the process are one way now (client/drain.rs): what has come in is read once more, what is in hand is answered, bytes are handed over, half a statement gets a word, then the sending ends. Every end passes Debt::settle, which counts what it breaks.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -1,7 +1,9 @@
 //! A client's actor: reads its statements as they come, hands each to the desk, and writes the answers in the order of
 //! the statements.
 
-use crate::clients::{ClientTransfer, SharedClients, TAKEN, TransferResult, UNDER_WAY};
+mod drain;
+
+use crate::clients::{ClientTransfer, Rest, SharedClients, TAKEN, TransferResult, UNDER_WAY};
 use crate::clock::BUSY;
 use crate::counters::{Count, Counters};
 use crate::mail::{Answer, Arrival, ToDesk};
@@ -10,7 +12,7 @@
 use juniperdock_link::{Failure, Link, PeerWatch};
 use juniperdock_pg as pg;
 use juniperdock_pipeline::{ArrivalTimes, Limits, Overdue, Pipeline, Reply, Request, Start};
-use juniperdock_request_guard::{ClientPresence, Debt, EndedBy, RequestGuard, Violation};
+use juniperdock_request_guard::{ClientPresence, RequestGuard, Violation};
 use may::sync::mpsc::{Receiver, channel};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -21,9 +23,6 @@
 
 /// The stack of a connection's coroutine, in bytes.
 pub const CONNECTION_STACK: usize = 64 << 10;
-/// How long a connection is read on after its last answer.
-const LINGER: Duration = Duration::from_secs(1);
-
 /// Messages that are taken in one turn.
 const MAX_MESSAGES_PER_TURN: usize = 64;
 
@@ -44,7 +43,6 @@
 const MIN_WRITE_AGE: Duration = Duration::from_micros(1);
 
 const TOO_MANY_AT_ONCE: &str = "too much sent ahead on this connection, trying again is harmless";
-const SHUTTING_DOWN: &str = "this process ends, trying again elsewhere is harmless";
 
 /// Asks the machine whether a client has left.
 struct Presence(PeerWatch);
@@ -79,6 +77,9 @@
     draining: Option<CloseReason>,
     /// Until when it is read on after the end of its sending.
     lingers: Option<Duration>,
+    /// When bytes moved last, either way, and when an answer was queued last.
+    progress: Duration,
+    answered: Duration,
     /// Until when the opening or the message that has begun must be whole.
     due: Option<Duration>,
     /// When it is to be looked at again, though nothing comes.
@@ -109,6 +110,8 @@
         last: None,
         draining: None,
         lingers: None,
+        progress: Duration::ZERO,
+        answered: Duration::ZERO,
         due: None,
         looks: Duration::ZERO,
         rings: Duration::ZERO,
@@ -127,165 +130,104 @@
 }
 
 impl Client {
-    /// The end of the connection, whoever ends it: nothing more is done for what it still holds.
-    fn end(&mut self, reason: CloseReason) {
-        let debt = self.debt();
-        self.shared.request_log.client_closed(self.slot, reason, debt);
-        debt.settle(ended_by(reason), &self.shared.counters.invariants);
-        (0..debt.unanswered).for_each(|_| self.shared.counters.left.add());
-        for guard in self.guards.values() {
-            guard.abandon();
-        }
-        for ticket in self.pipeline.begun() {
-            self.shared.request_log.request(ticket, RequestEvent::Abandoned);
-            let _ = self.shared.desk.send(ToDesk::Left(ticket));
-        }
-    }
-
-    /// What is owed to the client now.
-    fn debt(&self) -> Debt {
-        Debt {
-            unanswered: self.pipeline.requests(),
-            unsent: self.link.unsent() + self.pipeline.answer_bytes(),
-            half_read: self.link.inbound.len(),
-        }
-    }
-
+    /// Serves until the connection ends, and says why it did.
     fn live(&mut self) -> CloseReason {
         let mut busy = 0;
         loop {
             self.shared.clock.pulse();
-            if let Some(state) = &self.under_way {
-                match state.load(Ordering::Acquire) {
-                    UNDER_WAY => {
-                        self.link.wait();
-                        continue;
-                    }
-                    TAKEN => return CloseReason::Transferred,
-                    _ => self.under_way = None,
+            match self.transfer_state() {
+                Some(UNDER_WAY) => {
+                    self.link.wait();
+                    continue;
                 }
+                Some(TAKEN) => return CloseReason::Transferred,
+                _ => self.under_way = None,
             }
             self.drain();
-            let moved = match self.pump() {
-                Ok(moved) => moved,
-                Err(why) => {
-                    slog::debug!(self.shared.log, "a client is gone"; "why" => %why);
-                    return CloseReason::Broken;
-                }
-            };
-            while let Ok((ticket, answer)) = self.mail.try_recv() {
-                self.answer(ticket, answer);
-            }
-            self.guard();
+            let Ok(moved) = self.exchange() else { return CloseReason::Broken };
             if self.gone() && (!self.pipeline.is_empty() || self.link.flushed()) {
                 return self.last.unwrap_or(CloseReason::ClientLeft);
             }
             if self.shared.moves(self.slot) && self.leave() {
                 continue;
             }
-            let mut read = 0;
-            // Nothing is begun for a client that has left behind what it sent.
-            while self.reads() && !self.gone() && read < MAX_MESSAGES_PER_TURN && self.next() {
-                read += 1;
+            let read = self.work();
+            match self.settle(moved || read > 0) {
+                Ok(Some(reason)) => return reason,
+                Ok(None) => {}
+                Err(_) => return CloseReason::Broken,
             }
-            if !self.gone() {
-                self.begin();
-            }
-            self.reply();
-            self.finish();
-            if self.draining.is_some() && self.link.flush().is_err() {
-                return CloseReason::Broken;
-            }
-            if self.debt().is_none() {
-                self.last = self.last.or(self.draining);
-            }
-            let done = self.pipeline.is_empty() && self.link.flushed();
-            if let Some(reason) = self.last
-                && done
-                && self.linger()
-            {
-                return reason;
-            }
-            if !moved && read == 0 {
-                busy = 0;
-                let (idle, done) = (self.pipeline.is_empty(), done && self.lingers.is_none());
-                match self.shared.rest(self.slot, idle, done) {
-                    Some(looks) => self.looks = looks,
-                    None => return self.shared.idle_reason(self.slot),
-                }
-                if !self.link.flushed() {
-                    // Queued since the last move; what can't go at once is waited for.
-                    match self.pump() {
-                        Ok(false) => {}
-                        Ok(true) => continue,
-                        Err(_) => return CloseReason::Broken,
-                    }
-                }
-                self.wait();
-            } else {
-                // One that sends at full speed takes turns with the others.
+            if moved || read > 0 {
                 busy += 1;
-                if busy % BUSY == 0 {
-                    self.shared.clock.give_way();
-                } else {
-                    may::coroutine::yield_now();
-                }
+                self.give_turn(busy);
+                continue;
+            }
+            busy = 0;
+            match self.rest() {
+                Ok(true) => self.wait(),
+                Ok(false) => {}
+                Err(_) => return CloseReason::Broken,
             }
         }
     }
 
-    /// As the process ends. What has come in by now is still read; then this connection ends as soon as nothing is
-    /// owed on it. A fresh one has a while for its first request.
-    fn drain(&mut self) {
-        if self.draining.is_none() && self.last.is_none() && self.shared.shuts_down(self.slot, self.fresh) {
-            self.draining = Some(CloseReason::ShuttingDown);
-            if !self.shared.last_call.load(Ordering::Relaxed) {
-                return;
-            }
-        }
-        if self.draining.is_some() && self.shared.last_call.load(Ordering::Relaxed) {
-            self.answer_all();
-        }
-        let limit = if self.draining.is_some() { self.drain_limit() } else { MAX_INBOUND };
-        self.link.set_read_limit(limit);
+    fn transfer_state(&self) -> Option<u8> {
+        self.under_way.as_ref().map(|state| state.load(Ordering::Acquire))
     }
 
-    /// How much is read while the connection drains: behind a request in hand all, to refuse it; else what a message
-    /// that has begun still lacks. The rest is unread when the connection ends, and its client sends it elsewhere.
-    fn drain_limit(&mut self) -> usize {
-        let inbound = &mut self.link.inbound;
-        if self.last.is_some() || self.pipeline.requests() > 0 {
-            MAX_INBOUND
-        } else if inbound.is_empty() {
-            0
-        } else if self.open {
-            pg::message_length(inbound.make_contiguous())
-        } else {
-            pg::opening_length(inbound.make_contiguous())
+    /// Moves bytes both ways, takes in the answers that have come, and gives those whose time is over. True if bytes moved.
+    fn exchange(&mut self) -> Result<bool, Failure> {
+        let moved = self.pump();
+        if let Err(why) = &moved {
+            slog::debug!(self.shared.log, "a client is gone"; "why" => %why);
         }
+        let moved = moved?;
+        while let Ok((ticket, answer)) = self.mail.try_recv() {
+            self.answer(ticket, answer);
+        }
+        self.guard();
+        Ok(moved)
     }
 
-    /// The process is about to exit: what is unanswered gets its final answer now.
-    fn answer_all(&mut self) {
-        for ticket in self.pipeline.begun().collect::<Vec<_>>() {
-            let _ = self.shared.desk.send(ToDesk::Left(ticket));
-            self.answer(ticket, Answer::Unknown("this process ends; it may have run"));
+    /// Takes the messages that are there, begins what may begin, and queues the answers whose turn it is. Gives how many
+    /// messages it took.
+    fn work(&mut self) -> usize {
+        let mut read = 0;
+        // Nothing is begun for a client that has left behind what it sent.
+        while self.reads() && !self.gone() && read < MAX_MESSAGES_PER_TURN && self.next() {
+            read += 1;
         }
-        for ticket in self.pipeline.waiting().collect::<Vec<_>>() {
-            self.answer(ticket, Answer::Declined(None));
+        if !self.gone() {
+            self.begin();
         }
-        if self.last.is_none() && !self.link.inbound.is_empty() {
-            self.refuse_half_read();
+        self.reply();
+        self.finish();
+        read
+    }
+
+    /// Nothing came and nothing was to be done. False if there is something to do after all, now.
+    fn rest(&mut self) -> Result<bool, Failure> {
+        match self.shared.rest(self.slot, self.is_idle(), self.progress) {
+            Rest::Until(looks) => self.looks = looks.min(self.stalls_at()),
+            Rest::Leave(reason) if self.draining.is_none() && self.last.is_none() => {
+                // Whatever has come in by now is still read.
+                self.draining = Some(reason);
+                self.pump()?;
+                return Ok(false);
+            }
+            Rest::Leave(_) => self.looks = self.stalls_at(),
         }
+        // Queued since the last move; what can't go at once is waited for.
+        Ok(self.link.flushed() || !self.pump()?)
     }
 
-    /// Ends a connection on which half a request was read, with a word.
-    fn refuse_half_read(&mut self) {
-        let mut out = Vec::new();
-        pg::error(&mut out, true, pg::CANNOT_CONNECT_NOW, SHUTTING_DOWN, None);
-        self.pipeline.push_answer(out);
-        self.link.inbound.clear();
-        self.last = self.draining;
+    /// One that sends at full speed takes turns with the others.
+    fn give_turn(&self, busy: u32) {
+        if busy.is_multiple_of(BUSY) {
+            self.shared.clock.give_way();
+        } else {
+            may::coroutine::yield_now();
+        }
     }
 
     /// Moves bytes both ways, and notes when those that came in did.
@@ -293,6 +235,9 @@
         let before = self.link.inbound.len();
         let moved = self.link.pump();
         self.arrival_times.received(self.link.inbound.len() - before, self.shared.clock.came_in());
+        if matches!(moved, Ok(true)) {
+            self.progress = self.shared.clock.now();
+        }
         moved
     }
 
@@ -360,21 +305,6 @@
         }
     }
 
-    /// Ends the sending, then reads on for a while: to close over bytes that came in unread would reset the
-    /// connection and could take the last answer from the client. True once it may close.
-    fn linger(&mut self) -> bool {
-        let now = self.shared.clock.now();
-        if self.lingers.is_none() {
-            self.link.close();
-            if let Some(slot) = self.shared.slots().taken.get_mut(&self.slot) {
-                slot.idle_since = Some(Duration::ZERO);
-            }
-        }
-        let until = *self.lingers.get_or_insert(now + LINGER);
-        self.link.inbound.clear();
-        now >= until || self.link.ended
-    }
-
     /// The last guard of an answer in time, should the desk or a member's actor be late. What waits for a write
     /// before it never ran.
     fn guard(&mut self) {
@@ -437,6 +367,7 @@
     }
 
     fn say(&mut self, bytes: &[u8]) {
+        self.answered = self.shared.clock.now();
         // Bounded by what is taken: nothing more is while much is unsent.
         let _ = self.link.queue(bytes);
     }
@@ -497,7 +428,8 @@
                 let text: Arc<str> = pg::statement(body)?.into();
                 let at = self.arrival_times.of_next(length).unwrap_or_else(|| self.shared.clock.came_in());
                 self.skipping = false;
-                self.statement(text, at, out);
+                let alone = self.link.inbound.len() == length;
+                self.statement(text, at, alone, out);
             }
             b'X' => self.last = Some(CloseReason::Terminated),
             b'S' => {
@@ -518,20 +450,19 @@
         Ok(length)
     }
 
-    /// Takes a statement whose last byte came in then.
-    fn statement(&mut self, text: Arc<str>, at: Duration, out: &mut Vec<u8>) {
+    /// Takes a statement whose last byte came in then; `alone`: nothing that was read stands behind it.
+    fn statement(&mut self, text: Arc<str>, at: Duration, alone: bool, out: &mut Vec<u8>) {
         match pg::verb(&text) {
             pg::Verb::Empty => pg::empty_query(out),
             pg::Verb::Session(tag) => pg::command_complete(out, tag),
-            pg::Verb::Txn if !self.find_slot() => {
-                self.shared.counters.clients_refused.add();
-                pg::error(out, true, pg::TOO_MANY, "too many clients, trying again is harmless", None);
-                self.last = Some(CloseReason::NoSlot);
-                return;
-            }
-            pg::Verb::Txn if self.draining.is_some() && self.pipeline.requests() > 0 => {
+            pg::Verb::Txn if let Some(refusal) = self.refusal() => {
                 self.shared.counters.declined.add();
-                pg::error(out, false, pg::CANNOT_CONNECT_NOW, SHUTTING_DOWN, None);
+                let fatal = self.draining == Some(CloseReason::NoSlot) || alone && self.pipeline.is_empty();
+                pg::error(out, fatal, refusal.code, refusal.text, None);
+                if fatal {
+                    self.last = self.last.or(self.draining);
+                    return;
+                }
             }
             pg::Verb::Txn => match self.arrival(text, at) {
                 Ok(arrival) => {
@@ -552,6 +483,7 @@
     /// Takes a txn in hand, to begin as soon as it may.
     fn push(&mut self, arrival: Arrival) {
         self.fresh = false;
+        self.shared.busy(self.slot);
         self.shared.counters.txns.add();
         let request = Request {
             id: arrival.ticket,
@@ -635,19 +567,6 @@
     }
 }
 
-fn ended_by(reason: CloseReason) -> EndedBy {
-    match reason {
-        CloseReason::ClientLeft
-        | CloseReason::Broken
-        | CloseReason::Terminated
-        | CloseReason::Transferred => EndedBy::Client,
-        CloseReason::ProtocolViolation | CloseReason::Panicked => EndedBy::ProcessWithError,
-        CloseReason::Idle | CloseReason::MadeRoom | CloseReason::NoSlot | CloseReason::ShuttingDown => {
-            EndedBy::Process
-        }
-    }
-}
-
 /// An answer as it goes to a client, and the counter that it belongs to.
 fn encode(counters: &Counters, answer: Answer) -> (&Count, Vec<u8>) {
     let mut out = Vec::new();
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -110,6 +110,8 @@
     /// It has sent its opening.
     pub(crate) open: bool,
     asked_to_leave: bool,
+    /// Its sending has ended.
+    ends: bool,
 }
 
 impl ClientSlot {
@@ -136,6 +138,14 @@
     }
 }
 
+/// What a client that has nothing to do is told.
+pub(crate) enum Rest {
+    /// To look again then, if nothing comes before.
+    Until(Duration),
+    /// To end its connection, for this reason.
+    Leave(CloseReason),
+}
+
 impl SharedClients {
     /// Held for a few steps only, never over a wait.
     pub(crate) fn slots(&self) -> MutexGuard<'_, ClientSlots> {
@@ -207,34 +217,46 @@
         let found = slots.taken.len() < self.most || slots.ask_to_leave(now, MIN_REST);
         slots.next += 1;
         let id = slots.next;
-        slots
-            .taken
-            .insert(id, ClientSlot { bell, idle_since: Some(now), open: false, asked_to_leave: false });
+        slots.taken.insert(
+            id,
+            ClientSlot { bell, idle_since: Some(now), open: false, asked_to_leave: false, ends: false },
+        );
         (id, found)
     }
 
-    /// Notes whether a client has no txn in hand, and whether it has its answers too. Gives when to look
-    /// again if nothing comes before; nothing if it is to leave.
-    pub(crate) fn rest(&self, id: u64, idle: bool, done: bool) -> Option<Duration> {
+    /// Notes whether a client is idle: nothing is in hand for it. It rests from when bytes moved last, at the earliest.
+    pub(crate) fn rest(&self, id: u64, idle: bool, progress: Duration) -> Rest {
         let now = self.clock.now();
         let mut slots = self.slots();
         let present = slots.taken.len();
-        let slot = slots.taken.get_mut(&id)?;
-        let since = slot.idle_since.unwrap_or(now);
-        slot.idle_since = idle.then_some(since);
+        let Some(slot) = slots.taken.get_mut(&id) else { return Rest::Until(Duration::MAX) };
+        let since = slot.idle_since.unwrap_or(now).max(progress);
+        // One that ends already stays as it is.
+        slot.idle_since = if slot.ends { slot.idle_since } else { idle.then_some(since) };
+        if slot.asked_to_leave {
+            return Rest::Leave(CloseReason::MadeRoom);
+        }
         let leaves = present > self.crowd && since + MIN_REST <= now
             || present > self.keep && since + LONG_REST <= now;
-        if idle && (slot.asked_to_leave || done && leaves) {
-            return None;
+        if idle && leaves {
+            return Rest::Leave(CloseReason::Idle);
         }
         let next = [since + MIN_REST, since + LONG_REST].into_iter().find(|&at| at > now);
-        Some(next.unwrap_or(now + LONG_REST)).map(|at| if idle { at } else { Duration::MAX })
+        Rest::Until(if idle { next.unwrap_or(now + LONG_REST) } else { Duration::MAX })
     }
 
-    /// Why a client between requests is told to leave.
-    pub(crate) fn idle_reason(&self, id: u64) -> CloseReason {
-        let asked = self.slots().taken.get(&id).is_none_or(|slot| slot.asked_to_leave);
-        if asked { CloseReason::MadeRoom } else { CloseReason::Idle }
+    /// Notes that a client has something in hand again: nobody asks it to leave from here on.
+    pub(crate) fn busy(&self, id: u64) {
+        if let Some(slot) = self.slots().taken.get_mut(&id) {
+            slot.idle_since = None;
+        }
+    }
+
+    /// Notes that a client's connection ends: it is the first to go where there is no room.
+    pub(crate) fn ends(&self, id: u64) {
+        if let Some(slot) = self.slots().taken.get_mut(&id) {
+            (slot.idle_since, slot.ends) = (Some(Duration::ZERO), true);
+        }
     }
 
     /// Comes back a little later.
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -19,6 +19,8 @@
     Idle,
     /// It was idle, and another client needed its slot.
     MadeRoom,
+    /// It took no byte of its answer for long.
+    NotReading,
     /// There was no slot for it.
     NoSlot,
     /// This process ends.
