--- a/crates/front/tests/endings.rs
+++ b/crates/front/tests/endings.rs
@@ -127,6 +127,30 @@
     assert_eq!(client.reply().value.map(|value| value.len()), Some(LENGTH));
 }
 
+#[test]
+fn all_that_was_read_behind_a_first_statement_without_a_slot_is_refused_too() {
+    let town = Town::new();
+    let front = few_descriptors(&town);
+    begin(&town, &front);
+    town.members[0].set(Does::Hangs);
+    let _busy: Vec<Client> = (0..CLIENTS)
+        .map(|i| {
+            let mut client = front.client();
+            client.say(&of_session(&i.to_string(), "order", 60_000, "busy"));
+            client
+        })
+        .collect();
+    let mut extra = TcpStream::connect(front.at).expect("the machine takes it in");
+    extra.set_read_timeout(Some(PATIENCE)).expect("a time");
+    let statement = query(&txn("order", 20_000, "extra"));
+    let all = [&[0, 0, 0, 9, 0, 3, 0, 0, 0][..], &statement.repeat(3)].concat();
+    extra.write_all(&all).expect("the machine takes it");
+    let mut text = Vec::new();
+    extra.read_to_end(&mut text).expect("an end, no reset");
+    let text = String::from_utf8_lossy(&text);
+    assert_eq!(text.matches("53300").count(), 3, "{text:?}");
+}
+
 #[test]
 fn what_comes_behind_a_statement_in_hand_while_the_process_ends_is_answered() {
     let town = Town::new();
