--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -457,7 +457,7 @@
             pg::Verb::Session(tag) => pg::command_complete(out, tag),
             pg::Verb::Txn if let Some(refusal) = self.refusal() => {
                 self.shared.counters.declined.add();
-                let fatal = self.draining == Some(CloseReason::NoSlot) || alone && self.pipeline.is_empty();
+                let fatal = alone && self.pipeline.is_empty();
                 pg::error(out, fatal, refusal.code, refusal.text, None);
                 if fatal {
                     self.last = self.last.or(self.draining);
