Add a soak: many processes, faults that overlap, the invariants as its oracle

Oracle: nothing sent on and then cut off, nothing sent after a client left, all answered, violations=0 and panics=0 in each process's own count, no crash, and the auditors of every fleet.

--- /dev/null
+++ b/crates/fault-shim/src/calls.rs
@@ -0,0 +1,326 @@
+//! The calls of the C library that this one stands in for.
+
+use juniperdock_fault_controls::{Controls, LENGTH, VARIABLE};
+use libc::{c_char, c_int, c_void, clockid_t, epoll_event, size_t, sockaddr, socklen_t, ssize_t, timespec};
+use std::cell::Cell;
+use std::ffi::CStr;
+use std::mem::transmute;
+use std::ptr::{null, null_mut, read_volatile};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+
+/// The next definition of a call, the C library's own.
+struct Next(AtomicUsize, &'static CStr);
+
+impl Next {
+    const fn of(name: &'static CStr) -> Next {
+        Next(AtomicUsize::new(0), name)
+    }
+
+    fn address(&self) -> usize {
+        let known = self.0.load(Ordering::Relaxed);
+        if known != 0 {
+            return known;
+        }
+        // SAFETY: the name is a C string; the result is only used with the type of that call.
+        let found = unsafe { libc::dlsym(libc::RTLD_NEXT, self.1.as_ptr()) } as usize;
+        self.0.store(found, Ordering::Relaxed);
+        found
+    }
+}
+
+/// The mapped control file; address 0 without one.
+fn mapped() -> usize {
+    static AT: OnceLock<usize> = OnceLock::new();
+    *AT.get_or_init(|| {
+        let mut name = VARIABLE.as_bytes().to_vec();
+        name.push(0);
+        // SAFETY: plain calls with valid C strings; the mapping is never undone.
+        unsafe {
+            let path = libc::getenv(name.as_ptr().cast::<c_char>());
+            if path.is_null() {
+                return 0;
+            }
+            let file =
+                libc::syscall(libc::SYS_openat, libc::AT_FDCWD, path, libc::O_RDONLY | libc::O_CLOEXEC);
+            if file < 0 {
+                return 0;
+            }
+            let at = libc::mmap(null_mut(), LENGTH, libc::PROT_READ, libc::MAP_SHARED, file as c_int, 0);
+            libc::syscall(libc::SYS_close, file);
+            if at == libc::MAP_FAILED { 0 } else { at as usize }
+        }
+    })
+}
+
+fn controls() -> Controls {
+    match mapped() {
+        0 => Controls::default(),
+        // SAFETY: mapped for good, of that size; another process writes it, hence volatile.
+        at => unsafe { read_volatile(at as *const Controls) },
+    }
+}
+
+/// Whether a fault of this rate meets a call.
+fn drawn(rate: u32) -> bool {
+    rate > 0 && (random() & 0xffff) < u64::from(rate)
+}
+
+/// Each thread draws a sequence of its own.
+fn random() -> u64 {
+    static THREADS: AtomicU64 = AtomicU64::new(1);
+    thread_local!(static STATE: Cell<u64> = const { Cell::new(0) });
+    STATE.with(|state| {
+        let mut x = state.get();
+        if x == 0 {
+            let thread = THREADS.fetch_add(1, Ordering::Relaxed);
+            x = (controls().seed ^ thread.wrapping_mul(0x9e37_79b9_7f4a_7c15)) | 1;
+        }
+        x ^= x << 13;
+        x ^= x >> 7;
+        x ^= x << 17;
+        state.set(x);
+        x >> 11
+    })
+}
+
+fn fail(errno: c_int) -> c_int {
+    // SAFETY: the thread's own variable.
+    unsafe { *libc::__errno_location() = errno };
+    -1
+}
+
+fn one_of(errors: &[c_int]) -> c_int {
+    errors[random() as usize % errors.len()]
+}
+
+/// Stands still for a while, if it is this call's turn.
+fn hold_up(controls: &Controls) {
+    if drawn(controls.held_up) {
+        let nanos = random() % (u64::from(controls.held_up_us).max(1) * 1000);
+        let span =
+            timespec { tv_sec: (nanos / 1_000_000_000) as i64, tv_nsec: (nanos % 1_000_000_000) as i64 };
+        // SAFETY: a valid span, and nothing is asked back.
+        unsafe { libc::syscall(libc::SYS_nanosleep, &raw const span, null::<timespec>()) };
+    }
+}
+
+/// Descriptors below this number that were connected here, a bit each.
+static OPENED: [AtomicU64; 64] = [const { AtomicU64::new(0) }; 64];
+
+fn opened(fd: c_int, set: Option<bool>) -> bool {
+    let Some(word) = usize::try_from(fd).ok().and_then(|fd| OPENED.get(fd / 64)) else { return false };
+    let bit = 1u64 << (fd % 64);
+    match set {
+        Some(true) => word.fetch_or(bit, Ordering::Relaxed) & bit != 0,
+        Some(false) => word.fetch_and(!bit, Ordering::Relaxed) & bit != 0,
+        None => word.load(Ordering::Relaxed) & bit != 0,
+    }
+}
+
+/// What a read or write of a socket meets: an error, or how many bytes it may move.
+fn meets(fd: c_int, length: size_t) -> Result<size_t, c_int> {
+    let controls = controls();
+    hold_up(&controls);
+    if drawn(controls.interrupted) {
+        return Err(libc::EINTR);
+    }
+    if opened(fd, None) && drawn(controls.breaks) {
+        // SAFETY: whoever owns the descriptor is told that the connection is over.
+        unsafe { libc::syscall(libc::SYS_shutdown, fd, libc::SHUT_RDWR) };
+        return Err(one_of(&[libc::ETIMEDOUT, libc::EHOSTUNREACH, libc::ECONNRESET]));
+    }
+    Ok(if length > 1 && drawn(controls.short) { 1 + random() as usize % (length - 1) } else { length })
+}
+
+fn is_regular(fd: c_int) -> bool {
+    let mut stat = std::mem::MaybeUninit::<libc::stat>::zeroed();
+    // SAFETY: room for the answer; read only when the call succeeded.
+    unsafe {
+        libc::fstat(fd, stat.as_mut_ptr()) == 0 && stat.assume_init().st_mode & libc::S_IFMT == libc::S_IFREG
+    }
+}
+
+static CLOCK: Next = Next::of(c"clock_gettime");
+static ACCEPT: Next = Next::of(c"accept4");
+static SOCKET: Next = Next::of(c"socket");
+static CONNECT: Next = Next::of(c"connect");
+static RECV: Next = Next::of(c"recv");
+static SEND: Next = Next::of(c"send");
+static WRITE: Next = Next::of(c"write");
+static FSYNC: Next = Next::of(c"fsync");
+static WAIT: Next = Next::of(c"epoll_wait");
+static CLOSE: Next = Next::of(c"close");
+
+/// # Safety
+/// As `clock_gettime(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn clock_gettime(clock: clockid_t, at: *mut timespec) -> c_int {
+    // SAFETY: the address is that of this call; the caller's pointers are passed on.
+    unsafe {
+        let next: extern "C" fn(clockid_t, *mut timespec) -> c_int = transmute(CLOCK.address());
+        let done = next(clock, at);
+        if done == 0 && clock == libc::CLOCK_REALTIME {
+            let off = controls().wall_clock_ms;
+            let nanos = (*at).tv_nsec + off.rem_euclid(1000) * 1_000_000;
+            (*at).tv_sec += off.div_euclid(1000) + nanos / 1_000_000_000;
+            (*at).tv_nsec = nanos % 1_000_000_000;
+        }
+        done
+    }
+}
+
+/// # Safety
+/// As `accept4(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn accept4(
+    fd: c_int,
+    at: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    let controls = controls();
+    hold_up(&controls);
+    if drawn(controls.fails) {
+        return fail(one_of(&[libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EINTR]));
+    }
+    // SAFETY: as above.
+    unsafe {
+        let next: extern "C" fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int =
+            transmute(ACCEPT.address());
+        let accepted = next(fd, at, length, flags);
+        opened(accepted, Some(false));
+        accepted
+    }
+}
+
+/// # Safety
+/// As `socket(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    if domain == libc::AF_INET && drawn(controls().fails) {
+        return fail(one_of(&[libc::ENFILE, libc::ENOBUFS]));
+    }
+    // SAFETY: as above.
+    unsafe {
+        let next: extern "C" fn(c_int, c_int, c_int) -> c_int = transmute(SOCKET.address());
+        next(domain, kind, protocol)
+    }
+}
+
+/// # Safety
+/// As `connect(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn connect(fd: c_int, to: *const sockaddr, length: socklen_t) -> c_int {
+    let controls = controls();
+    hold_up(&controls);
+    // SAFETY: the caller's address is a valid one.
+    let remote = unsafe { c_int::from((*to).sa_family) == libc::AF_INET };
+    if remote && drawn(controls.fails) {
+        return fail(one_of(&[libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::EHOSTUNREACH]));
+    }
+    opened(fd, Some(remote));
+    // SAFETY: as above.
+    unsafe {
+        let next: extern "C" fn(c_int, *const sockaddr, socklen_t) -> c_int = transmute(CONNECT.address());
+        next(fd, to, length)
+    }
+}
+
+/// # Safety
+/// As `recv(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
+    let peeks = flags & libc::MSG_PEEK != 0;
+    match if peeks { Ok(length) } else { meets(fd, length) } {
+        Err(errno) => fail(errno) as ssize_t,
+        // SAFETY: as above, with no more room than the caller has.
+        Ok(length) => unsafe {
+            let next: extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t = transmute(RECV.address());
+            next(fd, buffer, length, flags)
+        },
+    }
+}
+
+/// # Safety
+/// As `send(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn send(fd: c_int, bytes: *const c_void, length: size_t, flags: c_int) -> ssize_t {
+    match meets(fd, length) {
+        Err(errno) => fail(errno) as ssize_t,
+        // SAFETY: as above, with no more bytes than the caller has.
+        Ok(length) => unsafe {
+            let next: extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t =
+                transmute(SEND.address());
+            next(fd, bytes, length, flags)
+        },
+    }
+}
+
+/// # Safety
+/// As `write(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn write(fd: c_int, bytes: *const c_void, length: size_t) -> ssize_t {
+    let mut length = length;
+    // Standard error goes to a file, too, and is no part of what has to last.
+    let rate = if fd > 2 { controls().disk } else { 0 };
+    if rate > 0 && is_regular(fd) && drawn(rate) {
+        if length < 2 || random().is_multiple_of(2) {
+            return fail(one_of(&[libc::ENOSPC, libc::EIO])) as ssize_t;
+        }
+        length = 1 + random() as usize % (length - 1);
+    }
+    // SAFETY: as above, with no more bytes than the caller has.
+    unsafe {
+        let next: extern "C" fn(c_int, *const c_void, size_t) -> ssize_t = transmute(WRITE.address());
+        next(fd, bytes, length)
+    }
+}
+
+/// # Safety
+/// As `fsync(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
+    if drawn(controls().disk) {
+        return fail(libc::EIO);
+    }
+    // SAFETY: as above.
+    unsafe {
+        let next: extern "C" fn(c_int) -> c_int = transmute(FSYNC.address());
+        next(fd)
+    }
+}
+
+/// # Safety
+/// As `epoll_wait(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn epoll_wait(
+    fd: c_int,
+    events: *mut epoll_event,
+    room: c_int,
+    timeout: c_int,
+) -> c_int {
+    let controls = controls();
+    if drawn(controls.interrupted) {
+        return fail(libc::EINTR);
+    }
+    // SAFETY: as above.
+    let found = unsafe {
+        let next: extern "C" fn(c_int, *mut epoll_event, c_int, c_int) -> c_int = transmute(WAIT.address());
+        next(fd, events, room, timeout)
+    };
+    hold_up(&controls);
+    found
+}
+
+/// # Safety
+/// As `close(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn close(fd: c_int) -> c_int {
+    opened(fd, Some(false));
+    // SAFETY: as above.
+    unsafe {
+        let next: extern "C" fn(c_int) -> c_int = transmute(CLOSE.address());
+        next(fd)
+    }
+}
--- /dev/null
+++ b/crates/front/tests/soak.rs
@@ -0,0 +1,41 @@
+//! A short soak: ten processes of the program, faults of all kinds that overlap, and the invariants as the oracle.
+//! `juniperdock-lab soak` plays longer ones, for many seeds.
+
+use juniperdock_lab::fleet::history::read;
+use juniperdock_lab::fleet::play::play;
+use juniperdock_lab::fleet::{Schedule, soak};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperdock");
+
+#[test]
+fn ten_processes_keep_the_invariants_whatever_befalls_them() {
+    let schedule = Schedule::soak(3, 10, 8.0);
+    let path = std::env::temp_dir().join(format!("jd-soak-{}.jsonl", std::process::id()));
+    play(&schedule, 3, PROGRAM, &path, None).unwrap_or_else(|why| panic!("{why}"));
+    let seen = soak::findings(&read(&path).unwrap_or_else(|why| panic!("{why}")));
+    let _ = std::fs::remove_file(&path);
+    assert!(seen.hold(), "{seen}");
+    assert!(seen.figures.committed > 100 && seen.left > 0, "{seen}");
+}
+
+/// The oracle sees what it is there for: a statement that a server had, and whose connection then ended without a word.
+#[test]
+fn the_oracle_finds_what_is_planted() {
+    let schedule = Schedule { mishaps: Vec::new(), lasts_s: 2.0, ..Schedule::soak(4, 2, 1.0) };
+    let path = std::env::temp_dir().join(format!("jd-oracle-{}.jsonl", std::process::id()));
+    play(&schedule, 4, PROGRAM, &path, None).unwrap_or_else(|why| panic!("{why}"));
+    let lines = read(&path).unwrap_or_else(|why| panic!("{why}"));
+    let _ = std::fs::remove_file(&path);
+    assert!(soak::findings(&lines).hold());
+    let sent = lines.iter().rposition(|line| line.what == "submitted").expect("a statement was sent on");
+    for (what, auditor) in [("cut off", "sent on and cut off"), ("left", "sent after its client left")] {
+        let mut spoilt = lines.clone();
+        let mut line = lines[sent].clone();
+        line.what = what.to_owned();
+        let at = if what == "left" { 0 } else { sent + 1 };
+        line.at = if what == "left" { lines[0].at } else { line.at };
+        spoilt.insert(at, line);
+        let found = soak::findings(&spoilt).broken;
+        assert!(found.iter().any(|found| found.auditor == auditor), "{what}: {found:?}");
+    }
+}
--- a/crates/lab/src/fleet/audit.rs
+++ b/crates/lab/src/fleet/audit.rs
@@ -164,7 +164,7 @@
 }
 
 /// Rule 1: who has asked is answered once, unless its front's process was met by something meanwhile.
-fn answers(town: &Town) -> Vec<(Duration, String)> {
+pub(super) fn answers(town: &Town) -> Vec<(Duration, String)> {
     let mut asked: HashMap<u64, (Duration, usize, Duration)> = HashMap::new();
     let mut answered: HashMap<u64, (Duration, bool, u32)> = HashMap::new();
     for line in town.lines {
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -2,13 +2,16 @@
 //! in one history, and audited by that alone. `docs/fleet.md` says what is looked for.
 
 pub mod audit;
+mod crowd;
 pub mod history;
+mod machine;
 pub mod owners;
 pub mod page;
 pub mod play;
 pub mod primaries;
 pub mod relay;
 pub mod schedule;
+pub mod soak;
 
 pub use audit::{Figures, figures};
 pub use play::play;
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -1,6 +1,8 @@
 //! Starts the processes, lets them be met by what the schedule says, and writes everything down.
 
+use super::crowd::Crowd;
 use super::history::History;
+use super::machine::Machine;
 use super::relay::Relay;
 use super::schedule::{Harm, Mishap, Schedule};
 use crate::scenario::{Befallen, Befalls, Fleet, Load, Of, OfKind, Reads, Runs, Scenario};
@@ -16,9 +18,9 @@
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, TryRecvError, channel};
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 /// How often the world is looked at.
@@ -110,6 +112,14 @@
         self.0.note(at, "asked", json!({ "front": front, "txn": ask.txn, "left": left }));
     }
 
+    fn cut_off(&mut self, at: Duration, front: usize, txn: u32) {
+        self.0.note(at, "cut off", json!({ "front": front, "txn": txn }));
+    }
+
+    fn left(&mut self, at: Duration, front: usize, txn: u32) {
+        self.0.note(at, "left", json!({ "front": front, "txn": txn }));
+    }
+
     fn answered(
         &mut self,
         at: Duration,
@@ -220,6 +230,7 @@
     agents: Vec<Agent>,
     /// What the list has for a front that does not hear it.
     unsaid: Vec<Option<Vec<Unsaid>>>,
+    listen: Vec<SocketAddr>,
     /// Where each front reaches the members.
     at: Vec<Vec<SocketAddr>>,
     members: usize,
@@ -230,6 +241,9 @@
     moves: Vec<(usize, usize, Receiver<Option<Value>>)>,
     /// The fleet rolls itself: which process is a front's is to be asked.
     rolled: bool,
+    /// What each front's process meets in the machine's calls.
+    machines: Vec<Machine>,
+    crowds: Vec<Option<Crowd>>,
 }
 
 /// Changes a front's configuration or operators' file before the start, by a front's number.
@@ -286,13 +300,18 @@
         environments: Vec::new(),
         agents: Vec::new(),
         unsaid: (0..n).map(|_| None).collect(),
+        listen: listen.clone(),
         at: Vec::new(),
         members,
         slow: vec![None; n],
         upgrades: Vec::new(),
         moves: Vec::new(),
         rolled: false,
+        machines: Vec::new(),
+        crowds: (0..n).map(|_| None).collect(),
     };
+    town.leaving.lock().unwrap_or_else(PoisonError::into_inner).share = schedule.leaves;
+    let preloads = schedule.mishaps.iter().any(Mishap::machine);
     for front in 0..n {
         let at = town.members(front, members)?;
         let agent = Agent::start(WATCH);
@@ -302,6 +321,7 @@
         config["peer_listen"] = peers[front].to_string().into();
         config["peers"] = rig.relay.at[front].iter().map(ToString::to_string).collect::<Vec<_>>().into();
         config["settings"]["Bounds"]["Peers"] = true.into();
+        config["limits"]["sockets"] = schedule.sockets.into();
         let dir = home.join(format!("{front}"));
         std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
         let speaks = if schedule.older.contains(&front) { 1 } else { 2 };
@@ -318,13 +338,17 @@
         };
         write("config.json", &config)?;
         write("charter.json5", &charter)?;
-        rig.environments.push(vec![
+        let machine = Machine::new(&dir, seed, front);
+        let mut environment = if preloads { machine.environment()? } else { Vec::new() };
+        rig.machines.push(machine);
+        environment.extend([
             ("GW_NAME", format!("n{front}")),
             ("GW_LISTEN", listen[front].to_string()),
             ("GW_DISCOVERY", agent.at.to_string()),
             ("GW_CONFIG", dir.join("config.json").display().to_string()),
             ("JUNIPERDOCK_CHARTER", dir.join("charter.json5").display().to_string()),
         ]);
+        rig.environments.push(environment);
         rig.agents.push(agent);
         rig.at.push(at);
         rig.processes.push(Process { dir, child: None, pid: 0, stopped: false });
@@ -472,6 +496,9 @@
         self.find();
         for front in 0..self.processes.len() {
             let cpu = self.processes[front].cpu_ms();
+            if !self.processes[front].runs() {
+                self.history.note(self.town.now(), "crashed", json!({ "front": front }));
+            }
             self.history.note(self.town.now(), "told to end", json!({ "front": front, "cpu_ms": cpu }));
             self.processes[front].signal("-TERM");
         }
@@ -599,7 +626,11 @@
             }
             Harm::MembersCut => self.part(front, true),
             Harm::ListCut => self.unsaid[front] = Some(Vec::new()),
+            Harm::Crowd => {
+                self.crowds[front] = Some(Crowd::start(self.listen[front], m.by.unwrap_or(0.0)));
+            }
             _ if m.world() => {}
+            _ if m.machine() => self.meet(m, true),
             _ => self.bend(m, true),
         }
     }
@@ -630,13 +661,24 @@
                     self.say(self.town.now(), front, member, state, text);
                 }
             }
+            Harm::Crowd => self.crowds[front] = None,
             Harm::Upgraded | Harm::MoveOrdered | Harm::RollOrdered => {}
             _ if m.world() => {}
+            _ if m.machine() => self.meet(m, false),
             _ => self.bend(m, false),
         }
         Ok(())
     }
 
+    /// The machine's calls begin to fail as a mishap says, or no longer do, at one front or all.
+    fn meet(&mut self, m: &Mishap, begins: bool) {
+        for (front, machine) in self.machines.iter_mut().enumerate() {
+            if m.front.is_none_or(|its| its == front) {
+                machine.change(m, begins);
+            }
+        }
+    }
+
     fn part(&self, front: usize, parted: bool) {
         let mut state = self.town.present();
         (0..self.members).for_each(|member| state.world.part(front, member, parted));
--- a/crates/lab/src/fleet/schedule.rs
+++ b/crates/lab/src/fleet/schedule.rs
@@ -57,6 +57,21 @@
     MemberDrained,
     /// `front` is asked to roll the fleet, `number` fronts at once (1 where it is 0).
     RollOrdered,
+    /// Calls of the process on sockets stand still for up to `by` milliseconds, a `share` of them. This and the next
+    /// five meet all fronts where none is named.
+    HeldUp,
+    /// A `share` of accept, socket and connect fails.
+    CallsFail,
+    /// A `share` of reads and writes moves a part only, and as many are interrupted.
+    ShortCalls,
+    /// A `share` of the reads from members finds the connection broken.
+    ConnectionsBreak,
+    /// The wall clock is `by` milliseconds ahead, or behind for an odd `number`.
+    ClockStepped,
+    /// A `share` of the writes and syncs of files fails.
+    DiskFails,
+    /// `by` idle clients a second come to `front` and stay.
+    Crowd,
     /// `front` is asked for a planned change of group `number`; once all hold, its primary hands over.
     MoveOrdered,
 }
@@ -120,7 +135,7 @@
     #[garde(inner(range(min = 0.0, max = 1.0)))]
     #[serde(default)]
     pub share: Option<f64>,
-    #[garde(inner(range(min = 0.0, max = 1e6)))]
+    #[garde(inner(range(min = 0.0, max = 1e7)))]
     #[serde(default)]
     pub by: Option<f64>,
 }
@@ -131,7 +146,7 @@
 pub struct Schedule {
     #[garde(length(min = 1, max = 120))]
     pub title: String,
-    #[garde(range(min = 1, max = 30))]
+    #[garde(range(min = 1, max = 40))]
     pub fronts: usize,
     #[garde(range(min = 1, max = 20))]
     pub groups: usize,
@@ -150,6 +165,12 @@
     /// How often a client asks again that was declined or not answered.
     #[garde(range(min = 0, max = 100))]
     pub retries: u32,
+    /// A share of the clients that leave before they have their answer.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub leaves: f64,
+    /// The descriptors of each front.
+    #[garde(range(min = 52, max = 1024))]
+    pub sockets: u32,
     /// The time of every txn; its client waits for two fifths of it at least.
     #[garde(range(min = 100, max = 60_000))]
     pub expiry_ms: u64,
@@ -178,6 +199,8 @@
             every_ms: 500,
             older: Vec::new(),
             retries: 2,
+            leaves: 0.0,
+            sockets: 1024,
             expiry_ms: 1500,
             lost_ms: [1100.0, 2700.0],
             fellows: true,
@@ -224,6 +247,7 @@
                     | Harm::ListCut
                     | Harm::MoveOrdered
                     | Harm::RollOrdered
+                    | Harm::Crowd
             );
             if needs_front && m.front.is_none() {
                 wrong("what", "expected a front");
@@ -234,10 +258,20 @@
             if m.what == Harm::Apart && (m.side.is_empty() || m.side.len() >= self.fronts) {
                 wrong("what", "expected some of the fronts as side, not all");
             }
-            if matches!(m.what, Harm::Lost | Harm::Doubled | Harm::Bent) && m.share.is_none() {
+            if (matches!(m.what, Harm::Lost | Harm::Doubled | Harm::Bent) || m.machine()) && m.share.is_none()
+            {
                 wrong("what", "expected a share");
             }
-            let rate = matches!(m.what, Harm::Late | Harm::Replayed | Harm::Forged | Harm::Flooded);
+            let rate = matches!(
+                m.what,
+                Harm::Late
+                    | Harm::Replayed
+                    | Harm::Forged
+                    | Harm::Flooded
+                    | Harm::HeldUp
+                    | Harm::ClockStepped
+                    | Harm::Crowd
+            );
             if rate && m.by.is_none() {
                 wrong("what", "expected by");
             }
@@ -463,6 +497,19 @@
         Harm::PRIMARY.contains(&self.what) || self.what == Harm::MemberDrained
     }
 
+    /// It meets the machine's calls, through the library that the rig loads.
+    pub fn machine(&self) -> bool {
+        matches!(
+            self.what,
+            Harm::HeldUp
+                | Harm::CallsFail
+                | Harm::ShortCalls
+                | Harm::ConnectionsBreak
+                | Harm::ClockStepped
+                | Harm::DiskFails
+        )
+    }
+
     /// It meets the process itself.
     pub fn process(&self) -> bool {
         matches!(
--- /dev/null
+++ b/crates/lab/src/fleet/soak.rs
@@ -0,0 +1,294 @@
+//! A soak: many processes, faults of all kinds that overlap in time, and the invariants as the oracle. Drawn from a seed;
+//! judged by the history alone.
+
+use super::audit::{self, Found, Town, front, txn};
+use super::history::Line;
+use super::schedule::{Harm, Mishap, Schedule};
+use super::{Figures, figures};
+use juniperdock_emulator::Stream;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
+use std::time::Duration;
+
+/// An attempt may still begin so long after its client has left, and is seen a moment later at a busy server.
+const AFTER_LEAVING: Duration = Duration::from_millis(200);
+/// A process that was stopped, or held up, learns later that its client has left.
+const NOTICED: Duration = Duration::from_millis(500);
+
+/// Idle clients that come to a front in a second.
+const CROWD: f64 = 600.0;
+
+/// What a soak draws from; each kind once before any comes again.
+const HARMS: [Harm; 16] = [
+    Harm::Crowd,
+    Harm::FrontEnded,
+    Harm::HeldUp,
+    Harm::PrimaryKilled,
+    Harm::CallsFail,
+    Harm::FrontSlow,
+    Harm::ShortCalls,
+    Harm::MemberDrained,
+    Harm::ConnectionsBreak,
+    Harm::FrontKilled,
+    Harm::PrimaryHung,
+    Harm::Crowd,
+    Harm::ListCut,
+    Harm::Upgraded,
+    Harm::PrimaryMoved,
+    Harm::DiskFails,
+];
+
+impl Schedule {
+    /// So many processes under load, with some three faults at any time for each ten of them.
+    pub fn soak(seed: u64, fronts: usize, lasts_s: f64) -> Schedule {
+        let mut chance = Stream::of(seed, "soak", 0);
+        let mut schedule = Schedule {
+            title: format!("A soak from seed {seed}"),
+            fronts,
+            groups: 3,
+            per_second: 12.0 * fronts as f64,
+            expiry_ms: 600 + 100 * (seed % 8),
+            sockets: 240,
+            leaves: 0.03,
+            fellows: false,
+            ..Schedule::default()
+        };
+        let pace_s = 2.5 / (0.3 * fronts as f64).max(1.0);
+        let (mut at_s, mut left) = (1.5, Vec::new());
+        while at_s < lasts_s {
+            if left.is_empty() {
+                left = HARMS.to_vec();
+            }
+            let what = left.swap_remove(chance.below(left.len()));
+            if let Some(mishap) = schedule.soaking(what, at_s, &mut chance) {
+                // A crowd meets a slow process: what comes in lies there for a while.
+                let crowd = Mishap { what: Harm::Crowd, by: Some(CROWD), ..mishap.clone() };
+                let is_slow = what == Harm::FrontSlow;
+                schedule.mishaps.push(mishap);
+                schedule.mishaps.extend(Some(crowd).filter(|_| is_slow));
+            }
+            at_s += pace_s * (0.5 + chance.share());
+        }
+        schedule.lasts_s = schedule.healed_s() + 2.5;
+        schedule
+    }
+
+    /// One mishap of a kind, at some front that nothing of the kind meets; none where there is no such front.
+    fn soaking(&self, what: Harm, at_s: f64, chance: &mut Stream) -> Option<Mishap> {
+        let lasts_s = match what {
+            Harm::FrontEnded => 4.0,
+            Harm::Upgraded => 2.0,
+            _ => 1.0 + 2.5 * chance.share(),
+        };
+        let number = match what {
+            Harm::PrimaryKilled | Harm::PrimaryHung | Harm::PrimaryMoved => chance.below(self.groups),
+            Harm::MemberDrained => chance.below(self.groups * self.members),
+            _ => 0,
+        };
+        let share = match what {
+            // Held up long, and seldom: twice in a row is more than a front is owed.
+            Harm::HeldUp => Some(0.002 + 0.004 * chance.share()),
+            Harm::CallsFail | Harm::ShortCalls => Some(0.05 + 0.1 * chance.share()),
+            Harm::ConnectionsBreak => Some(0.005 + 0.02 * chance.share()),
+            Harm::DiskFails => Some(0.5),
+            _ => None,
+        };
+        let by = match what {
+            Harm::HeldUp => Some(150.0),
+            Harm::Crowd => Some(CROWD * (0.5 + chance.share())),
+            _ => None,
+        };
+        let first = chance.below(self.fronts);
+        let process = |m: &Mishap| m.process();
+        let mine = |m: &&Mishap| m.what == what || process(m) && is_of_process(what);
+        let busy = |front: usize| {
+            let its = self.mishaps.iter().filter(mine);
+            its.into_iter().any(|m| m.front == Some(front) && m.at_s + m.lasts_s + 1.0 > at_s)
+        };
+        let mut fronts = (0..self.fronts).map(|i| (first + i) % self.fronts);
+        let front = fronts.find(|&front| !busy(front))?;
+        let front = Some(front).filter(|_| !Harm::PRIMARY.contains(&what) && what != Harm::MemberDrained);
+        let (other, side) = (None, Vec::new());
+        Some(Mishap { at_s, lasts_s, what, front, other, side, number, share, by })
+    }
+}
+
+fn is_of_process(what: Harm) -> bool {
+    matches!(
+        what,
+        Harm::FrontKilled | Harm::FrontEnded | Harm::FrontStopped | Harm::FrontSlow | Harm::Upgraded
+    )
+}
+
+/// What a soak has shown.
+#[derive(Debug)]
+pub struct Findings {
+    pub figures: Figures,
+    /// What broke an invariant.
+    pub broken: Vec<Found>,
+    /// Statements whose connections ended twice before any of it was sent on: their clients would ask once more.
+    pub crossed: usize,
+    pub mishaps: BTreeMap<String, usize>,
+    pub cut_off: usize,
+    pub left: usize,
+}
+
+impl Findings {
+    pub fn hold(&self) -> bool {
+        self.broken.is_empty()
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let kinds: Vec<String> = self.mishaps.iter().map(|(what, times)| format!("{what} {times}")).collect();
+        writeln!(f, "mishaps: {}", kinds.join(", "))?;
+        writeln!(
+            f,
+            "clients that left early {}, connections that ended under a statement {}",
+            self.left, self.cut_off
+        )?;
+        for found in &self.broken {
+            writeln!(f, "BROKEN {} at {:.3} s: {}", found.auditor, found.at_s, found.what)?;
+        }
+        writeln!(f, "statements that crossed the end of two connections {}", self.crossed)?;
+        write!(f, "{}", self.figures)
+    }
+}
+
+type Look = fn(&Town) -> Vec<(Duration, String)>;
+
+const INVARIANTS: [(&str, Look); 5] = [
+    ("unanswered", unanswered),
+    ("sent on and cut off", sent_on_and_cut_off),
+    ("sent after its client left", sent_after_leaving),
+    ("counted by the front", counted),
+    ("crashed", crashed),
+];
+
+/// Looks at a soak's history.
+pub fn findings(lines: &[Line]) -> Findings {
+    let town = Town::of(lines);
+    let one = |auditor: &'static str, (at, what): (Duration, String)| Found {
+        auditor,
+        at_s: at.as_secs_f64(),
+        what,
+    };
+    let broken = INVARIANTS
+        .iter()
+        .flat_map(|&(name, look)| look(&town).into_iter().map(move |found| one(name, found)));
+    let mut broken: Vec<Found> = broken.collect();
+    let figures = figures(lines);
+    // Judged here for clients that leave, and for connections that end.
+    broken.extend(figures.found.iter().filter(|found| found.auditor != "answers").cloned());
+    let crossed = crossed(&town).len();
+    let mut mishaps = BTreeMap::new();
+    for line in town.each("mishap") {
+        *mishaps.entry(line.more["mishap"]["what"].as_str().unwrap_or_default().to_owned()).or_default() += 1;
+    }
+    let (cut_off, left) = (town.each("cut off").count(), town.each("left").count());
+    Findings { figures, broken, crossed, mishaps, cut_off, left }
+}
+
+/// When each front's process was killed.
+fn killed<'a>(town: &'a Town) -> impl Iterator<Item = (usize, Duration, Duration)> + 'a {
+    let kills = town.mishaps.iter().filter(|(mishap, ..)| mishap["what"] == "front_killed");
+    kills.filter_map(|(mishap, from, to)| Some((mishap["front"].as_u64()? as usize, *from, *to)))
+}
+
+/// Statements that no front has sent on and whose connections ended twice.
+fn crossed(town: &Town) -> BTreeSet<u64> {
+    let mut ends: HashMap<u64, usize> = HashMap::new();
+    for line in town.each("cut off") {
+        *ends.entry(txn(line)).or_default() += 1;
+    }
+    let nothing = town.each("answered").filter(|line| line.text("told") == "nothing").map(txn);
+    let sent: BTreeSet<u64> = town.each("submitted").map(txn).collect();
+    nothing.filter(|txn| ends.contains_key(txn) && !sent.contains(txn)).collect()
+}
+
+/// Rule 1: who has asked and stays is answered, once, unless its front's process was met by something meanwhile.
+fn unanswered(town: &Town) -> Vec<(Duration, String)> {
+    let left: BTreeSet<u64> = town.each("left").map(txn).collect();
+    let crossed = crossed(town);
+    let expected = |line: &&Line| !left.contains(&txn(line)) && !crossed.contains(&txn(line));
+    let lines: Vec<Line> =
+        town.lines.iter().filter(|line| line.what != "asked" || expected(line)).cloned().collect();
+    audit::answers(&Town::of(&lines))
+}
+
+/// Rule 1: a front that has sent a request to a server does not end the connection that it came on without an answer,
+/// unless its process was killed.
+fn sent_on_and_cut_off(town: &Town) -> Vec<(Duration, String)> {
+    let mut asked: HashMap<(usize, u64), Duration> = HashMap::new();
+    let mut sent: HashMap<(usize, u64), Duration> = HashMap::new();
+    let mut found = Vec::new();
+    for line in town.lines {
+        let key = (front(line), txn(line));
+        match line.what.as_str() {
+            "asked" => {
+                asked.insert(key, line.at);
+            }
+            "submitted" => {
+                sent.insert(key, line.at);
+            }
+            "cut off" => {
+                let from = asked.get(&key).copied().unwrap_or_default();
+                let sent = sent.get(&key).filter(|&&at| at >= from);
+                let dead = killed(town).any(|(dead, at, to)| dead == key.0 && at <= line.at && from <= to);
+                if sent.is_some() && !dead {
+                    let what = format!("front {} sent txn {} on and ended its connection", key.0, key.1);
+                    found.push((line.at, what));
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// Rule 1: nothing new is sent for a client that has gone.
+fn sent_after_leaving(town: &Town) -> Vec<(Duration, String)> {
+    let mut left: HashMap<(usize, u64), Duration> = HashMap::new();
+    let mut found = Vec::new();
+    for line in town.lines {
+        let key = (front(line), txn(line));
+        match line.what.as_str() {
+            "left" => {
+                left.insert(key, line.at);
+            }
+            "submitted" => {
+                let Some(&at) = left.get(&key) else { continue };
+                let allowed = if town.excused(key.0, at, line.at) { NOTICED } else { AFTER_LEAVING };
+                if line.at > at + allowed {
+                    let late = (line.at - at).as_millis();
+                    let what = format!("front {} sends txn {} {late} ms after its client left", key.0, key.1);
+                    found.push((line.at, what));
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// What a front says of its own invariants at its end.
+fn counted(town: &Town) -> Vec<(Duration, String)> {
+    let mut found = Vec::new();
+    for line in town.each("said").filter(|line| line.text("text").starts_with("counters: ")) {
+        let told: Vec<&str> = line.text("text").split_whitespace().collect();
+        let clean = told.contains(&"violations=0") && told.contains(&"panics=0");
+        if !clean {
+            let bad = told.iter().skip_while(|word| !word.starts_with("violations=")).copied();
+            let bad: Vec<&str> =
+                bad.chain(told.iter().filter(|word| word.starts_with("panics=")).copied()).collect();
+            found.push((line.at, format!("front {}: {}", front(line), bad.join(" "))));
+        }
+    }
+    found
+}
+
+fn crashed(town: &Town) -> Vec<(Duration, String)> {
+    let gone = town.each("crashed").chain(town.each("does not end"));
+    gone.map(|line| (line.at, format!("front {}: {}", front(line), line.what))).collect()
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -188,6 +188,23 @@
         #[arg(long)]
         look: bool,
     },
+    /// Many processes under faults of all kinds that overlap: kills, ends, hold-ups, failing calls, crowds, lost primaries.
+    Soak {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds, one after the other.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u64).range(2..=40))]
+        fronts: u64,
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(5..=3600))]
+        seconds: u64,
+        #[arg(long, default_value = "target/release/juniperdock")]
+        front: String,
+        /// Where everything that happened is written; one file a seed and process.
+        #[arg(long, default_value = "target")]
+        histories: PathBuf,
+    },
     /// Owners of duties by the hundred seeds, simulated: kills, stops, cuts, loss, drift of clocks.
     Offices {
         #[arg(long, default_value_t = 1)]
@@ -422,6 +439,23 @@
             }
             Ok(seen.holds())
         }
+        What::Soak { seed, seeds, fronts, seconds, front, histories } => {
+            let mut all_hold = true;
+            for seed in seed..seed + seeds {
+                let schedule = fleet::Schedule::soak(seed, fronts as usize, seconds as f64);
+                let history = histories.join(format!("soak-{seed}-{}.jsonl", std::process::id()));
+                fleet::play(&schedule, seed, &front, &history, None)?;
+                let seen = fleet::soak::findings(&fleet::history::read(&history)?);
+                println!("seed {seed}, {fronts} processes\n{seen}");
+                if seen.hold() {
+                    let _ = std::fs::remove_file(&history);
+                } else {
+                    println!("the history lies in {}", history.display());
+                }
+                all_hold &= seen.hold();
+            }
+            Ok(all_hold)
+        }
         What::Offices { seed, seeds, fronts, seconds, drift, unfenced } => {
             let lasts = Duration::from_secs(seconds);
             let shape = offices::Shape { fronts: fronts as usize, lasts, drift, unfenced };
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -5,7 +5,7 @@
 use crate::load::statement;
 use crate::measure::{Measure, Moment, Outcome};
 use crate::scenario::{OfKind, Reads, Runs, Scenario};
-use juniperdock_emulator::{Entry, Out, Told, World};
+use juniperdock_emulator::{Entry, Out, Stream, Told, World};
 use juniperdock_router::host::{Ending, Listed, Report, Role};
 use juniperdock_standins::wire::{error, field, message, parameter, read_message, ready, row};
 use juniperdock_standins::{Agent, Client, Front, Reply, WATCH, address, unix_ms};
@@ -49,6 +49,10 @@
     fn asked(&mut self, at: Duration, front: usize, ask: &Ask);
     /// Its answer, or none, with an error's code; whether the connection had ended.
     fn answered(&mut self, at: Duration, front: usize, txn: u32, told: Told, code: Option<&str>, ended: bool);
+    /// The connection of a statement ended before its time was over, without an answer.
+    fn cut_off(&mut self, _at: Duration, _front: usize, _txn: u32) {}
+    /// A client closed its connection before it had its answer.
+    fn left(&mut self, _at: Duration, _front: usize, _txn: u32) {}
     /// A client was not let in.
     fn refused(&mut self, _front: usize) {}
 }
@@ -107,12 +111,31 @@
     pub origin: u128,
     /// How long clients wait beyond their time.
     pub slack: Duration,
+    /// Decides who leaves early.
+    pub leaving: Mutex<Leaving>,
+}
+
+/// A share of the clients leaves a moment after it has asked.
+pub(crate) struct Leaving {
+    pub share: f64,
+    chance: Stream,
+}
+
+/// Who leaves does so in this time.
+const LEAVES_WITHIN: Duration = Duration::from_millis(120);
+
+impl Leaving {
+    fn draw(&mut self) -> Option<Duration> {
+        let leaves = self.share > 0.0 && self.chance.share() < self.share;
+        leaves.then(|| LEAVES_WITHIN.mul_f64(self.chance.share()))
+    }
 }
 
 impl Town {
     pub fn new(state: State, slack: Duration) -> Arc<Town> {
         let (state, asked) = (Mutex::new(state), Condvar::new());
-        Arc::new(Town { state, asked, begun: Instant::now(), origin: unix_ms(), slack })
+        let leaving = Mutex::new(Leaving { share: 0.0, chance: Stream::of(1, "leaving", 0) });
+        Arc::new(Town { state, asked, begun: Instant::now(), origin: unix_ms(), slack, leaving })
     }
 
     /// Members' addresses for one front, so many of them, on one address of the machine.
@@ -327,6 +350,15 @@
                 let now = self.now();
                 state.ledger.iter_mut().for_each(|ledger| ledger.asked(now, front, ask));
                 drop(state);
+                let leaves = self.leaving.lock().unwrap_or_else(PoisonError::into_inner).draw();
+                if let Some(after) = leaves {
+                    std::thread::sleep(after);
+                    *client = None;
+                    let mut state = self.lock();
+                    let now = self.now();
+                    state.ledger.iter_mut().for_each(|ledger| ledger.left(now, front, ask.txn));
+                    return;
+                }
                 open.reply()
             } else {
                 Reply::default()
@@ -335,6 +367,11 @@
             if !closed || begun.elapsed() >= ask.left {
                 break;
             }
+            {
+                let mut state = self.lock();
+                let now = self.now();
+                state.ledger.iter_mut().for_each(|ledger| ledger.cut_off(now, front, ask.txn));
+            }
             *client = None;
         }
         let code = reply.code.as_deref();
