--- /dev/null
+++ b/crates/front/tests/clocks.rs
@@ -0,0 +1,73 @@
+//! The wall clock of a process is off when it starts, by seconds or an hour: it serves all the same, and reads nothing
+//! that is older than allowed.
+
+use juniperdock_fault_controls::{Controls, VARIABLE};
+use juniperdock_standins::{Front, address, txn};
+use std::path::Path;
+use std::time::{Duration, Instant};
+use town::{PROGRAM, Town, until};
+
+mod town;
+
+/// A front whose wall clock is off by so much, for as long as it runs.
+fn with_clock_off(town: &Town, name: &str, off_ms: i64) -> Front {
+    let file = std::env::temp_dir().join(format!("jd-clock-{name}-{}", std::process::id()));
+    Controls { wall_clock_ms: off_ms, ..Controls::default() }.write(&file).expect("a file");
+    let own = std::env::current_exe().expect("this test");
+    let library = own.parent().unwrap_or(Path::new("/")).join("libjuniperdock_fault_shim.so");
+    assert!(library.exists(), "{}", library.display());
+    let environment = [("LD_PRELOAD", library), (VARIABLE, file.clone())];
+    let config = Front::config(&town.known, 1024);
+    let front = Front::with_environment(PROGRAM, address(), town.agent.at, &config, None, &environment);
+    drop(front.client());
+    let _ = std::fs::remove_file(file);
+    front
+}
+
+/// So many reads in a row are served.
+fn reads_served(front: &Front, times: usize) -> usize {
+    let mut client = front.client();
+    (0..times).filter(|i| client.ask(&txn("lookup", 3000, &format!("r{i}"))).value.is_some()).count()
+}
+
+#[test]
+fn a_wall_clock_that_is_off_at_the_start_keeps_nobody_from_being_served() {
+    for (name, off_ms) in [("a", -3_600_000), ("b", -10_000), ("c", -1000), ("d", 1000), ("e", 3_600_000)] {
+        let town = Town::new();
+        let front = with_clock_off(&town, name, off_ms);
+        until(|| front.client().ask(&txn("order", 3000, "w")).value.is_some());
+        until(|| front.client().ask(&txn("lookup", 3000, "r")).value.is_some());
+        let served = reads_served(&front, 20);
+        assert!(served >= 18, "{served} of 20 with a clock that is off by {off_ms} ms");
+    }
+}
+
+#[test]
+fn with_a_wall_clock_that_is_behind_no_replica_is_read_beyond_its_bound() {
+    for (name, off_ms) in [("f", -1000), ("g", -10_000)] {
+        let town = Town::new();
+        let front = with_clock_off(&town, name, off_ms);
+        until(|| front.client().ask(&txn("order", 3000, "w")).value.is_some());
+        town.members[1].stand_still();
+        town.members[2].stand_still();
+        // The bound is 300 ms; what the replicas have is older by then.
+        let stood = Instant::now();
+        until(|| stood.elapsed() > Duration::from_millis(700));
+        town.members.iter().for_each(|member| member.seen.try_iter().for_each(drop));
+        let served = reads_served(&front, 30);
+        let stale = town.members[1..].iter().flat_map(|member| member.seen.try_iter()).count();
+        assert_eq!(stale, 0, "reads of old data, clock off by {off_ms} ms");
+        assert!(served >= 20, "{served} of 30 at the primary");
+    }
+}
+
+#[test]
+fn one_server_whose_clock_is_ahead_changes_nothing_for_the_others() {
+    let town = Town::new();
+    let front = town.front();
+    until(|| front.client().ask(&txn("order", 3000, "w")).value.is_some());
+    town.members[2].stand_at(Duration::from_secs(3600));
+    let served = reads_served(&front, 40);
+    assert!(served >= 36, "{served} of 40");
+    assert!(front.client().ask(&txn("order", 3000, "w2")).value.is_some());
+}
--- a/crates/standins/src/front.rs
+++ b/crates/standins/src/front.rs
@@ -56,6 +56,18 @@
         agent: SocketAddr,
         config: &str,
         charter: Option<&str>,
+    ) -> Front {
+        Front::with_environment(program, at, agent, config, charter, &[])
+    }
+
+    /// The same, with more variables.
+    pub fn with_environment(
+        program: &str,
+        at: SocketAddr,
+        agent: SocketAddr,
+        config: &str,
+        charter: Option<&str>,
+        environment: &[(&str, std::path::PathBuf)],
     ) -> Front {
         let dir = Front::folder(at);
         std::fs::create_dir_all(&dir).expect("a folder");
@@ -66,6 +78,7 @@
             command.env("JUNIPERDOCK_CHARTER", dir.join("charter.json5"));
         }
         let child = command
+            .envs(environment.iter().map(|(name, value)| (name, value)))
             .env("GW_LISTEN", at.to_string())
             .env("GW_DISCOVERY", agent.to_string())
             .env("GW_CONFIG", dir.join("config.json"))
--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -141,6 +141,11 @@
         self.act.lock().expect("no panic there").position = Some(now());
     }
 
+    /// From now on its log does not move, and its clock was so far ahead.
+    pub fn stand_at(&self, ahead: Duration) {
+        self.act.lock().expect("no panic there").position = Some(now() + ahead.as_secs_f64());
+    }
+
     pub fn welcome(&self, welcomes: bool) {
         self.act.lock().expect("no panic there").welcomes = welcomes;
     }
