Let the servers' positions say what time it is where the wall clock is wrong

Cause: the origin of all positions is taken from the wall clock once (clock.rs), and a position over 1 ms in the future was thrown away with its answer (member.rs, possible): a process that starts while its clock is behind serves nothing, or believes data younger than it is. Change: crates/server-clock (no I/O): primaries sit at the present. Two servers that are ahead and agree, or one over 100 ms that nobody contradicts, prove that this process is behind: the time is advanced (never back) and the router starts anew, as what it knew was dated wrongly. A primary that told a position of the past within 10 s outweighs any that claim the future. A clock found ahead by a second or more makes servers as cold as they are (the list is told again).

--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -2,6 +2,7 @@
 //! time themselves: `may` would run them on its timer thread, beside the one worker.
 
 use juniperdock_door::Origin;
+use juniperdock_server_clock::{ServerClock, Told, Verdict};
 use juniperdock_wheel::{Key, Wheel};
 use may::sync::mpsc::channel;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -21,6 +22,8 @@
     stood_from: AtomicU64,
     ending: AtomicU64,
     beaten: AtomicU64,
+    /// By how much the servers have advanced the time.
+    advanced: AtomicU64,
     /// How long the latest standstill was, until it is asked for.
     untold: AtomicU64,
 }
@@ -58,6 +61,8 @@
     pub origin: Origin,
     bells: Arc<Bells>,
     runs: Arc<Runs>,
+    /// What servers say of the time.
+    servers: Arc<Mutex<ServerClock>>,
 }
 
 impl Clock {
@@ -67,13 +72,36 @@
         let origin = Origin { start: unix.as_micros() as i64, zero: 0 };
         let alarms = Alarms { wheel: Wheel::new(TICK), looks: Duration::ZERO };
         let bells = Arc::new(Bells { alarms: Mutex::new(alarms), earlier: Condvar::new() });
-        let clock = Clock { begun: Instant::now(), origin, bells: bells.clone(), runs: Arc::default() };
-        let begun = clock.begun;
-        (clock, move |beat| ring(begun, &bells, beat))
+        let clock =
+            Clock { begun: Instant::now(), origin, bells, runs: Arc::default(), servers: Arc::default() };
+        let its = clock.clone();
+        (clock, move |beat| ring(&its, beat))
     }
 
+    /// Since the start, by the monotonic clock; more, once servers have proven that the wall clock was behind then.
     pub fn now(&self) -> Duration {
-        self.begun.elapsed()
+        self.begun.elapsed() + Duration::from_micros(self.runs.advanced.load(Ordering::Relaxed))
+    }
+
+    /// Judges a position that a server told. Where it proves that this process is behind, the time is advanced: all that
+    /// was planned comes due so much sooner. Whoever decides has to start anew then.
+    pub fn judge(&self, told: Told) -> Verdict {
+        let verdict = self.servers().judge(told);
+        if let Verdict::Behind(by) = verdict {
+            self.runs.advanced.fetch_add(by.as_micros() as u64, Ordering::Relaxed);
+            // No standstill of the worker.
+            self.runs.last.store(0, Ordering::Relaxed);
+        }
+        verdict
+    }
+
+    /// How far this process's time is ahead of the servers' at least.
+    pub fn ahead(&self) -> Duration {
+        self.servers().ahead()
+    }
+
+    fn servers(&self) -> MutexGuard<'_, ServerClock> {
+        self.servers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Notes that the worker runs now.
@@ -147,15 +175,16 @@
     }
 }
 
-fn ring(begun: Instant, bells: &Bells, beat: &dyn Fn()) -> ! {
+fn ring(clock: &Clock, beat: &dyn Fn()) -> ! {
+    let bells = &clock.bells;
     let mut beaten = Duration::ZERO;
     loop {
-        if begun.elapsed() >= beaten + PULSE {
-            beaten = begun.elapsed();
+        if clock.now() >= beaten + PULSE {
+            beaten = clock.now();
             beat();
         }
         let mut alarms = bells.alarms();
-        let now = begun.elapsed();
+        let now = clock.now();
         if let Some(ring) = alarms.wheel.due(now) {
             // Rung without the lock: who is woken may set the next one.
             drop(alarms);
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -58,5 +58,5 @@
     groups_vacant, groups_settling, groups_steady, groups_doubted, groups_handing_over, waiting,
     fellows_in, fellows_out, fellows_refused, fellows_late, fellow_ups, fellow_downs, standstills, worker_standstills,
     duties_taken, duties_lost, effects_out, effects_refused, facts_in,
-    held_up_most_us, connect_most_us,
+    held_up_most_us, connect_most_us, clock_advanced,
 }
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -33,6 +33,9 @@
     alarms: Vec<Alarm>,
 }
 
+/// Servers are told again when the time is found to be off by so much more, or less.
+const MIN_CLOCK_CHANGE: Duration = Duration::from_millis(500);
+
 /// The least that one time is later than another.
 const LATER: Duration = Duration::from_micros(1);
 
@@ -237,6 +240,8 @@
     held: Option<(Most, f64)>,
     /// Posts to the actor that speaks with the other fronts.
     circle: Option<Box<dyn Fn(ToFellows) + Send>>,
+    /// How far ahead this process's time was when the servers were listed.
+    listed_ahead: Duration,
     /// Groups whose change was ordered of all fronts, by which order, and what was last told of it.
     watched: Vec<(u64, u64, duties::Step)>,
     log: slog::Logger,
@@ -284,7 +289,18 @@
             care: None,
         };
         let (circle, watched) = (None, Vec::new());
-        Ok(Desk { router: make()?, make, hands, zones: known, kinds, held: None, circle, watched, log })
+        Ok(Desk {
+            router: make()?,
+            make,
+            hands,
+            zones: known,
+            kinds,
+            held: None,
+            circle,
+            listed_ahead: Duration::ZERO,
+            watched,
+            log,
+        })
     }
 
     pub fn run(mut self, mail: &Receiver<ToDesk>) {
@@ -376,23 +392,49 @@
         }
     }
 
+    /// What the router knew was dated by a clock that was behind: it would be taken for younger than it is.
+    fn clock_advanced(&mut self, by: Duration) {
+        self.hands.counters.clock_advanced.add();
+        slog::warn!(self.log, "the wall clock was behind the servers'"; "by_ms" => by.as_millis() as u64);
+        if let Err(why) = self.start_anew() {
+            slog::crit!(self.log, "the desk can't go on"; "why" => why);
+            std::process::exit(1);
+        }
+    }
+
     /// After a panic nothing the router knew can be trusted: all in hand is rolled back, and a new router
     /// starts from the list as it stands.
     fn start_anew(&mut self) -> Result<(), String> {
         for txn in 0..self.hands.txns.len() {
-            self.hands.answer(txn, Answer::Unknown("the desk failed; it may have run"));
+            self.hands.answer(txn, Answer::Unknown("what was known is given up; it may have run"));
             self.hands.release(txn);
         }
         self.router = (self.make)()?;
         self.router.sessions_lost(self.hands.clock.now());
         self.hold();
         let now = self.hands.clock.now();
+        let named = self.list_again(now);
+        self.router.list_ended(now, Some(&named), &mut self.hands);
+        Ok(())
+    }
+
+    /// Tells the router of all servers as the list has them; gives which.
+    fn list_again(&mut self, now: Duration) -> Vec<usize> {
         let known: Vec<(usize, KnownServer)> =
             self.hands.servers.known().map(|(member, known)| (member, *known)).collect();
         known.iter().for_each(|(member, known)| self.listed(now, *member, known));
-        let named: Vec<usize> = known.iter().map(|(member, _)| *member).collect();
-        self.router.list_ended(now, Some(&named), &mut self.hands);
-        Ok(())
+        known.iter().map(|(member, _)| *member).collect()
+    }
+
+    /// How long servers have been up follows from this process's time: where that turns out to be ahead, they are colder
+    /// than they seemed.
+    fn follow_servers_time(&mut self, now: Duration) {
+        let ahead = self.hands.clock.ahead();
+        if ahead.abs_diff(self.listed_ahead) >= MIN_CLOCK_CHANGE {
+            self.listed_ahead = ahead;
+            slog::warn!(self.log, "the wall clock is ahead of the servers'"; "by_ms" => ahead.as_millis() as u64);
+            self.list_again(now);
+        }
     }
 
     /// Limits that were laid down since the start count for every router.
@@ -456,6 +498,7 @@
                     care.asked(member, fact);
                 }
                 self.router.probed(now, member, ending, report, &mut self.hands);
+                self.follow_servers_time(now);
             }
             ToDesk::Instead { member, report } => {
                 self.router.probed(now, member, Ending::Committed, report, &mut self.hands);
@@ -480,6 +523,7 @@
                 self.plan(now, group, order, successor.as_deref(), off);
             }
             ToDesk::List(list) => self.list(now, &list),
+            ToDesk::ClockAdvanced(by) => self.clock_advanced(by),
             ToDesk::ProbesDue => self.hands.probes_due = None,
             ToDesk::ListLost => {
                 self.hands.counters.lists_failed.add();
@@ -766,7 +810,9 @@
 
     /// Tells the router of a server.
     fn listed(&mut self, now: Duration, member: usize, server: &KnownServer) {
-        let unix = self.hands.clock.origin.start + now.as_micros() as i64;
+        // A server that has just started must not seem older than it is.
+        let ahead = self.hands.clock.ahead().as_micros() as i64;
+        let unix = self.hands.clock.origin.start + now.as_micros() as i64 - ahead;
         let state = match server.state {
             ServerState::Up => Listed::Up,
             ServerState::Draining => Listed::Draining,
--- a/crates/front/src/mail.rs
+++ b/crates/front/src/mail.rs
@@ -87,6 +87,8 @@
     },
     List(ServerList),
     ListLost,
+    /// Servers have proven that the time was behind; it was advanced by so much.
+    ClockAdvanced(Duration),
     /// The pace of probes lets the next one start.
     ProbesDue,
     /// Shows that the worker runs.
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -9,6 +9,7 @@
 use juniperdock_link::{Bell, Failure, Link, Reached, spawn};
 use juniperdock_pg as pg;
 use juniperdock_router::host::{Ending, Report, Role};
+use juniperdock_server_clock::{Told, Verdict};
 use may::sync::mpsc::{Receiver, Sender, channel};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -266,7 +267,10 @@
     value: Option<Vec<u8>>,
     error: Option<String>,
     role: Option<Role>,
+    /// In microseconds since 1970.
+    position_unix: Option<i64>,
     position: Option<Duration>,
+    load_text: Option<String>,
     load: Option<Report>,
     ready: bool,
 }
@@ -530,7 +534,7 @@
                 return Outcome { ending: Ending::Moot, reply, usable: false };
             }
             let pumped = link.pump();
-            if let Err(why) = self.read(link, &mut reply) {
+            if let Err(why) = self.read(link, &mut reply, now) {
                 slog::warn!(self.reach.log, "a member talks nonsense"; "member" => self.member, "why" => why);
                 // Nothing that such an answer says is believed.
                 return Outcome { ending: Ending::Spoilt, reply: Reply::default(), usable: false };
@@ -604,7 +608,24 @@
         link.wait();
     }
 
-    fn read(&self, link: &mut Link, reply: &mut Reply) -> Result<(), String> {
+    /// Takes up the positions of a whole answer, by the time as it is then.
+    fn judge(&self, reply: &mut Reply, asked: Duration) -> Result<(), String> {
+        let (reach, member) = (&self.reach, self.member);
+        reply.position = reply.position_unix.and_then(|at| reach.clock.origin.position(at));
+        plausible(reach, member, reply.role, reply.position, asked)?;
+        if let Some(text) = &reply.load_text {
+            // One that can't be read takes nothing from the answer that it came with.
+            let told = report(text, &reach.clock.origin)
+                .and_then(|told| plausible(reach, member, told.role, told.position, asked).map(|()| told));
+            if let Err(why) = &told {
+                slog::debug!(reach.log, "a load can't be read"; "member" => member, "why" => why);
+            }
+            reply.load = told.ok();
+        }
+        Ok(())
+    }
+
+    fn read(&self, link: &mut Link, reply: &mut Reply, asked: Duration) -> Result<(), String> {
         while let Some((kind, body, length)) =
             pg::message(link.inbound.make_contiguous(), self.reach.longest)?
         {
@@ -616,19 +637,9 @@
                     Some(("node_role", "leader")) => reply.role = Some(Role::Primary),
                     Some(("node_role", "follower")) => reply.role = Some(Role::Replica),
                     Some(("replay_position", ms)) => {
-                        let ms = ms.parse::<f64>().ok().and_then(door::micros);
-                        reply.position = ms.and_then(|at| self.reach.clock.origin.position(at));
-                        possible(reply.position, self.reach.clock.now())?;
-                    }
-                    // One that can't be read takes nothing from the answer that it came with.
-                    Some(("server_load", text)) => {
-                        let told = report(text, &self.reach.clock.origin)
-                            .and_then(|told| possible(told.position, self.reach.clock.now()).map(|()| told));
-                        if let Err(why) = &told {
-                            slog::debug!(self.reach.log, "a load can't be read"; "member" => self.member, "why" => why);
-                        }
-                        reply.load = told.ok();
+                        reply.position_unix = ms.parse::<f64>().ok().and_then(door::micros);
                     }
+                    Some(("server_load", text)) => reply.load_text = Some(text.to_owned()),
                     _ => {}
                 },
                 b'T' => {
@@ -649,7 +660,10 @@
                     let code = pg::error_field(body, b'C').ok_or("expected a code in an error")?;
                     reply.error = Some(code.to_owned());
                 }
-                b'Z' => reply.ready = true,
+                b'Z' => {
+                    reply.ready = true;
+                    self.judge(reply, asked)?;
+                }
                 b'N' | b'I' | b'K' | b'R' => {}
                 other => {
                     return Err(format!("expected an answer, found a message of type {:?}", other as char));
@@ -685,10 +699,25 @@
     door::report(fields(), origin)
 }
 
-/// All machines read the same clock: no member can have a commit still to come.
-fn possible(position: Option<Duration>, now: Duration) -> Result<(), String> {
-    let past = position.is_none_or(|at| at <= now + Duration::from_millis(1));
-    past.then_some(()).ok_or_else(|| "expected a position in the past".to_owned())
+/// No server can have a commit still to come: either its clock is wrong or this process is behind. What was known before
+/// is given up once that is proven.
+fn plausible(
+    reach: &Reach,
+    server: usize,
+    role: Option<Role>,
+    position: Option<Duration>,
+    asked: Duration,
+) -> Result<(), String> {
+    let Some(position) = position else { return Ok(()) };
+    let (primary, now) = (role == Some(Role::Primary), reach.clock.now());
+    match reach.clock.judge(Told { server, position, primary, asked, now }) {
+        Verdict::Plausible => Ok(()),
+        Verdict::Behind(by) => {
+            let _ = reach.desk.send(ToDesk::ClockAdvanced(by));
+            Ok(())
+        }
+        Verdict::Implausible => Err("expected a position in the past".to_owned()),
+    }
 }
 
 /// Tells the desk how a job ended.
@@ -703,7 +732,8 @@
             let text = String::from_utf8(reply.value.unwrap_or_default());
             let told = text.map_err(|e| e.to_string()).and_then(|text| {
                 let told = report(&text, &reach.clock.origin)?;
-                possible(told.position, reach.clock.now()).map(|()| told)
+                let asked = if let Job::Probe { at } = job { *at } else { Duration::ZERO };
+                plausible(reach, member, told.role, told.position, asked).map(|()| told)
             });
             match told {
                 Ok(report) => ToDesk::Probed { member, ending, report },
--- /dev/null
+++ b/crates/server-clock/tests/server_clock.rs
@@ -0,0 +1,93 @@
+//! An oracle that knows the real time against what is made of positions.
+
+use juniperdock_server_clock::{ServerClock, TOLERANCE, Told, Verdict};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn told(server: usize, position: Duration, primary: bool, now: Duration) -> Told {
+    Told { server, position, primary, asked: now, now }
+}
+
+#[test]
+fn two_primaries_in_the_future_prove_that_this_process_is_behind() {
+    let mut clock = ServerClock::default();
+    assert_eq!(clock.judge(told(1, ms(10_000), true, ms(5))), Verdict::Implausible, "one alone");
+    assert_eq!(clock.judge(told(2, ms(10_002), true, ms(6))), Verdict::Behind(ms(9_996)));
+    assert_eq!(clock.judge(told(1, ms(10_003), true, ms(10_003))), Verdict::Plausible);
+}
+
+#[test]
+fn one_server_alone_is_believed_in_time_where_nobody_says_otherwise() {
+    let mut clock = ServerClock::default();
+    assert_eq!(clock.judge(told(1, ms(10_000), true, ms(5))), Verdict::Implausible);
+    assert_eq!(clock.judge(told(1, ms(10_200), true, ms(205))), Verdict::Behind(ms(9_995)));
+}
+
+#[test]
+fn servers_that_are_wrong_do_not_move_a_clock_that_a_primary_confirms() {
+    let mut clock = ServerClock::default();
+    for at in 1..200 {
+        let now = ms(at * 50);
+        assert_eq!(clock.judge(told(0, now - ms(3), true, now)), Verdict::Plausible);
+        assert_eq!(clock.judge(told(1, now + ms(3_600_000), true, now)), Verdict::Implausible);
+        assert_eq!(clock.judge(told(2, now + ms(3_600_001), false, now)), Verdict::Implausible);
+    }
+    assert_eq!(clock.ahead(), Duration::ZERO);
+}
+
+#[test]
+fn a_clock_that_is_ahead_is_known_by_the_nearest_answer_of_a_primary() {
+    let mut clock = ServerClock::default();
+    let _ = clock.judge(told(0, ms(0), true, ms(10_500)));
+    let _ = clock.judge(told(0, ms(700), true, ms(10_700)));
+    let _ = clock.judge(told(0, ms(200), true, ms(10_900)));
+    assert_eq!(clock.ahead(), ms(10_000));
+    let mut right = ServerClock::default();
+    let _ = right.judge(told(0, ms(9_500), true, ms(10_000)));
+    assert_eq!(right.ahead(), Duration::ZERO, "a report that is half a second old");
+}
+
+/// Milliseconds from a question until its answer is judged, at most.
+const LONGEST_WAY: i64 = 60 + 8;
+
+/// An answer of a random history: of which server, how old its data is there, how long it was on its way.
+type Answer = (usize, u64, u64);
+
+proptest! {
+    /// Three primaries and five replicas, all with the right clock; this process is off by anything. Once a primary's
+    /// answer was judged plausible no age is taken for less than it is, but for the tolerance.
+    #[test]
+    fn no_age_is_underestimated(off in -4_000_000i64..4_000_000, answers in prop::collection::vec((0..8usize, 0..800u64, 0..60u64), 1..120)) {
+        let answers: Vec<Answer> = answers;
+        let start = 10_000_000i64;
+        let (mut clock, mut advanced, mut real) = (ServerClock::default(), 0i64, 0i64);
+        for (server, lag, travel) in answers {
+            let asked = real;
+            real += travel as i64 + 7;
+            let primary = server < 3;
+            // The time here is the real one, off, and what was made good.
+            let here = |at: i64| ms((start + at + off + advanced) as u64);
+            // A primary sits at the present at some time between the question and now.
+            let at = if primary { asked + travel as i64 / 2 } else { asked - lag as i64 };
+            let position = ms((start + at).max(0) as u64);
+            let verdict = clock.judge(Told { server, position, primary, asked: here(asked), now: here(real) });
+            match verdict {
+                Verdict::Behind(by) => {
+                    advanced += by.as_millis() as i64;
+                    // Never further than the real time by more than the longest way, another answer's perhaps.
+                    prop_assert!(off + advanced <= LONGEST_WAY, "{off} {advanced}");
+                }
+                Verdict::Plausible if primary => {
+                    let behind = -(off + advanced);
+                    // Plausible: at most the way and the tolerance behind.
+                    prop_assert!(behind <= travel as i64 + 8 + TOLERANCE.as_millis() as i64, "{behind}");
+                }
+                _ => {}
+            }
+        }
+    }
+}
