--- a/crates/fault-shim/src/calls.rs
+++ b/crates/fault-shim/src/calls.rs
@@ -119,9 +119,12 @@
 }
 
 /// What a read or write of a socket meets: an error, or how many bytes it may move.
-fn meets(fd: c_int, length: size_t) -> Result<size_t, c_int> {
+fn meets(fd: c_int, length: size_t, short_of: c_int) -> Result<size_t, c_int> {
     let controls = controls();
     hold_up(&controls);
+    if drawn(controls.fails) {
+        return Err(short_of);
+    }
     if drawn(controls.interrupted) {
         return Err(libc::EINTR);
     }
@@ -232,7 +235,7 @@
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
     let peeks = flags & libc::MSG_PEEK != 0;
-    match if peeks { Ok(length) } else { meets(fd, length) } {
+    match if peeks { Ok(length) } else { meets(fd, length, libc::ENOMEM) } {
         Err(errno) => fail(errno) as ssize_t,
         // SAFETY: as above, with no more room than the caller has.
         Ok(length) => unsafe {
@@ -246,7 +249,7 @@
 /// As `send(2)`.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn send(fd: c_int, bytes: *const c_void, length: size_t, flags: c_int) -> ssize_t {
-    match meets(fd, length) {
+    match meets(fd, length, libc::ENOBUFS) {
         Err(errno) => fail(errno) as ssize_t,
         // SAFETY: as above, with no more bytes than the caller has.
         Ok(length) => unsafe {
--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -3,7 +3,7 @@
 //! begin and end while the process runs. Without the variable every call goes through. Never part of a deployment.
 //!
 //! Errors are those that Linux documents for each call: accept (ECONNABORTED, ENFILE, ENOBUFS), socket (ENFILE, ENOBUFS),
-//! connect (EADDRNOTAVAIL, ENETUNREACH), any of them and reads, writes and waits (EINTR), connections opened here
-//! (ETIMEDOUT, EHOSTUNREACH), writes and syncs of regular files (ENOSPC, EIO).
+//! connect (EADDRNOTAVAIL, ENETUNREACH), send (ENOBUFS), recv (ENOMEM), reads, writes and waits (EINTR), connections opened
+//! here (ETIMEDOUT, EHOSTUNREACH, ECONNRESET), writes and syncs of regular files (ENOSPC, EIO).
 
 mod calls;
--- /dev/null
+++ b/crates/front/tests/calls.rs
@@ -0,0 +1,72 @@
+//! The machine's calls fail for a while, through a library of ours in the process: nothing that passes ends anything.
+
+use juniperdock_fault_controls::{Controls, VARIABLE};
+use juniperdock_standins::{Front, address, txn};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use town::{PROGRAM, Town, until};
+
+mod town;
+
+/// Every call that these faults can meet does.
+const ALL: u32 = 65_536;
+/// One in eight.
+const SOME: u32 = ALL / 8;
+
+struct Faults(PathBuf);
+
+impl Faults {
+    fn new(name: &str, controls: Controls) -> Faults {
+        let faults = Faults(std::env::temp_dir().join(format!("jd-calls-{name}-{}", std::process::id())));
+        faults.set(controls);
+        faults
+    }
+
+    fn set(&self, controls: Controls) {
+        Controls { seed: 7, ..controls }.write(&self.0).expect("a file");
+    }
+
+    fn front(&self, town: &Town) -> Front {
+        let own = std::env::current_exe().expect("this test");
+        let library = own.parent().unwrap_or(Path::new("/")).join("libjuniperdock_fault_shim.so");
+        assert!(library.exists(), "{}", library.display());
+        let environment = [("LD_PRELOAD", library), (VARIABLE, self.0.clone())];
+        let config = Front::config(&town.known, 1024);
+        Front::with_environment(PROGRAM, address(), town.agent.at, &config, None, &environment)
+    }
+}
+
+impl Drop for Faults {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+#[test]
+fn a_process_that_starts_while_the_machine_has_no_sockets_serves_once_it_has() {
+    let town = Town::new();
+    let faults = Faults::new("start", Controls { fails: ALL, ..Controls::default() });
+    let front = faults.front(&town);
+    let started = Instant::now();
+    until(|| started.elapsed() > Duration::from_millis(600));
+    faults.set(Controls::default());
+    until(|| front.client().ask(&txn("order", 3000, "w")).value.is_some());
+}
+
+#[test]
+fn shortages_of_the_machine_end_no_connection_of_a_client() {
+    let town = Town::new();
+    let faults = Faults::new("short", Controls::default());
+    let front = faults.front(&town);
+    until(|| front.client().ask(&txn("order", 3000, "w")).value.is_some());
+    let mut client = front.client();
+    faults.set(Controls { fails: SOME, short: SOME, interrupted: SOME, ..Controls::default() });
+    for i in 0..60 {
+        let reply = client.ask(&txn("lookup", 4000, &format!("r{i}")));
+        assert_eq!(reply.last, b'Z', "a whole answer on the same connection: {reply:?}");
+    }
+    faults.set(Controls::default());
+    front.signal("-TERM");
+    let (well, text) = front.end();
+    assert!(well && text.contains("violations=0"), "{text}");
+}
