Take a shortage of the machine for what it is: wait for it, end nothing

Cause: Door::open took the first failed socket() for the end (serve.rs), and Link took ENOBUFS and ENOMEM of send and recv for the end of a connection, with what was in hand on it. Class: a failure that passes, carried out as a final one. Change: the door is opened again for up to 8 s (a restarted process has 10 s); a read or write that the machine is short for is tried again.

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,12 @@
 prove-owner: build
 	target/release/juniperdock-lab owners --seed $(SEED)
 
+# Fourteen processes under faults of all kinds that overlap, eight seeds from SEED on; three minutes.
+.PHONY: prove-soak
+
+prove-soak: build
+	target/release/juniperdock-lab soak --seed $(SEED) --seeds 8 --fronts 14 --seconds 14
+
 # One front before lists of up to 20,000 servers; BEHAVIOUR=answer, refuse or silent. Under three minutes.
 .PHONY: scale
 BEHAVIOUR ?= refuse
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -80,7 +80,17 @@
 
     /// Since the start, by the monotonic clock; more, once servers have proven that the wall clock was behind then.
     pub fn now(&self) -> Duration {
-        self.begun.elapsed() + Duration::from_micros(self.runs.advanced.load(Ordering::Relaxed))
+        self.begun.elapsed() + self.advanced()
+    }
+
+    /// By how much `now` is more than the monotonic clock.
+    pub fn advanced(&self) -> Duration {
+        Duration::from_micros(self.runs.advanced.load(Ordering::Relaxed))
+    }
+
+    /// The monotonic clock alone: for leases and heartbeats, whose spans other processes count too.
+    pub fn monotonic(&self) -> Duration {
+        self.begun.elapsed()
     }
 
     /// Judges a position that a server told. Where it proves that this process is behind, the time is advanced: all that
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -24,6 +24,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+/// How long a start may wait for a socket: restarted processes have to be ready in 10 s.
+const START_PATIENCE: Duration = Duration::from_secs(8);
 /// How long a new process waits for roles before it says that it is ready.
 const ROLES: Duration = Duration::from_millis(600);
 /// Free stacks that are kept for the next connections. `may` makes as many at the start and uses the one that has
@@ -178,7 +180,7 @@
         });
     });
     let door = match &mut taking {
-        None => Door::open(listen)?,
+        None => Door::open(listen, START_PATIENCE)?,
         Some(taking) => {
             let _ = to_desk.send(ToDesk::Roles);
             await_roles(&counters);
--- a/crates/lab/src/fleet/soak.rs
+++ b/crates/lab/src/fleet/soak.rs
@@ -61,11 +61,8 @@
             }
             let what = left.swap_remove(chance.below(left.len()));
             if let Some(mishap) = schedule.soaking(what, at_s, &mut chance) {
-                // A crowd meets a slow process: what comes in lies there for a while.
-                let crowd = Mishap { what: Harm::Crowd, by: Some(CROWD), ..mishap.clone() };
-                let is_slow = what == Harm::FrontSlow;
+                schedule.mishaps.extend(beside(&mishap, &mut chance));
                 schedule.mishaps.push(mishap);
-                schedule.mishaps.extend(Some(crowd).filter(|_| is_slow));
             }
             at_s += pace_s * (0.5 + chance.share());
         }
@@ -113,6 +110,23 @@
     }
 }
 
+/// What comes at the same front with some mishaps: a crowd at a slow process, where what comes in lies for a while; a wall
+/// clock that is off when a process starts.
+fn beside(mishap: &Mishap, chance: &mut Stream) -> Option<Mishap> {
+    match mishap.what {
+        Harm::FrontSlow => Some(Mishap { what: Harm::Crowd, by: Some(CROWD), ..mishap.clone() }),
+        Harm::FrontKilled | Harm::FrontEnded | Harm::Upgraded => Some(Mishap {
+            what: Harm::ClockStepped,
+            share: Some(1.0),
+            by: Some([20.0, 1000.0, 10_000.0, 3_600_000.0][chance.below(4)]),
+            number: chance.below(2),
+            lasts_s: mishap.lasts_s + 2.0,
+            ..mishap.clone()
+        }),
+        _ => None,
+    }
+}
+
 fn is_of_process(what: Harm) -> bool {
     matches!(
         what,
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,6 +5,7 @@
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use may::net::TcpStream;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::io::Errno;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::VecDeque;
 use std::fmt;
@@ -13,7 +14,7 @@
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What is read at once, and the most memory that an empty buffer keeps over a wait.
 const PIECE: usize = 4096;
@@ -114,6 +115,18 @@
     poll(&mut asked, Some(&Timespec::default())).is_ok() && asked[0].revents().intersects(ends)
 }
 
+/// The machine is short of something that others use, too (`socket(2)`, `listen(2)`): worth another try.
+fn is_shortage(error: &std::io::Error) -> bool {
+    let errors = [Errno::NOBUFS, Errno::NOMEM, Errno::NFILE, Errno::MFILE, Errno::INTR];
+    Errno::from_io_error(error).is_some_and(|error| errors.contains(&error))
+}
+
+/// The machine is short of memory or buffers just now: says nothing of the connection (`send(2)`, `recv(2)`). Told as
+/// progress, so that whoever moves bytes tries again.
+fn is_passing(error: &std::io::Error) -> bool {
+    matches!(Errno::from_io_error(error), Some(Errno::NOBUFS | Errno::NOMEM))
+}
+
 pub struct Link {
     stream: Stream,
     pub inbound: VecDeque<u8>,
@@ -221,6 +234,7 @@
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if is_passing(&e) => return Ok(true),
                 // What the other side sent before it ended may still be there to be read.
                 Err(e) => {
                     let lost = self.failure(e.to_string());
@@ -252,6 +266,7 @@
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if is_passing(&e) => return Ok(true),
                 Err(e) => return Err(self.failure(e.to_string())),
             }
         }
@@ -286,13 +301,28 @@
 impl Door {
     /// Connections beyond this many wait for their turn at the machine's own door.
     const WAITING: i32 = 1024;
+    /// Between two tries to open one.
+    const PAUSE: Duration = Duration::from_millis(5);
+
+    /// Where the machine is short of descriptors or buffers just now it is tried again, for so long. Blocks its thread.
+    pub fn open(at: SocketAddr, patience: Duration) -> Result<Door, String> {
+        let begun = Instant::now();
+        loop {
+            match Self::listen(at) {
+                Ok(listener) => return Door::of(listener),
+                Err(e) if is_shortage(&e) && begun.elapsed() < patience => std::thread::sleep(Self::PAUSE),
+                Err(e) => return Err(format!("listening at {at}: {e}")),
+            }
+        }
+    }
 
-    pub fn open(at: SocketAddr) -> Result<Door, String> {
-        let failed = |e: std::io::Error| format!("listening at {at}: {e}");
-        let socket = Socket::new(Domain::for_address(at), Type::STREAM, None).map_err(failed)?;
-        socket.set_reuse_address(true).and_then(|()| socket.set_reuse_port(true)).map_err(failed)?;
-        socket.bind(&at.into()).and_then(|()| socket.listen(Self::WAITING)).map_err(failed)?;
-        Door::of(socket.into())
+    fn listen(at: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_reuse_port(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(Self::WAITING)?;
+        Ok(socket.into())
     }
 
     /// One that was opened by another process.
@@ -439,7 +469,7 @@
     #[test]
     fn a_door_wakes_for_its_bell_and_goes_on_in_another_hand() {
         let at = SocketAddr::from(([127, 0, 0, 1], 0));
-        let door = Door::open(at).expect("a free address");
+        let door = Door::open(at, Duration::ZERO).expect("a free address");
         let other = std::net::TcpListener::from(door.descriptor().expect("a descriptor"));
         let at = other.local_addr().expect("an address");
         let (tell, told) = channel();
