--- a/crates/front/tests/calls.rs
+++ b/crates/front/tests/calls.rs
@@ -53,6 +53,23 @@
     until(|| front.client().ask(&txn("order", 3000, "w")).value.is_some());
 }
 
+#[test]
+fn a_failed_wait_for_a_signal_ends_no_process() {
+    let town = Town::new();
+    let faults = Faults::new("signal", Controls::default());
+    let front = faults.front(&town);
+    until(|| front.client().ask(&txn("order", 3000, "w")).value.is_some());
+    faults.set(Controls { fails: ALL - 1, ..Controls::default() });
+    // It is woken by a signal that changes nothing, and can't read which.
+    front.signal("-USR1");
+    let failed = Instant::now();
+    until(|| failed.elapsed() > Duration::from_millis(300));
+    faults.set(Controls::default());
+    until(|| front.client().ask(&txn("order", 3000, "w")).value.is_some());
+    front.signal("-TERM");
+    assert!(front.end().0);
+}
+
 #[test]
 fn shortages_of_the_machine_end_no_connection_of_a_client() {
     let town = Town::new();
