--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -9,6 +9,7 @@
 use may::sync::mpsc::Sender;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -21,6 +22,8 @@
 
 /// A supervisor may kill the process this long and 0.7 s after SIGTERM, however long a request may take.
 const MAX_SHUTDOWN: Duration = Duration::from_secs(3);
+/// Between a failed wait for a signal and the next.
+const AFTER_FAILURE: Duration = Duration::from_millis(10);
 /// What is answered last gets this long to be handed over.
 const LAST_CALL: Duration = Duration::from_millis(100);
 
@@ -32,6 +35,17 @@
     }
 }
 
+/// The next signal. The library takes any failed read of its own socket for the end of the world; one that the machine is
+/// short of memory for passes.
+fn next_signal(signals: &mut Signals) -> Option<i32> {
+    loop {
+        match catch_unwind(AssertUnwindSafe(|| signals.forever().next())) {
+            Ok(signal) => return signal,
+            Err(_) => std::thread::sleep(AFTER_FAILURE),
+        }
+    }
+}
+
 /// Reads the configuration again. Where the list is to be had counts at once; all else at the next start.
 fn reload(
     told: &Told,
@@ -77,7 +91,7 @@
     longest: Duration,
     log: &slog::Logger,
 ) {
-    for signal in signals.forever() {
+    while let Some(signal) = next_signal(&mut signals) {
         match signal {
             SIGUSR1 => eprintln!("counters: {counters}"),
             SIGHUP => reload(told, list, laid_down, counters, log),
