Replace the test of a failed wait for a signal by one that fails without the change

The first version passed without the change, too: the process waited before the faults began. Now the faults are there when it starts: fails without the change (the process does not come up), passes with it.

--- a/crates/front/tests/calls.rs
+++ b/crates/front/tests/calls.rs
@@ -2,6 +2,7 @@
 
 use juniperdock_fault_controls::{Controls, VARIABLE};
 use juniperdock_standins::{Front, address, txn};
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 use town::{PROGRAM, Town, until};
@@ -23,7 +24,7 @@
     }
 
     fn set(&self, controls: Controls) {
-        Controls { seed: 7, ..controls }.write(&self.0).expect("a file");
+        controls.write(&self.0).expect("a file");
     }
 
     fn front(&self, town: &Town) -> Front {
@@ -55,19 +56,19 @@
 
 #[test]
 fn a_failed_wait_for_a_signal_ends_no_process() {
-    let town = Town::new();
-    let faults = Faults::new("signal", Controls::default());
-    let front = faults.front(&town);
-    until(|| front.client().ask(&txn("order", 3000, "w")).value.is_some());
-    faults.set(Controls { fails: ALL - 1, ..Controls::default() });
-    // It is woken by a signal that changes nothing, and can't read which.
-    front.signal("-USR1");
-    let failed = Instant::now();
-    until(|| failed.elapsed() > Duration::from_millis(300));
-    faults.set(Controls::default());
-    until(|| front.client().ask(&txn("order", 3000, "w")).value.is_some());
-    front.signal("-TERM");
-    assert!(front.end().0);
+    for seed in 1..9 {
+        let town = Town::new();
+        let faults = Faults::new("signal", Controls { seed, fails: ALL / 2, ..Controls::default() });
+        let front = faults.front(&town);
+        // It waits for signals once it serves; every other read fails by then.
+        until(|| TcpStream::connect(front.at).is_ok());
+        let serves = Instant::now();
+        until(|| serves.elapsed() > Duration::from_millis(100));
+        faults.set(Controls::default());
+        until(|| front.client().ask(&txn("order", 3000, "w")).value.is_some());
+        front.signal("-TERM");
+        assert!(front.end().0);
+    }
 }
 
 #[test]
