--- a/crates/lab/src/fleet/history.rs
+++ b/crates/lab/src/fleet/history.rs
@@ -1,7 +1,7 @@
 //! One file for all that happened: a line of JSON each, in the order of its times. Auditors read nothing else.
 
 use serde_json::{Value, json};
-use std::fs::File;
+use std::fs::{File, OpenOptions};
 use std::io::{BufWriter, Write};
 use std::path::Path;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -12,8 +12,13 @@
 pub struct History(Arc<Mutex<BufWriter<File>>>);
 
 impl History {
+    /// Begins a file anew; refused while another play writes it.
     pub fn create(path: &Path) -> Result<History, String> {
-        let file = File::create(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let failed = |e: std::io::Error| format!("{}: {e}", path.display());
+        let file = OpenOptions::new().create(true).truncate(false).write(true).open(path).map_err(failed)?;
+        file.try_lock()
+            .map_err(|_| format!("{}: another play writes it, name another file", path.display()))?;
+        file.set_len(0).map_err(failed)?;
         Ok(History(Arc::new(Mutex::new(BufWriter::new(file)))))
     }
 
--- a/crates/lab/tests/stories.rs
+++ b/crates/lab/tests/stories.rs
@@ -201,3 +201,16 @@
     let open = offices::all(1, 5, offices::Shape { unfenced: true, ..shape });
     assert!(open.stale_applied > 0, "nothing came late: {open}");
 }
+
+#[test]
+fn two_plays_at_once_do_not_write_the_same_history() {
+    let path = std::env::temp_dir().join(format!("jd-history-{}.jsonl", std::process::id()));
+    let first = juniperdock_lab::fleet::history::History::create(&path).expect("a file");
+    assert!(
+        juniperdock_lab::fleet::history::History::create(&path)
+            .is_err_and(|why| why.contains("another play"))
+    );
+    drop(first);
+    assert!(juniperdock_lab::fleet::history::History::create(&path).is_ok());
+    let _ = std::fs::remove_file(&path);
+}
