--- a/crates/fault-controls/src/lib.rs
+++ b/crates/fault-controls/src/lib.rs
@@ -3,11 +3,27 @@
 use std::fs::{File, OpenOptions};
 use std::io;
 use std::os::unix::fs::FileExt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// The variable that names the control file.
 pub const VARIABLE: &str = "JUNIPERDOCK_FAULTS";
 
+const LIBRARY: &str = "libjuniperdock_fault_shim.so";
+
+/// What a process is started with, to meet what the file says. The library lies beside this program, or above it where
+/// tests are built.
+///
+/// # Errors
+/// Where it lies in neither place: the workspace has to be built.
+pub fn preload(file: &Path) -> Result<[(&'static str, PathBuf); 2], String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let near = own.ancestors().skip(1).take(2).map(|dir| dir.join(LIBRARY));
+    let found = near.into_iter().find(|path| path.exists());
+    let library =
+        found.ok_or_else(|| format!("{LIBRARY} is not beside {}: build the workspace", own.display()))?;
+    Ok([("LD_PRELOAD", library), (VARIABLE, file.to_owned())])
+}
+
 /// Rates are in parts of 65,536 of the calls that they meet; all zero: no faults.
 #[repr(C)]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/front/tests/calls.rs
+++ b/crates/front/tests/calls.rs
@@ -1,9 +1,10 @@
 //! The machine's calls fail for a while, through a library of ours in the process: nothing that passes ends anything.
 
-use juniperdock_fault_controls::{Controls, VARIABLE};
+use juniperdock_fault_controls::{Controls, preload};
 use juniperdock_standins::{Front, address, txn};
 use std::net::TcpStream;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
+use std::process::Command;
 use std::time::{Duration, Instant};
 use town::{PROGRAM, Town, until};
 
@@ -28,12 +29,14 @@
     }
 
     fn front(&self, town: &Town) -> Front {
-        let own = std::env::current_exe().expect("this test");
-        let library = own.parent().unwrap_or(Path::new("/")).join("libjuniperdock_fault_shim.so");
-        assert!(library.exists(), "{}", library.display());
-        let environment = [("LD_PRELOAD", library), (VARIABLE, self.0.clone())];
+        self.front_with(town, None)
+    }
+
+    /// With the text of an operators' file.
+    fn front_with(&self, town: &Town, charter: Option<&str>) -> Front {
+        let environment = preload(&self.0).expect("the library");
         let config = Front::config(&town.known, 1024);
-        Front::with_environment(PROGRAM, address(), town.agent.at, &config, None, &environment)
+        Front::with_environment(PROGRAM, address(), town.agent.at, &config, charter, &environment)
     }
 }
 
@@ -71,6 +74,29 @@
     }
 }
 
+#[test]
+fn a_disk_that_fails_leaves_the_last_whole_snapshot() {
+    let town = Town::new();
+    let faults = Faults::new("disk", Controls::default());
+    let snapshot = std::env::temp_dir().join(format!("jd-calls-snapshot-{}", std::process::id()));
+    let charter = format!("{{ snapshot: {{ path: {:?}, every_s: 1 }} }}", snapshot.display().to_string());
+    let front = faults.front_with(&town, Some(&charter));
+    until(|| snapshot.exists());
+    faults.set(Controls { disk: ALL / 2, ..Controls::default() });
+    // Five more are due; whichever of them comes to its end, what lies there is whole.
+    let fails = Instant::now();
+    until(|| {
+        let shown = Command::new(PROGRAM).args(["snapshot", "show"]).arg(&snapshot).output();
+        assert!(shown.expect("it runs").status.success(), "a snapshot that is not whole");
+        fails.elapsed() > Duration::from_secs(5)
+    });
+    faults.set(Controls::default());
+    front.signal("-TERM");
+    let (well, text) = front.end();
+    assert!(well && text.contains("no snapshot is written"), "the disk failed, and it was said: {text}");
+    let _ = std::fs::remove_file(&snapshot);
+}
+
 #[test]
 fn shortages_of_the_machine_end_no_connection_of_a_client() {
     let town = Town::new();
--- a/crates/front/tests/clocks.rs
+++ b/crates/front/tests/clocks.rs
@@ -1,9 +1,8 @@
 //! The wall clock of a process is off when it starts, by seconds or an hour: it serves all the same, and reads nothing
 //! that is older than allowed.
 
-use juniperdock_fault_controls::{Controls, VARIABLE};
+use juniperdock_fault_controls::{Controls, preload};
 use juniperdock_standins::{Front, address, txn};
-use std::path::Path;
 use std::time::{Duration, Instant};
 use town::{PROGRAM, Town, until};
 
@@ -13,10 +12,7 @@
 fn with_clock_off(town: &Town, name: &str, off_ms: i64) -> Front {
     let file = std::env::temp_dir().join(format!("jd-clock-{name}-{}", std::process::id()));
     Controls { wall_clock_ms: off_ms, ..Controls::default() }.write(&file).expect("a file");
-    let own = std::env::current_exe().expect("this test");
-    let library = own.parent().unwrap_or(Path::new("/")).join("libjuniperdock_fault_shim.so");
-    assert!(library.exists(), "{}", library.display());
-    let environment = [("LD_PRELOAD", library), (VARIABLE, file.clone())];
+    let environment = preload(&file).expect("the library");
     let config = Front::config(&town.known, 1024);
     let front = Front::with_environment(PROGRAM, address(), town.agent.at, &config, None, &environment);
     drop(front.client());
--- a/crates/front/tests/desk.rs
+++ b/crates/front/tests/desk.rs
@@ -22,6 +22,36 @@
     ServerList::read(text.as_bytes()).expect("a list")
 }
 
+/// A client that does not leave.
+struct Stays;
+
+impl ClientPresence for Stays {
+    fn has_left(&self) -> bool {
+        false
+    }
+}
+
+/// An order that came in then.
+fn arrival(ticket: u64, at: Duration, expiry: Duration, client: Mailbox<(u64, Answer)>) -> ToDesk {
+    let (kind, cell, statement, left) = (0, 3, "".into(), 0..0);
+    let (retried, session, wrote_ago) = (false, None, None);
+    let guard = RequestGuard::new(expiry, Box::new(Stays), Arc::default());
+    ToDesk::Arrived(Box::new(Arrival {
+        ticket,
+        at,
+        kind,
+        cell,
+        expiry,
+        retried,
+        session,
+        wrote_ago,
+        statement,
+        left,
+        client,
+        guard,
+    }))
+}
+
 fn probes() -> ProbeQueue {
     ProbeQueue::new(1, ProbeLimits::of(100))
 }
@@ -64,23 +94,7 @@
     let (answers, told) = channel();
     let arrival = |ticket, left| {
         let client = Mailbox { mail: answers.clone(), bell: link.bell() };
-        let (statement, expiry) = ("".into(), now + Duration::from_secs(left));
-        let (retried, session, wrote_ago, left) = (false, None, None, 0..0);
-        let (kind, cell, at) = (0, 3, now);
-        ToDesk::Arrived(Box::new(Arrival {
-            ticket,
-            at,
-            kind,
-            cell,
-            expiry,
-            retried,
-            session,
-            wrote_ago,
-            statement,
-            left,
-            client,
-            guard: RequestGuard::new(expiry, Box::new(Stays), Arc::default()),
-        }))
+        arrival(ticket, now, now + Duration::from_secs(left), client)
     };
     let _ = mail.send(ToDesk::List(list(at)));
     let _ = mail.send(arrival(1, 9000));
@@ -92,15 +106,6 @@
     assert_eq!(counters.panics.read(), 1);
 }
 
-/// A client that does not leave.
-struct Stays;
-
-impl ClientPresence for Stays {
-    fn has_left(&self) -> bool {
-        false
-    }
-}
-
 #[test]
 fn after_a_panic_nothing_is_written_for_what_has_its_answer() {
     let (clock, _ring) = Clock::start();
@@ -141,23 +146,8 @@
     let _ = mail.send(ToDesk::List(list(at)));
     let report = Report { role: Some(Role::Primary), position: Some(clock.now()), ..Report::default() };
     let _ = mail.send(ToDesk::Probed { member: 0, ending: Ending::Committed, report });
-    let (statement, expiry, at) = ("".into(), clock.now() + Duration::from_secs(900), clock.now());
-    let (retried, session, wrote_ago, left, kind, cell, ticket) = (false, None, None, 0..0, 0, 3, 1);
-    let guard = RequestGuard::new(expiry, Box::new(Stays), Arc::default());
-    let _ = mail.send(ToDesk::Arrived(Box::new(Arrival {
-        ticket,
-        at,
-        kind,
-        cell,
-        expiry,
-        retried,
-        session,
-        wrote_ago,
-        statement,
-        left,
-        client,
-        guard,
-    })));
+    let now = clock.now();
+    let _ = mail.send(arrival(1, now, now + Duration::from_secs(900), client));
     let submit = loop {
         if let ToMember::Job(Job::Submit(submit)) = job.recv().expect("a job") {
             break submit;
--- a/crates/lab/src/fleet/machine.rs
+++ b/crates/lab/src/fleet/machine.rs
@@ -1,10 +1,9 @@
 //! What a front's process meets in the machine's calls, through the library that is loaded into it.
 
 use super::schedule::{Harm, Mishap};
-use juniperdock_fault_controls::{Controls, VARIABLE};
+use juniperdock_fault_controls::{Controls, preload};
 use std::path::{Path, PathBuf};
 
-const LIBRARY: &str = "libjuniperdock_fault_shim.so";
 /// Rates are told in parts of this.
 const WHOLE: f64 = 65_536.0;
 
@@ -23,7 +22,7 @@
     /// What a process has to be started with; none of its calls fails yet.
     pub fn environment(&self) -> Result<Vec<(&'static str, String)>, String> {
         self.write().map_err(|e| format!("{}: {e}", self.file.display()))?;
-        Ok(vec![("LD_PRELOAD", library()?), (VARIABLE, self.file.display().to_string())])
+        Ok(preload(&self.file)?.map(|(name, value)| (name, value.display().to_string())).to_vec())
     }
 
     pub fn change(&mut self, mishap: &Mishap, begins: bool) {
@@ -60,12 +59,3 @@
         controls.write(&self.file)
     }
 }
-
-/// Where the library lies: beside this program, or above it where tests are built.
-fn library() -> Result<String, String> {
-    let own = std::env::current_exe().map_err(|e| e.to_string())?;
-    let near = own.ancestors().skip(1).take(2).map(|dir| dir.join(LIBRARY));
-    let found = near.into_iter().find(|path| path.exists());
-    let missing = || format!("{LIBRARY} is not beside {}: build the workspace", own.display());
-    found.map(|path| path.display().to_string()).ok_or_else(missing)
-}
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -312,6 +312,7 @@
     };
     town.leaving.lock().unwrap_or_else(PoisonError::into_inner).share = schedule.leaves;
     let preloads = schedule.mishaps.iter().any(Mishap::machine);
+    let keeps = schedule.mishaps.iter().any(|mishap| mishap.what == Harm::DiskFails);
     for front in 0..n {
         let at = town.members(front, members)?;
         let agent = Agent::start(WATCH);
@@ -330,6 +331,9 @@
             charter["fellows"] = json!({ "keys": [home.join("key")], "every_ms": schedule.every_ms, "speaks": speaks,
                     "duties": schedule.duties });
         }
+        if keeps {
+            charter["snapshot"] = json!({ "path": dir.join("snapshot"), "every_s": 1 });
+        }
         if let Some(bend) = bend {
             bend(front, &mut config, &mut charter);
         }
