Count the times that the worker sleeps on ready work, by the kernel's account

Change: worker_watch.rs compares how long a beat lay with /proc/thread-self/schedstat; worker_idle_delays counts, the log has a line for each delay at debug level.

--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -56,7 +56,7 @@
     probes, probes_failed, probes_spared, members_ended, members_forgotten, lists, lists_failed, reloads, reloads_failed, reminders, reminders_late, panics,
     primary_changes, vacancies, vacant_most_ms, plans, plans_undone,
     groups_vacant, groups_settling, groups_steady, groups_doubted, groups_handing_over, waiting,
-    fellows_in, fellows_out, fellows_refused, fellows_late, fellow_ups, fellow_downs, standstills, worker_standstills,
+    fellows_in, fellows_out, fellows_refused, fellows_late, fellow_ups, fellow_downs, standstills, worker_standstills, worker_idle_delays,
     duties_taken, duties_lost, effects_out, effects_refused, facts_in,
     held_up_most_us, connect_most_us, clock_advanced,
 }
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -5,6 +5,7 @@
 use crate::counters::Counters;
 use crate::mail::{Answer, Arrival, End, Job, Submit, ToDesk, ToDiscovery, ToFellows, ToMember};
 use crate::request_log::{RequestEvent, RequestLog};
+use crate::worker_watch::WorkerWatch;
 use juniperdock_door::{Indices, span};
 use juniperdock_duties as duties;
 use juniperdock_duties::{Care, Fact};
@@ -304,13 +305,11 @@
     }
 
     pub fn run(mut self, mail: &Receiver<ToDesk>) {
+        // Of the thread that this coroutine runs on.
+        let mut worker = WorkerWatch::new();
         while let Ok(mail) = mail.recv() {
-            if matches!(mail, ToDesk::Beat) {
-                self.hands.clock.beat();
-                if let Some(spell) = self.hands.clock.take_standstill() {
-                    self.hands.counters.worker_standstills.add();
-                    self.hands.request_log.held_up(spell);
-                }
+            if let ToDesk::Beat { posted } = mail {
+                self.beat(posted, &mut worker);
                 continue;
             }
             self.hands.clock.pulse();
@@ -327,6 +326,20 @@
         }
     }
 
+    /// The worker runs; where it did not for a while, that is counted, and whether it slept.
+    fn beat(&mut self, posted: Duration, worker: &mut WorkerWatch) {
+        let Hands { clock, counters, request_log, .. } = &self.hands;
+        clock.beat();
+        if let Some(spell) = clock.take_standstill() {
+            counters.worker_standstills.add();
+            request_log.held_up(spell);
+        }
+        if let Some(delay) = worker.beat(posted, clock.monotonic()) {
+            counters.worker_idle_delays.add_if(delay.is_idle());
+            request_log.beat_delayed(delay);
+        }
+    }
+
     /// The front that has ordered a change of all hears how far it is here.
     fn watch(&mut self) {
         let Some(circle) = self.circle.as_ref().filter(|_| !self.watched.is_empty()) else { return };
@@ -471,7 +484,7 @@
     fn take(&mut self, mail: ToDesk) {
         let now = self.hands.clock.now();
         match mail {
-            ToDesk::Beat => {}
+            ToDesk::Beat { .. } => {}
             ToDesk::Turn(tell) => drop(tell.send(())),
             ToDesk::Short => {
                 (0..self.hands.members.len()).for_each(|member| self.hands.tell(member, ToMember::Spare));
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod told;
 pub mod upgrade;
 pub mod whole;
+pub mod worker_watch;
--- a/crates/front/src/mail.rs
+++ b/crates/front/src/mail.rs
@@ -91,8 +91,10 @@
     ClockAdvanced(Duration),
     /// The pace of probes lets the next one start.
     ProbesDue,
-    /// Shows that the worker runs.
-    Beat,
+    /// Shows that the worker runs, and how late: when it was posted, by the monotonic clock.
+    Beat {
+        posted: Duration,
+    },
     /// Whoever posts this hears back once all that was posted before it has been taken.
     Turn(Sender<()>),
     /// Connections to members run short.
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -2,6 +2,7 @@
 //! (`JUNIPERDOCK_LOG=debug`). Every line of a request has its number in this process; the first also has the id that its
 //! client gave it. Every close names its reason.
 
+use crate::worker_watch::Delay;
 use juniperdock_request_guard::{Debt, Withheld};
 use juniperdock_router::host::Ending;
 use std::time::Duration;
@@ -115,6 +116,16 @@
         }
     }
 
+    /// A beat lay for long before it had its turn. `idle`: the worker slept meanwhile, though work was ready.
+    pub fn beat_delayed(&self, delay: Delay) {
+        if self.enabled {
+            let us = |span: Duration| span.as_micros() as u64;
+            let account = delay.account.unwrap_or_default();
+            slog::debug!(self.log, "beat delayed"; "idle" => delay.is_idle(), "waited_us" => us(account.waited),
+                "ran_us" => us(account.ran), "lay_us" => us(delay.lay));
+        }
+    }
+
     /// The one worker did not run for that long. The kernel's account of the thread (nanoseconds on a processor,
     /// nanoseconds ready and waiting for one, turns; since its start) tells a busy machine from work of its own.
     pub fn held_up(&self, spell: Duration) {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -173,10 +173,10 @@
     spawn("discovery", CONNECTION_STACK, move || discovery_client.run())?;
     let _ = to_discovery.send(ToDiscovery::Open);
 
-    let beats = to_desk.clone();
+    let (beats, beat_clock) = (to_desk.clone(), clock.clone());
     std::thread::spawn(move || {
         ring(&|| {
-            let _ = beats.send(ToDesk::Beat);
+            let _ = beats.send(ToDesk::Beat { posted: beat_clock.monotonic() });
         });
     });
     let door = match &mut taking {
--- /dev/null
+++ b/crates/front/src/worker_watch.rs
@@ -0,0 +1,98 @@
+//! Tells a worker that sleeps although work is ready from one that works or waits for a processor. The clock's thread
+//! posts a beat to the dispatcher every [`PULSE`](crate::clock::PULSE); a beat that lay for long was not looked at, and the
+//! kernel's account of the worker's thread says what the thread did meanwhile (`/proc/thread-self/schedstat`, proc(5)).
+
+use std::fs::File;
+use std::os::unix::fs::FileExt;
+use std::time::Duration;
+
+/// A beat that lay for longer was held up: two periods of it.
+const MAX_DELAY: Duration = Duration::from_millis(40);
+
+/// A worker that ran, or waited for a processor, for this part of the delay or more was not asleep. Where a process has a
+/// part of a core only, its processor time is that much less than the time that passes.
+const MIN_ACTIVE_PART: u32 = 10;
+
+/// Longer than the account with its three numbers is.
+const ACCOUNT_LENGTH: usize = 96;
+
+/// What the kernel has counted for the worker's thread since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ThreadAccount {
+    /// On a processor.
+    pub ran: Duration,
+    /// Ready to run, without a processor.
+    pub waited: Duration,
+}
+
+impl ThreadAccount {
+    /// Reads the first two numbers, both in nanoseconds.
+    fn parse(text: &str) -> Option<ThreadAccount> {
+        let mut numbers =
+            text.split_ascii_whitespace().map(|word| word.parse().ok().map(Duration::from_nanos));
+        Some(ThreadAccount { ran: numbers.next()??, waited: numbers.next()?? })
+    }
+
+    fn since(self, earlier: ThreadAccount) -> ThreadAccount {
+        ThreadAccount {
+            ran: self.ran.saturating_sub(earlier.ran),
+            waited: self.waited.saturating_sub(earlier.waited),
+        }
+    }
+}
+
+/// A beat that lay for long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Delay {
+    /// From its post to its turn.
+    pub lay: Duration,
+    /// What the worker did since the beat before it; nothing where the kernel keeps no account.
+    pub account: Option<ThreadAccount>,
+}
+
+impl Delay {
+    /// The worker neither ran nor waited for a processor: it slept while work was ready, or the whole process was
+    /// stopped.
+    pub fn is_idle(&self) -> bool {
+        self.account.is_some_and(|account| (account.ran + account.waited) * MIN_ACTIVE_PART < self.lay)
+    }
+}
+
+/// Made and asked on the worker's thread only.
+pub struct WorkerWatch {
+    /// Kept open: one call a beat. None where the kernel has no such file.
+    file: Option<File>,
+    last: ThreadAccount,
+    handled: Duration,
+}
+
+impl WorkerWatch {
+    pub fn new() -> WorkerWatch {
+        let file = File::open("/proc/thread-self/schedstat").ok();
+        let mut watch = WorkerWatch { file, last: ThreadAccount::default(), handled: Duration::ZERO };
+        watch.last = watch.read().unwrap_or_default();
+        watch
+    }
+
+    fn read(&self) -> Option<ThreadAccount> {
+        let mut text = [0; ACCOUNT_LENGTH];
+        let length = self.file.as_ref()?.read_at(&mut text, 0).ok()?;
+        ThreadAccount::parse(std::str::from_utf8(&text[..length]).ok()?)
+    }
+
+    /// Notes a beat that has its turn now. Gives the delay if it was held up; beats that were posted during one delay
+    /// count once.
+    pub fn beat(&mut self, posted: Duration, now: Duration) -> Option<Delay> {
+        let account = self.read();
+        let spent = account.map(|account| account.since(self.last));
+        self.last = account.unwrap_or_default();
+        let lay = now.saturating_sub(posted);
+        let is_new = posted >= self.handled;
+        self.handled = now;
+        (is_new && lay > MAX_DELAY).then_some(Delay { lay, account: spent })
+    }
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/worker_watch.rs"]
+mod tests;
