Connect without blocking, by the clock's own alarms; a shortage here is no word on the server

Cause: Link::connect (crates/link/src/lib.rs) used may's connect_timeout. Its I/O timers expire after the worker's ready coroutines have run; what they wake lies there until the next event. Change: link::Connecting asks a non-blocking socket for its state; front/connect.rs waits by the clock's alarms, hears a cancel or an end while it waits, and tries again after 2 ms while this machine is short (EADDRNOTAVAIL, EAGAIN, ENFILE, EMFILE, ENOBUFS, ENOMEM, ENOSPC), which ends as Moot and not as Unreachable. Actors that meet a shortage of sends or receives pause 2 ms; a discovery watch that always has bytes takes turns.

--- a/crates/front/src/acceptor.rs
+++ b/crates/front/src/acceptor.rs
@@ -2,18 +2,20 @@
 
 use crate::client;
 use crate::clients::{MIN_REST, SharedClients};
-use juniperdock_link::{Door, Link, spawn};
+use juniperdock_link::{BufferLimits, Door, Link, spawn};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+/// What goes out are answers, each as long as the server's.
+const LIMITS: BufferLimits = BufferLimits { inbound: client::MAX_INBOUND, outbound: usize::MAX };
+
 impl SharedClients {
     /// A client counts from here on, however late it comes to run. One that another process had in hand may
     /// be open, and have sent something that is unread.
     pub fn admit(self: Arc<Self>, stream: TcpStream, unread: &[u8], open: bool, skipping: bool) {
         self.counters.clients.add();
-        // What goes out are answers, each as long as the member's.
-        let link = match Link::came(stream, client::MAX_INBOUND, usize::MAX) {
+        let link = match Link::came(stream, LIMITS) {
             Ok(mut link) => {
                 link.inbound.extend(unread);
                 link
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -4,7 +4,6 @@
 mod drain;
 
 use crate::clients::{ClientTransfer, Rest, SharedClients, TAKEN, TransferResult, UNDER_WAY};
-use crate::clock::BUSY;
 use crate::counters::{Count, Counters};
 use crate::mail::{Answer, Arrival, ToDesk};
 use crate::mailbox::Mailbox;
@@ -223,11 +222,8 @@
 
     /// One that sends at full speed takes turns with the others.
     fn give_turn(&self, busy: u32) {
-        if busy.is_multiple_of(BUSY) {
-            self.shared.clock.give_way();
-        } else {
-            may::coroutine::yield_now();
-        }
+        self.shared.clock.take_turns(busy, self.link.is_short());
+        may::coroutine::yield_now();
     }
 
     /// Moves bytes both ways, and notes when those that came in did.
@@ -547,7 +543,7 @@
             RequestEvent::Received { id: field("id").unwrap_or_default(), class: kind, left: waits };
         self.shared.request_log.request(ticket, received);
         let (left, client) = (pg::place(&statement, left), self.mailbox.clone());
-        let watch = self.link.peer_watch().ok_or("a client's connection comes in")?;
+        let watch = self.link.peer_watch();
         let invariants = self.shared.counters.invariants.clone();
         let guard = RequestGuard::new(expiry, Box::new(Presence(watch)), invariants);
         Ok(Arrival {
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -7,7 +7,7 @@
 use crate::request_log::{CloseReason, RequestLog};
 use juniperdock_door::Indices;
 use juniperdock_link::Bell;
-use may::sync::mpsc::{Sender, channel};
+use may::sync::mpsc::Sender;
 use std::collections::HashMap;
 use std::os::fd::OwnedFd;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
@@ -261,10 +261,6 @@
 
     /// Comes back a little later.
     pub(crate) fn pause(&self) {
-        let (again, waited) = channel();
-        self.clock.at(self.clock.now() + ACCEPT_PAUSE, move || {
-            let _ = again.send(());
-        });
-        let _ = waited.recv();
+        self.clock.pause(ACCEPT_PAUSE);
     }
 }
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -29,7 +29,10 @@
 }
 
 /// After so many turns in which an actor has not waited it gives way to all others.
-pub const BUSY: u32 = 8;
+const BUSY: u32 = 8;
+
+/// How long an actor waits before it tries again what the machine was short for.
+pub const SHORTAGE_PAUSE: Duration = Duration::from_millis(2);
 
 /// What an alarm does; it must not wait.
 type Ring = Box<dyn FnOnce() + Send>;
@@ -170,13 +173,28 @@
     /// takes up what other threads have woken only once nothing else is ready to run: who just yields in a loop is
     /// always ready, and keeps them all waiting.
     pub fn give_way(&self) {
+        self.pause(Duration::ZERO);
+    }
+
+    /// Waits for so long. The calling coroutine hears of nothing meanwhile.
+    pub fn pause(&self, span: Duration) {
         let (again, waited) = channel();
-        self.at(self.now(), move || {
+        self.at(self.now() + span, move || {
             let _ = again.send(());
         });
         let _ = waited.recv();
     }
 
+    /// What an actor does that has moved bytes for so many turns in a row: it lets others have theirs, and waits for a
+    /// moment where the machine is short.
+    pub fn take_turns(&self, busy: u32, is_short: bool) {
+        if is_short {
+            self.pause(SHORTAGE_PAUSE);
+        } else if busy.is_multiple_of(BUSY) {
+            self.give_way();
+        }
+    }
+
     /// An alarm that has not rung does not.
     pub fn cancel(&self, alarm: &Alarm) {
         let ring = self.bells.alarms().wheel.cancel(alarm.0);
--- a/crates/front/src/discovery_client.rs
+++ b/crates/front/src/discovery_client.rs
@@ -2,10 +2,11 @@
 //! another address, the watch there is opened before the old one is dropped.
 
 use crate::clock::Clock;
+use crate::connect::{Wanted, connect};
 use crate::counters::Counters;
 use crate::mail::{ToDesk, ToDiscovery, WatchEnd};
 use juniperdock_discovery::{Answer, MAX_UNREAD, watch_request};
-use juniperdock_link::{Bell, Link, spawn};
+use juniperdock_link::{Bell, BufferLimits, spawn};
 use juniperdock_server_list::{Backoff, ServerList, Versions};
 use may::sync::mpsc::{Receiver, Sender, channel};
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 /// never came up, is given up for the next. After a change of address what it has counts as told after 4 s.
 const FIRST: Duration = Duration::from_millis(1500);
 const CONNECT: Duration = Duration::from_millis(500);
+const BUFFERS: BufferLimits = BufferLimits { inbound: MAX_UNREAD, outbound: MAX_UNREAD };
 
 /// A watch that is open or being opened.
 struct Open {
@@ -175,18 +177,25 @@
     fn run(&self, after: Option<u64>) -> WatchEnd {
         let failed = |why: String| WatchEnd::Failed(why);
         let (request, begun) = (watch_request(&self.address.to_string(), after), self.clock.now());
-        let mut link = match Link::connect(self.address, CONNECT, MAX_UNREAD, MAX_UNREAD) {
+        let up = |bell| {
+            let _ = self.list.send(ToDiscovery::Up(self.number, bell));
+        };
+        let wanted = Wanted { to: self.address, until: begun + CONNECT, limits: BUFFERS };
+        let stopped = || self.stop.load(Ordering::Relaxed);
+        let mut link = match connect(&self.clock, &wanted, &up, &stopped) {
             Ok(link) => link,
             Err(why) => return failed(why.to_string()),
         };
-        let _ = self.list.send(ToDiscovery::Up(self.number, link.bell()));
         if let Err(why) = link.queue(request.as_bytes()) {
             return failed(why.to_string());
         }
         let (mut answer, mut signs, mut silent) = (Answer::default(), 0, begun + FIRST);
         let bell = link.bell();
         self.clock.at(silent, move || bell.ring());
-        while !self.stop.load(Ordering::Relaxed) {
+        for busy in 1u32.. {
+            if stopped() {
+                break;
+            }
             let moved = link.pump();
             match answer.take(&mut link.inbound) {
                 Ok(lists) => {
@@ -207,7 +216,7 @@
                 Err(why) => return failed(why.to_string()),
                 Ok(_) if link.ended || answer.over() => return failed("the watch ended".to_owned()),
                 Ok(_) if now >= silent => return failed("the watch fell silent".to_owned()),
-                Ok(true) => {}
+                Ok(true) => self.clock.take_turns(busy, link.is_short()),
                 Ok(false) => link.wait(),
             }
         }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clients;
 pub mod clock;
 pub mod configuration;
+pub mod connect;
 pub mod control;
 pub mod counters;
 pub mod desk;
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -1,12 +1,13 @@
 //! A member's actor and its connections. The actor keeps the pool; each connection carries one job at a time
 //! and tells the desk how it ended.
 
-use crate::clock::{BUSY, Clock};
+use crate::clock::Clock;
+use crate::connect::{NoConnection, Wanted, connect};
 use crate::counters::Counters;
 use crate::mail::{End, Job, ToDesk, ToMember};
 use crate::request_log::{RequestEvent, RequestLog};
 use juniperdock_door::{self as door, Origin};
-use juniperdock_link::{Bell, Failure, Link, Reached, spawn};
+use juniperdock_link::{Bell, BufferLimits, Failure, Link, Reached, spawn};
 use juniperdock_pg as pg;
 use juniperdock_router::host::{Ending, Report, Role};
 use juniperdock_server_clock::{Told, Verdict};
@@ -79,6 +80,12 @@
     leaving: bool,
 }
 
+impl Reach {
+    fn buffers(&self) -> BufferLimits {
+        BufferLimits { inbound: 2 * self.longest, outbound: 2 * pg::LONGEST }
+    }
+}
+
 impl Member {
     pub fn new(index: usize, address: SocketAddr, mail: Sender<ToMember>, reach: Reach) -> Member {
         let (connections, idle) = (HashMap::new(), Vec::new());
@@ -356,7 +363,7 @@
                 }
             },
             (None, Some(stream)) => {
-                let link = Link::came(stream, 2 * self.reach.longest, 2 * pg::LONGEST);
+                let link = Link::came(stream, self.reach.buffers());
                 link.ok().and_then(|link| {
                     let _ = self.pool.send(ToMember::Up(self.id, link.bell()));
                     self.rest(link, held)
@@ -439,21 +446,24 @@
     fn welcome(&self, job: &Job, begun: Duration) -> Result<Link, Ending> {
         let (clock, limit) = (&self.reach.clock, begun + self.reach.connect);
         let give_up = self.give_up(job);
-        let most = self.reach.connect.min(give_up.saturating_sub(begun));
-        if most.is_zero() {
-            return Err(Ending::Moot);
-        }
+        let until = limit.min(give_up);
         // Out of time for the txn is no word on the member.
         let late =
             |at: Duration| if at >= give_up && at < limit { Ending::Moot } else { Ending::Unreachable };
-        let mut link =
-            Link::connect(self.address, most, 2 * self.reach.longest, 2 * pg::LONGEST).map_err(|f| {
-                slog::debug!(self.reach.log, "no connection"; "why" => %f);
-                late(clock.now())
-            })?;
-        let bell = link.bell();
-        let _ = self.pool.send(ToMember::Up(self.id, bell.clone()));
-        clock.at(limit.min(give_up), move || bell.ring());
+        let up = |bell| {
+            let _ = self.pool.send(ToMember::Up(self.id, bell));
+        };
+        let wanted = Wanted { to: self.address, until, limits: self.reach.buffers() };
+        let connected = connect(clock, &wanted, &up, &|| self.cancelled(job));
+        let mut link = connected.map_err(|why| {
+            slog::debug!(self.reach.log, "no connection"; "why" => %why, "server" => self.member);
+            match why {
+                NoConnection::Cancelled | NoConnection::TooLate | NoConnection::LocalShortage(_) => {
+                    Ending::Moot
+                }
+                NoConnection::TimedOut | NoConnection::Failed(_) => late(clock.now()),
+            }
+        })?;
         link.queue(&pg::startup("api", "ledger")).map_err(|_| Ending::Unreachable)?;
         for busy in 1u32.. {
             let pumped = link.pump();
@@ -474,7 +484,7 @@
                 link.inbound.drain(..length);
             }
             let now = clock.now();
-            if pumped.is_err() || link.ended || now >= limit.min(give_up) {
+            if pumped.is_err() || link.ended || now >= until {
                 return Err(if pumped.is_ok() && !link.ended { late(now) } else { Ending::Unreachable });
             }
             if self.cancelled(job) {
@@ -482,9 +492,9 @@
             }
             if matches!(pumped, Ok(false)) {
                 link.wait();
-            } else if busy % BUSY == 0 {
-                // It talks without an end, and nobody else would have a turn.
-                clock.give_way();
+            } else {
+                // It may talk without an end, and nobody else would have a turn.
+                clock.take_turns(busy, link.is_short());
             }
         }
         Err(Ending::Unreachable)
@@ -574,9 +584,9 @@
             }
             if matches!(pumped, Ok(false)) {
                 self.wait(link, give_up);
-            } else if busy % BUSY == 0 {
+            } else {
                 // An answer without an end, as fast as it is read: nobody else would have a turn.
-                clock.give_way();
+                clock.take_turns(busy, link.is_short());
             }
         }
         Outcome { ending: Ending::Spoilt, reply: Reply::default(), usable: false }
