A test of a correction of the time, failing: it moves deadlines and alarms

Cause: Clock::now is spans and the servers' time in one; what proves this process to be behind makes all that was planned come due sooner.

--- a/crates/front/tests/clocks.rs
+++ b/crates/front/tests/clocks.rs
@@ -2,7 +2,10 @@
 //! that is older than allowed.
 
 use juniperdock_fault_controls::{Controls, preload};
+use juniperdock_front::clock::Clock;
+use juniperdock_server_clock::{Told, Verdict};
 use juniperdock_standins::{Front, address, txn};
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 use town::{PROGRAM, Town, until};
 
@@ -67,3 +70,34 @@
     assert!(served >= 36, "{served} of 40");
     assert!(front.client().ask(&txn("order", 3000, "w2")).value.is_some());
 }
+
+/// What two primaries say that are ahead of this process by so much.
+fn ahead_by(clock: &Clock, by: Duration) -> Verdict {
+    let told = |server| {
+        let now = clock.now();
+        Told { server, position: now + by, primary: true, asked: now, now }
+    };
+    clock.judge(told(0));
+    clock.judge(told(1))
+}
+
+#[test]
+fn a_correction_of_the_time_moves_no_deadline_and_no_alarm() {
+    const HOUR: Duration = Duration::from_secs(3600);
+    let (clock, ring) = Clock::start();
+    std::thread::spawn(move || ring(&|| {}));
+    let (rung, rings) = channel();
+    let (begun, before) = (Instant::now(), clock.now());
+    clock.at(before + HOUR / 2, move || {
+        let _ = rung.send(());
+    });
+    assert!(matches!(ahead_by(&clock, HOUR), Verdict::Behind(by) if by >= HOUR));
+    // One that is due soon rings all the same, so the thread has looked at all that is due.
+    let (soon, is_due) = channel();
+    clock.at(clock.now() + Duration::from_millis(50), move || {
+        let _ = soon.send(());
+    });
+    is_due.recv_timeout(Duration::from_secs(20)).expect("it is due");
+    assert!(rings.try_recv().is_err(), "half an hour has not passed");
+    assert!(clock.now() - before <= begun.elapsed() + Duration::from_secs(1), "spans are of real time");
+}
