Keep spans on the monotonic clock; a correction moves only where positions lie

Cause: Clock::now was spans and the servers' time in one (clock.rs, judge): a proof that this process is behind advanced deadlines, waits, windows and alarms by seconds or an hour. Class: a span that rests on something else than the process's own monotonic clock. Beside it: Clock::start read the wall clock first, so a hold-up before the monotonic one made data seem younger by as much. Change: Clock::now is monotonic alone; Clock::origin says where positions lie and is what a correction moves. Mail is dated by the origin of its turn: the dispatcher keeps its own and moves it with ClockAdvanced. Both clocks are read anew where more than 1 ms lies between them, the monotonic one first.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -523,7 +523,7 @@
         let ms = number("d", left)?.min(3_600_000);
         let cell = number("cluster", need("cluster")?)?;
         let clock = &self.shared.clock;
-        let unix = clock.origin.start / 1000 + clock.now().as_millis() as i64;
+        let unix = clock.origin().start / 1000 + clock.now().as_millis() as i64;
         let wrote_ago = match field("after") {
             Some(after) => {
                 let ago = unix.saturating_sub_unsigned(number("after", after)?);
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -1,16 +1,21 @@
-//! The time since the start, and one thread that rings when a time has come. Coroutines never wait for a
-//! time themselves: `may` would run them on its timer thread, beside the one worker.
+//! Two times that are kept apart. Spans (deadlines, waits, windows, graces) are of the monotonic clock alone:
+//! [`Clock::now`], and one thread that rings when such a time has come. What time it is at the servers is an origin on top
+//! of that, [`Clock::origin`], which says where positions lie; what servers prove corrects the origin and moves no span.
+//! Coroutines never wait for a time themselves: `may` would run them on its timer thread, beside the one worker.
 
 use juniperdock_door::Origin;
 use juniperdock_server_clock::{ServerClock, Told, Verdict};
 use juniperdock_wheel::{Key, Wheel};
 use may::sync::mpsc::channel;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
 /// Alarms ring at most this much late for being sorted.
 const TICK: Duration = Duration::from_micros(250);
+/// Both clocks are read within this span at the start, or so often.
+const MAX_BETWEEN_READS: Duration = Duration::from_millis(1);
+const MAX_READS: u32 = 5;
 /// The worker is known to run at least this often.
 pub const PULSE: Duration = Duration::from_millis(20);
 
@@ -22,8 +27,6 @@
     stood_from: AtomicU64,
     ending: AtomicU64,
     beaten: AtomicU64,
-    /// By how much the servers have advanced the time.
-    advanced: AtomicU64,
     /// How long the latest standstill was, until it is asked for.
     untold: AtomicU64,
 }
@@ -60,8 +63,8 @@
 #[derive(Clone)]
 pub struct Clock {
     begun: Instant,
-    /// Unix time at the start; positions are Unix times, so they count from 0.
-    pub origin: Origin,
+    /// Unix time at the start, in microseconds, as far as is known.
+    start_unix: Arc<AtomicI64>,
     bells: Arc<Bells>,
     runs: Arc<Runs>,
     /// What servers say of the time.
@@ -71,39 +74,33 @@
 impl Clock {
     /// A clock that starts now, and what its thread is to run; that calls `beat` once a pulse.
     pub fn start() -> (Clock, impl FnOnce(&dyn Fn()) + Send) {
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        let origin = Origin { start: unix.as_micros() as i64, zero: 0 };
+        let (begun, unix) = read_both();
+        let start_unix = Arc::new(AtomicI64::new(unix.as_micros() as i64));
         let alarms = Alarms { wheel: Wheel::new(TICK), looks: Duration::ZERO };
         let bells = Arc::new(Bells { alarms: Mutex::new(alarms), earlier: Condvar::new() });
-        let clock =
-            Clock { begun: Instant::now(), origin, bells, runs: Arc::default(), servers: Arc::default() };
+        let (runs, servers) = (Arc::default(), Arc::default());
+        let clock = Clock { begun, start_unix, bells, runs, servers };
         let its = clock.clone();
         (clock, move |beat| ring(&its, beat))
     }
 
-    /// Since the start, by the monotonic clock; more, once servers have proven that the wall clock was behind then.
+    /// Since the start, by the monotonic clock.
     pub fn now(&self) -> Duration {
-        self.begun.elapsed() + self.advanced()
-    }
-
-    /// By how much `now` is more than the monotonic clock.
-    pub fn advanced(&self) -> Duration {
-        Duration::from_micros(self.runs.advanced.load(Ordering::Relaxed))
+        self.begun.elapsed()
     }
 
-    /// The monotonic clock alone: for leases and heartbeats, whose spans other processes count too.
-    pub fn monotonic(&self) -> Duration {
-        self.begun.elapsed()
+    /// What time it was at the start, as far as is known: where positions lie on the monotonic clock. Positions are Unix
+    /// times, so they count from 0.
+    pub fn origin(&self) -> Origin {
+        Origin { start: self.start_unix.load(Ordering::Relaxed), zero: 0 }
     }
 
-    /// Judges a position that a server told. Where it proves that this process is behind, the time is advanced: all that
-    /// was planned comes due so much sooner. Whoever decides has to start anew then.
+    /// Judges a position that a server told. Where it proves that this process is behind, the origin is moved: positions
+    /// that were dated by the one before lie too late by so much, and whoever keeps some has to drop them.
     pub fn judge(&self, told: Told) -> Verdict {
         let verdict = self.servers().judge(told);
         if let Verdict::Behind(by) = verdict {
-            self.runs.advanced.fetch_add(by.as_micros() as u64, Ordering::Relaxed);
-            // No standstill of the worker.
-            self.runs.last.store(0, Ordering::Relaxed);
+            self.start_unix.fetch_add(by.as_micros() as i64, Ordering::Relaxed);
         }
         verdict
     }
@@ -203,6 +200,20 @@
     }
 }
 
+/// The monotonic clock and, after it, the Unix time. Where the process is held up in between, the origin is too late and
+/// data seems older than it is, never younger; so that this is not by much, both are read again.
+fn read_both() -> (Instant, Duration) {
+    let mut tries = 0;
+    loop {
+        let begun = Instant::now();
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        tries += 1;
+        if begun.elapsed() <= MAX_BETWEEN_READS || tries == MAX_READS {
+            return (begun, unix);
+        }
+    }
+}
+
 fn ring(clock: &Clock, beat: &dyn Fn()) -> ! {
     let bells = &clock.bells;
     let mut beaten = Duration::ZERO;
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -6,7 +6,7 @@
 use crate::mail::{Answer, Arrival, End, Job, Submit, ToDesk, ToDiscovery, ToFellows, ToMember};
 use crate::request_log::{RequestEvent, RequestLog};
 use crate::worker_watch::WorkerWatch;
-use juniperdock_door::{Indices, span};
+use juniperdock_door::{Indices, Origin, span};
 use juniperdock_duties as duties;
 use juniperdock_duties::{Care, Fact};
 use juniperdock_held::Most;
@@ -57,6 +57,8 @@
     log: slog::Logger,
     request_log: RequestLog,
     clock: Clock,
+    /// Where positions lie, as of the mail that is being taken: the clock's own may be ahead of what lies in the mailbox.
+    origin: Origin,
     desk: Sender<ToDesk>,
     discovery: Sender<ToDiscovery>,
     /// Probes that the router wants, until they may start.
@@ -72,14 +74,14 @@
 impl Hands {
     /// Now, since 1970.
     fn unix(&self, now: Duration) -> Duration {
-        span(self.clock.origin.start) + now
+        span(self.origin.start) + now
     }
 
     /// What was told of a member, in place of a report that it makes now. A position from before this process's
     /// start can't be said here.
     fn instead(&self, now: Duration, member: usize) -> Option<Report> {
         let fact = self.care.as_ref()?.instead(now, self.unix(now), member)?;
-        let position = Some(fact.position.checked_sub(span(self.clock.origin.start))?);
+        let position = Some(fact.position.checked_sub(span(self.origin.start))?);
         let role = fact.primary.map(|primary| if primary { Role::Primary } else { Role::Replica });
         let (queue, busy) = (fact.queue.map(f64::from), fact.busy.map(|busy| f64::from(busy) / 100.0));
         Some(Report { position, role, queue, busy })
@@ -88,7 +90,7 @@
     /// What a member has said, as other fronts are told it.
     fn fact(&self, report: Report) -> Option<Fact> {
         Some(Fact {
-            position: span(self.clock.origin.start) + report.position?,
+            position: span(self.origin.start) + report.position?,
             primary: report.role.map(|role| role == Role::Primary),
             queue: report.queue.map(|queue| queue.clamp(0.0, f64::from(u16::MAX)) as u16),
             busy: report.busy.map(|busy| (busy * 100.0).clamp(0.0, 255.0) as u8),
@@ -280,6 +282,7 @@
             hire,
             log: its_log,
             request_log,
+            origin: clock.origin(),
             clock,
             desk,
             discovery,
@@ -306,7 +309,7 @@
 
     pub fn run(mut self, mail: &Receiver<ToDesk>) {
         // Of the thread that this coroutine runs on.
-        let mut worker = WorkerWatch::new();
+        let mut worker = WorkerWatch::new(self.hands.request_log.is_enabled());
         while let Ok(mail) = mail.recv() {
             if let ToDesk::Beat { posted } = mail {
                 self.beat(posted, &mut worker);
@@ -334,7 +337,7 @@
             counters.worker_standstills.add();
             request_log.held_up(spell);
         }
-        if let Some(delay) = worker.beat(posted, clock.monotonic()) {
+        if let Some(delay) = worker.beat(posted, clock.now()) {
             counters.worker_idle_delays.add_if(delay.is_idle());
             request_log.beat_delayed(delay);
         }
@@ -405,9 +408,10 @@
         }
     }
 
-    /// What the router knew was dated by a clock that was behind: it would be taken for younger than it is.
+    /// What the router knew was dated by an origin that was behind: it would be taken for younger than it is.
     fn clock_advanced(&mut self, by: Duration) {
         self.hands.counters.clock_advanced.add();
+        self.hands.origin.start += by.as_micros() as i64;
         slog::warn!(self.log, "the wall clock was behind the servers'"; "by_ms" => by.as_millis() as u64);
         if let Err(why) = self.start_anew() {
             slog::crit!(self.log, "the desk can't go on"; "why" => why);
@@ -670,7 +674,7 @@
 
     /// All that is worth keeping, in ids and times that outlast this process.
     fn memory(&mut self, now: Duration) -> Memory {
-        let (hands, router, start) = (&self.hands, &mut self.router, self.hands.clock.origin.start);
+        let (hands, router, start) = (&self.hands, &mut self.router, self.hands.origin.start);
         let unix = |at: Duration| start + at.as_micros() as i64;
         let members = hands.servers.known().filter_map(|(at, _)| {
             let kept = router.keep_member(now, at)?;
@@ -712,7 +716,7 @@
     /// Takes up what the process before this one knew of members, groups and types that are here too.
     fn recall(&mut self, now: Duration, bytes: &[u8]) -> Result<Duration, String> {
         let memory = juniperdock_snapshot::decode(bytes)?;
-        let start = self.hands.clock.origin.start;
+        let start = self.hands.origin.start;
         let unix = start + now.as_micros() as i64;
         let age = memory.age(unix)?;
         let worth = Worth::of(age);
@@ -825,7 +829,7 @@
     fn listed(&mut self, now: Duration, member: usize, server: &KnownServer) {
         // A server that has just started must not seem older than it is.
         let ahead = self.hands.clock.ahead().as_micros() as i64;
-        let unix = self.hands.clock.origin.start + now.as_micros() as i64 - ahead;
+        let unix = self.hands.origin.start + now.as_micros() as i64 - ahead;
         let state = match server.state {
             ServerState::Up => Listed::Up,
             ServerState::Draining => Listed::Draining,
--- a/crates/front/src/fellows.rs
+++ b/crates/front/src/fellows.rs
@@ -200,8 +200,8 @@
     /// Speaks until it is to leave.
     fn speak(&mut self, post: &Post) {
         let mut core = self.core();
-        let (begun, clock) = (self.clock.monotonic(), self.clock.clone());
-        let mut read_clock = move || clock.monotonic() - begun;
+        let (begun, clock) = (self.clock.now(), self.clock.clone());
+        let mut read_clock = move || clock.now() - begun;
         let mut duties = self.circle.laid_down.duties.then(|| self.duties(&core));
         let bell = post.bell();
         let mut alarm: Option<(Duration, Alarm)> = None;
@@ -289,8 +289,6 @@
             }
             self.upgrade = upgrade.or(self.upgrade.take());
             self.undone = undone.unwrap_or(self.undone);
-            // An alarm that was set before the time was advanced rings too early, and once only.
-            let next = next.saturating_add(self.clock.advanced());
             if alarm.as_ref().is_none_or(|(at, _)| *at != next) {
                 alarm.iter().for_each(|(_, old)| self.clock.cancel(old));
                 let bell = bell.clone();
--- a/crates/front/src/mail.rs
+++ b/crates/front/src/mail.rs
@@ -87,7 +87,8 @@
     },
     List(ServerList),
     ListLost,
-    /// Servers have proven that the time was behind; it was advanced by so much.
+    /// Servers have proven that this process's idea of their time was behind by so much. Positions in later mail are
+    /// dated by the corrected origin, those in earlier mail by the one before.
     ClockAdvanced(Duration),
     /// The pace of probes lets the next one start.
     ProbesDue,
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -621,17 +621,18 @@
     /// Takes up the positions of a whole answer, by the time as it is then.
     fn judge(&self, reply: &mut Reply, asked: Duration) -> Result<(), String> {
         let (reach, member) = (&self.reach, self.member);
-        reply.position = reply.position_unix.and_then(|at| reach.clock.origin.position(at));
-        plausible(reach, member, reply.role, reply.position, asked)?;
+        let date = |reply: &Reply| reply.position_unix.and_then(|at| reach.clock.origin().position(at));
+        plausible(reach, member, reply.role, date(reply), asked)?;
         if let Some(text) = &reply.load_text {
             // One that can't be read takes nothing from the answer that it came with.
-            let told = report(text, &reach.clock.origin)
-                .and_then(|told| plausible(reach, member, told.role, told.position, asked).map(|()| told));
+            let told = load_report(reach, member, text, asked);
             if let Err(why) = &told {
                 slog::debug!(reach.log, "a load can't be read"; "member" => member, "why" => why);
             }
             reply.load = told.ok();
         }
+        // By the origin as it is now: either of the two may have corrected it. A load is judged last.
+        reply.position = date(reply);
         Ok(())
     }
 
@@ -709,6 +710,13 @@
     door::report(fields(), origin)
 }
 
+/// Reads what a server says of itself and judges its position; the report is dated by the origin as it is after that.
+fn load_report(reach: &Reach, server: usize, text: &str, asked: Duration) -> Result<Report, String> {
+    let told = report(text, &reach.clock.origin())?;
+    plausible(reach, server, told.role, told.position, asked)?;
+    report(text, &reach.clock.origin())
+}
+
 /// No server can have a commit still to come: either its clock is wrong or this process is behind. What was known before
 /// is given up once that is proven.
 fn plausible(
@@ -741,9 +749,8 @@
         Job::Probe { .. } => {
             let text = String::from_utf8(reply.value.unwrap_or_default());
             let told = text.map_err(|e| e.to_string()).and_then(|text| {
-                let told = report(&text, &reach.clock.origin)?;
                 let asked = if let Job::Probe { at } = job { *at } else { Duration::ZERO };
-                plausible(reach, member, told.role, told.position, asked).map(|()| told)
+                load_report(reach, member, &text, asked)
             });
             match told {
                 Ok(report) => ToDesk::Probed { member, ending, report },
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -88,6 +88,10 @@
         RequestLog { log, enabled }
     }
 
+    pub fn is_enabled(&self) -> bool {
+        self.enabled
+    }
+
     pub fn request(&self, number: u64, event: RequestEvent) {
         if self.enabled {
             slog::debug!(self.log, "request"; "event" => ?event, "request" => number);
@@ -121,7 +125,7 @@
         if self.enabled {
             let us = |span: Duration| span.as_micros() as u64;
             let account = delay.account.unwrap_or_default();
-            slog::debug!(self.log, "beat delayed"; "idle" => delay.is_idle(), "waited_us" => us(account.waited),
+            slog::debug!(self.log, "beat delayed"; "details" => ?delay.details, "idle" => delay.is_idle(), "waited_us" => us(account.waited),
                 "ran_us" => us(account.ran), "lay_us" => us(delay.lay));
         }
     }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -176,7 +176,7 @@
     let (beats, beat_clock) = (to_desk.clone(), clock.clone());
     std::thread::spawn(move || {
         ring(&|| {
-            let _ = beats.send(ToDesk::Beat { posted: beat_clock.monotonic() });
+            let _ = beats.send(ToDesk::Beat { posted: beat_clock.now() });
         });
     });
     let door = match &mut taking {
--- a/crates/front/src/worker_watch.rs
+++ b/crates/front/src/worker_watch.rs
@@ -13,8 +13,8 @@
 /// part of a core only, its processor time is that much less than the time that passes.
 const MIN_ACTIVE_PART: u32 = 10;
 
-/// Longer than the account with its three numbers is.
-const ACCOUNT_LENGTH: usize = 96;
+/// Longer than either file is.
+const FILE_LENGTH: usize = 1024;
 
 /// What the kernel has counted for the worker's thread since its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -41,6 +41,40 @@
     }
 }
 
+/// What the worker's thread did, in more detail (`/proc/thread-self/stat`, proc(5)): tells work of its own from work that
+/// the kernel did for it. Processor times are exact to 10 ms only.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ThreadDetails {
+    pub user: Duration,
+    pub system: Duration,
+    pub minor_faults: u64,
+    pub major_faults: u64,
+}
+
+impl ThreadDetails {
+    /// The name before the fields may hold anything, spaces and brackets too.
+    fn parse(text: &str) -> Option<ThreadDetails> {
+        let fields: Vec<&str> = text.rsplit_once(')')?.1.split_ascii_whitespace().collect();
+        let number = |at: usize| fields.get(at)?.parse::<u64>().ok();
+        let ticks = |at: usize| Some(Duration::from_millis(number(at)? * 10));
+        Some(ThreadDetails {
+            minor_faults: number(7)?,
+            major_faults: number(9)?,
+            user: ticks(11)?,
+            system: ticks(12)?,
+        })
+    }
+
+    fn since(self, earlier: ThreadDetails) -> ThreadDetails {
+        ThreadDetails {
+            user: self.user.saturating_sub(earlier.user),
+            system: self.system.saturating_sub(earlier.system),
+            minor_faults: self.minor_faults.saturating_sub(earlier.minor_faults),
+            major_faults: self.major_faults.saturating_sub(earlier.major_faults),
+        }
+    }
+}
+
 /// A beat that lay for long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Delay {
@@ -48,6 +82,8 @@
     pub lay: Duration,
     /// What the worker did since the beat before it; nothing where the kernel keeps no account.
     pub account: Option<ThreadAccount>,
+    /// Where they are asked for.
+    pub details: Option<ThreadDetails>,
 }
 
 impl Delay {
@@ -63,21 +99,29 @@
     /// Kept open: one call a beat. None where the kernel has no such file.
     file: Option<File>,
     last: ThreadAccount,
+    details_file: Option<File>,
+    last_details: ThreadDetails,
     handled: Duration,
 }
 
 impl WorkerWatch {
-    pub fn new() -> WorkerWatch {
+    /// With `detailed` two files are read a beat in place of one.
+    pub fn new(detailed: bool) -> WorkerWatch {
         let file = File::open("/proc/thread-self/schedstat").ok();
-        let mut watch = WorkerWatch { file, last: ThreadAccount::default(), handled: Duration::ZERO };
+        let details_file = detailed.then(|| File::open("/proc/thread-self/stat").ok()).flatten();
+        let (last, last_details) = (ThreadAccount::default(), ThreadDetails::default());
+        let mut watch = WorkerWatch { file, last, details_file, last_details, handled: Duration::ZERO };
         watch.last = watch.read().unwrap_or_default();
+        watch.last_details = watch.read_details().unwrap_or_default();
         watch
     }
 
     fn read(&self) -> Option<ThreadAccount> {
-        let mut text = [0; ACCOUNT_LENGTH];
-        let length = self.file.as_ref()?.read_at(&mut text, 0).ok()?;
-        ThreadAccount::parse(std::str::from_utf8(&text[..length]).ok()?)
+        read_text(self.file.as_ref()?, ThreadAccount::parse)
+    }
+
+    fn read_details(&self) -> Option<ThreadDetails> {
+        read_text(self.details_file.as_ref()?, ThreadDetails::parse)
     }
 
     /// Notes a beat that has its turn now. Gives the delay if it was held up; beats that were posted during one delay
@@ -86,13 +130,22 @@
         let account = self.read();
         let spent = account.map(|account| account.since(self.last));
         self.last = account.unwrap_or_default();
+        let details = self.read_details();
+        let details_spent = details.map(|details| details.since(self.last_details));
+        self.last_details = details.unwrap_or_default();
         let lay = now.saturating_sub(posted);
         let is_new = posted >= self.handled;
         self.handled = now;
-        (is_new && lay > MAX_DELAY).then_some(Delay { lay, account: spent })
+        (is_new && lay > MAX_DELAY).then_some(Delay { lay, account: spent, details: details_spent })
     }
 }
 
+fn read_text<T>(file: &File, parse: impl Fn(&str) -> Option<T>) -> Option<T> {
+    let mut text = [0; FILE_LENGTH];
+    let length = file.read_at(&mut text, 0).ok()?;
+    parse(std::str::from_utf8(&text[..length]).ok()?)
+}
+
 #[cfg(test)]
 #[path = "../tests/unit/worker_watch.rs"]
 mod tests;
--- a/crates/front/tests/unit/worker_watch.rs
+++ b/crates/front/tests/unit/worker_watch.rs
@@ -7,7 +7,7 @@
 }
 
 fn delay(lay: u64, ran: u64, waited: u64) -> Delay {
-    Delay { lay: ms(lay), account: Some(ThreadAccount { ran: ms(ran), waited: ms(waited) }) }
+    Delay { lay: ms(lay), account: Some(ThreadAccount { ran: ms(ran), waited: ms(waited) }), details: None }
 }
 
 #[test]
@@ -16,7 +16,7 @@
     assert!(delay(90, 0, 1).is_idle());
     assert!(!delay(90, 30, 0).is_idle(), "it worked");
     assert!(!delay(90, 0, 80).is_idle(), "the machine was busy");
-    assert!(!Delay { lay: ms(90), account: None }.is_idle(), "nothing is known");
+    assert!(!Delay { lay: ms(90), account: None, details: None }.is_idle(), "nothing is known");
 }
 
 #[test]
@@ -27,9 +27,17 @@
     assert_eq!(ThreadAccount::parse("a b c"), None);
 }
 
+#[test]
+fn details_are_read_whatever_the_thread_is_called() {
+    let text = "42 (a) b) R 1 2 3 4 5 6 70 8 9 10 11 12 0 0 20 0\n";
+    let details = ThreadDetails { user: ms(110), system: ms(120), minor_faults: 70, major_faults: 9 };
+    assert_eq!(ThreadDetails::parse(text), Some(details));
+    assert_eq!(ThreadDetails::parse("42 (a"), None);
+}
+
 #[test]
 fn beats_of_one_delay_count_once() {
-    let mut watch = WorkerWatch::new();
+    let mut watch = WorkerWatch::new(true);
     assert_eq!(watch.beat(ms(20), ms(21)), None);
     assert_eq!(watch.beat(ms(40), ms(150)).map(|delay| delay.lay), Some(ms(110)));
     // Posted while the one before lay.
--- a/crates/server-clock/src/lib.rs
+++ b/crates/server-clock/src/lib.rs
@@ -18,7 +18,7 @@
 /// A clock that is ahead by less makes servers seem a little warmer than they are: within what cold budgets leave.
 const AHEAD_FROM: Duration = Duration::from_secs(1);
 
-/// One position, as a server told it. Times are this process's estimate of the servers' time, since its start.
+/// One position, as a server told it. Times are of the monotonic clock, since this process's start; the position lies there by what is known of the servers' time.
 #[derive(Clone, Copy, Debug)]
 pub struct Told {
     pub server: usize,
@@ -36,7 +36,7 @@
 pub enum Verdict {
     /// It lies in the past: nothing is wrong.
     Plausible,
-    /// This process is behind by so much: its time is to be advanced.
+    /// This process is behind by so much: positions lie that much earlier than it dated them.
     Behind(Duration),
     /// It lies in the future, and others speak against it: its server is wrong, as far as can be told.
     Implausible,
@@ -60,7 +60,7 @@
 }
 
 impl ServerClock {
-    /// Judges a position. After `Behind` the caller's time has to be advanced by that much before it is asked again.
+    /// Judges a position. After `Behind` the caller has to date positions that much earlier before it asks again.
     pub fn judge(&mut self, told: Told) -> Verdict {
         if told.position <= told.now + TOLERANCE {
             self.claims.remove(&told.server);
