Count the times of a shutdown from the signal, so that hold-ups on the way do not add up

Cause: each wait of signals.rs began when the one before had ended; a thread held up for 0.15 s came to its last call after the earliest SIGKILL (longest deadline + 0.7 s), with requests unanswered. Found by reading. Change: closing and the last call are times from SIGTERM on.

--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -27,9 +27,8 @@
 /// What is answered last gets this long to be handed over.
 const LAST_CALL: Duration = Duration::from_millis(100);
 
-/// Waits until nobody is taken in any more and all clients have gone, for so long at the longest.
-fn await_clients(clients: &SharedClients, longest: Duration) {
-    let last = clients.clock.now() + longest;
+/// Waits until nobody is taken in any more and all clients have gone, until that time at the longest.
+fn await_clients(clients: &SharedClients, last: Duration) {
     while (clients.acceptor.load(Ordering::Acquire) || clients.present() > 0) && clients.clock.now() < last {
         std::thread::sleep(Duration::from_millis(5));
     }
@@ -98,13 +97,17 @@
             _ => break,
         }
     }
+    // All times count from here: where this thread is held up on the way, what comes after is not later by as much.
+    let told_to_end = clients.clock.now();
+    let close_at = told_to_end + LINGER;
+    let last_call_at = close_at + longest.min(MAX_SHUTDOWN);
     clients.fellows.iter().for_each(|fellows| fellows.post(ToFellows::Leave));
-    std::thread::sleep(LINGER);
+    std::thread::sleep(close_at.saturating_sub(clients.clock.now()));
     clients.close();
     // The acceptor takes in who has come by now, and shuts the door.
     door.bell().ring();
-    await_clients(clients, longest.min(MAX_SHUTDOWN));
+    await_clients(clients, last_call_at);
     clients.call_last();
-    await_clients(clients, LAST_CALL);
+    await_clients(clients, clients.clock.now() + LAST_CALL);
     eprintln!("counters: {counters}");
 }
