--- a/crates/lab/src/fleet/schedule.rs
+++ b/crates/lab/src/fleet/schedule.rs
@@ -171,6 +171,10 @@
     /// The descriptors of each front.
     #[garde(range(min = 52, max = 1024))]
     pub sockets: u32,
+    /// Processes that are told to end get further signals meanwhile, and are killed at the end of the mishap whether or not
+    /// they have ended: what is left without an answer then shows in the history.
+    #[garde(skip)]
+    pub kills_the_ending: bool,
     /// The time of every txn; its client waits for two fifths of it at least.
     #[garde(range(min = 100, max = 60_000))]
     pub expiry_ms: u64,
@@ -201,6 +205,7 @@
             retries: 2,
             leaves: 0.0,
             sockets: 1024,
+            kills_the_ending: false,
             expiry_ms: 1500,
             lost_ms: [1100.0, 2700.0],
             fellows: true,
