Ring alarms on the worker, by a timer that its epoll watches; no other thread wakes actors

Cause: alarms rang on the clock's own thread (clock.rs, ring), which woke coroutines by pushes to may's lock-free queue of ready ones. While that thread is stopped between taking a place and filling it, the worker spins on the place (bulk_pop) and does nothing else. Class: the worker waits, by a spin or a timer of the library, for what is not running. Change: link::Timer (timerfd); the alarms' coroutine rings on the worker. The clock's thread is gone.

--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::fellows;
-use crate::mail::ToDesk;
+use crate::mail::{ToDesk, ToFellows};
 use crate::request_log::{CloseReason, RequestLog};
 use juniperdock_door::Indices;
 use juniperdock_link::Bell;
@@ -181,6 +181,13 @@
         }
     }
 
+    /// Tells the actor that speaks with the other fronts, where there is one; from any thread.
+    pub fn tell_fellows(&self, mail: ToFellows) {
+        if let Some(fellows) = self.fellows.clone() {
+            self.clock.at(Duration::ZERO, move || fellows.post(mail));
+        }
+    }
+
     /// Clients stay.
     pub fn stay(&self) {
         self.moving.store(STAY, Ordering::Release);
@@ -198,15 +205,23 @@
     }
 
     /// Has all that is unanswered answered, as the process is about to exit.
-    pub fn call_last(&self) {
+    pub fn call_last(self: &Arc<Self>) {
         self.last_call.store(true, Ordering::Relaxed);
-        self.slots().taken.values().for_each(|slot| slot.bell.ring());
+        self.wake_all();
     }
 
     /// From now on connections end between txns.
-    pub fn close(&self) {
+    pub fn close(self: &Arc<Self>) {
         self.closing.store(true, Ordering::Relaxed);
-        self.slots().taken.values().for_each(|slot| slot.bell.ring());
+        self.wake_all();
+    }
+
+    /// Wakes all clients' actors, from any thread.
+    fn wake_all(self: &Arc<Self>) {
+        let clients = self.clone();
+        self.clock.at(Duration::ZERO, move || {
+            clients.slots().taken.values().for_each(|slot| slot.bell.ring());
+        });
     }
 
     /// ClientSlots a client. Where all slots are taken, the client longest between txns is asked to leave; where
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -1,14 +1,18 @@
 //! Two times that are kept apart. Spans (deadlines, waits, windows, graces) are of the monotonic clock alone:
-//! [`Clock::now`], and one thread that rings when such a time has come. What time it is at the servers is an origin on top
+//! [`Clock::now`], and one coroutine that rings when such a time has come. What time it is at the servers is an origin on top
 //! of that, [`Clock::origin`], which says where positions lie; what servers prove corrects the origin and moves no span.
-//! Coroutines never wait for a time themselves: `may` would run them on its timer thread, beside the one worker.
+//! Coroutines never wait for a time themselves: `may` would run them on its timer thread, beside the one worker. Threads that
+//! are not the worker's wake nobody themselves either: they set an alarm ([`Clock::post`], [`Clock::at`]), which the kernel
+//! tells the worker of, so that the worker never has to wait for a thread that does not run.
 
+use crate::mail::ToDesk;
 use juniperdock_door::Origin;
+use juniperdock_link::{Timer, TimerSetter};
 use juniperdock_server_clock::{ServerClock, Told, Verdict};
 use juniperdock_wheel::{Key, Wheel};
-use may::sync::mpsc::channel;
+use may::sync::mpsc::{Sender, channel};
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
 /// Alarms ring at most this much late for being sorted.
@@ -37,13 +41,13 @@
 /// How long an actor waits before it tries again what the machine was short for.
 pub const SHORTAGE_PAUSE: Duration = Duration::from_millis(2);
 
-/// What an alarm does; it must not wait.
+/// What an alarm does, on the worker; it must not wait.
 type Ring = Box<dyn FnOnce() + Send>;
 
 /// An alarm that was set; it may be cancelled.
 pub struct Alarm(Key);
 
-/// Alarms still to ring, and when the clock's thread looks next; only an earlier one wakes it before.
+/// Alarms still to ring, and when the one that rings them looks next; only an earlier one sets the timer anew.
 struct Alarms {
     wheel: Wheel<Ring>,
     looks: Duration,
@@ -51,7 +55,7 @@
 
 struct Bells {
     alarms: Mutex<Alarms>,
-    earlier: Condvar,
+    timer: TimerSetter,
 }
 
 impl Bells {
@@ -72,16 +76,21 @@
 }
 
 impl Clock {
-    /// A clock that starts now, and what its thread is to run; that calls `beat` once a pulse.
-    pub fn start() -> (Clock, impl FnOnce(&dyn Fn()) + Send) {
+    /// A clock that starts now, and what a coroutine of its own is to run: no alarm rings before that. Waits for so long
+    /// while the machine is short of descriptors.
+    ///
+    /// # Errors
+    /// Where there is no timer to be had.
+    pub fn start(patience: Duration) -> Result<(Clock, impl FnOnce() + Send), String> {
+        let timer = Timer::open(patience).map_err(|e| format!("a timer: {e}"))?;
         let (begun, unix) = read_both();
         let start_unix = Arc::new(AtomicI64::new(unix.as_micros() as i64));
         let alarms = Alarms { wheel: Wheel::new(TICK), looks: Duration::ZERO };
-        let bells = Arc::new(Bells { alarms: Mutex::new(alarms), earlier: Condvar::new() });
+        let bells = Arc::new(Bells { alarms: Mutex::new(alarms), timer: timer.setter() });
         let (runs, servers) = (Arc::default(), Arc::default());
         let clock = Clock { begun, start_unix, bells, runs, servers };
         let its = clock.clone();
-        (clock, move |beat| ring(&its, beat))
+        Ok((clock, move || ring(&its, &timer)))
     }
 
     /// Since the start, by the monotonic clock.
@@ -132,7 +141,7 @@
     }
 
     /// Notes a beat. After two of them, a while apart, all that had come in before has been read.
-    pub fn beat(&self) {
+    pub fn note_beat(&self) {
         self.pulse();
         let now = self.now().as_micros() as u64;
         if now >= self.runs.beaten.load(Ordering::Relaxed) + PULSE.as_micros() as u64 / 2 {
@@ -156,16 +165,36 @@
         self.runs.ending.load(Ordering::Relaxed) > 0
     }
 
-    /// Calls `ring` from the clock's thread once that time has come; `ring` must not wait.
+    /// Calls `ring` on the worker once that time has come; `ring` must not wait. The way for all other threads to wake an
+    /// actor, too: at a time that is over it is called at once.
     pub fn at(&self, at: Duration, ring: impl FnOnce() + Send + 'static) -> Alarm {
         let mut alarms = self.bells.alarms();
         let key = alarms.wheel.set(at, Box::new(ring));
         if at < alarms.looks {
-            self.bells.earlier.notify_one();
+            alarms.looks = at;
+            self.bells.timer.set(at.saturating_sub(self.now()));
         }
         Alarm(key)
     }
 
+    /// Posts from a thread that is not the worker's.
+    pub fn post<T: Send + 'static>(&self, to: &Sender<T>, mail: T) {
+        let to = to.clone();
+        self.at(Duration::ZERO, move || {
+            // Whoever has ended needs no mail.
+            let _ = to.send(mail);
+        });
+    }
+
+    /// Has the dispatcher told once a pulse that the worker runs.
+    pub fn beat(&self, desk: Sender<ToDesk>) {
+        let (clock, due) = (self.clone(), self.now() + PULSE);
+        self.at(due, move || {
+            let _ = desk.send(ToDesk::Beat { posted: due });
+            clock.beat(desk);
+        });
+    }
+
     /// Waits until all others have had their turn, those too that wait for their sockets. `may` looks at sockets and
     /// takes up what other threads have woken only once nothing else is ready to run: who just yields in a loop is
     /// always ready, and keeps them all waiting.
@@ -214,25 +243,26 @@
     }
 }
 
-fn ring(clock: &Clock, beat: &dyn Fn()) -> ! {
-    let bells = &clock.bells;
-    let mut beaten = Duration::ZERO;
+/// Rings what is due, then waits for the next.
+fn ring(clock: &Clock, timer: &Timer) -> ! {
     loop {
-        if clock.now() >= beaten + PULSE {
-            beaten = clock.now();
-            beat();
-        }
-        let mut alarms = bells.alarms();
-        let now = clock.now();
-        if let Some(ring) = alarms.wheel.due(now) {
-            // Rung without the lock: who is woken may set the next one.
-            drop(alarms);
+        while let Some(ring) = next_due(clock) {
+            // Without the lock: who is woken may set the next one.
             ring();
-            continue;
         }
-        let next = alarms.wheel.next().map_or(now + PULSE, |next| next.max(now));
-        alarms.looks = next.min(now + PULSE);
-        let wait = alarms.looks - now;
-        let _ = bells.earlier.wait_timeout(alarms, wait);
+        timer.wait();
+    }
+}
+
+/// The next alarm that is due; where there is none, the timer is set to when one may be.
+fn next_due(clock: &Clock) -> Option<Ring> {
+    let mut alarms = clock.bells.alarms();
+    let now = clock.now();
+    let due = alarms.wheel.due(now);
+    // While it rings, nobody else has to set the timer.
+    alarms.looks = if due.is_some() { Duration::ZERO } else { alarms.wheel.next().unwrap_or(Duration::MAX) };
+    if due.is_none() {
+        clock.bells.timer.set(alarms.looks.saturating_sub(now));
     }
+    due
 }
--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -1,6 +1,7 @@
 //! The control socket: the other commands of this program ask the front here. Threads of its own serve it, a
 //! few at a time and each only for a while, so that whatever comes in disturbs nothing.
 
+use crate::clock::Clock;
 use crate::fellows;
 use crate::mail::{ToDesk, ToFellows, Upgrade};
 use juniperdock_control::{Frames, fault, frame, good};
@@ -25,6 +26,7 @@
 
 /// Answers what comes in.
 pub struct Control {
+    pub clock: Clock,
     pub desk: Sender<ToDesk>,
     pub counters: Arc<crate::counters::Counters>,
     pub upgrade: Upgrade,
@@ -67,6 +69,12 @@
 }
 
 impl Control {
+    /// This thread is not the worker's.
+    fn tell_fellows(&self, fellows: &fellows::Mail, mail: ToFellows) {
+        let fellows = fellows.clone();
+        self.clock.at(Duration::ZERO, move || fellows.post(mail));
+    }
+
     fn talk(&self, mut stream: UnixStream) -> Result<(), String> {
         let failed = |e: std::io::Error| e.to_string();
         stream.set_read_timeout(Some(PATIENCE)).map_err(failed)?;
@@ -97,7 +105,8 @@
         match asked["do"].as_str() {
             Some("status") => {
                 let (tell, told) = sync_channel(1);
-                let _ = self.desk.send(ToDesk::Status { group: asked["group"].as_u64(), most: GROUPS, tell });
+                self.clock
+                    .post(&self.desk, ToDesk::Status { group: asked["group"].as_u64(), most: GROUPS, tell });
                 let mut status = told.recv_timeout(PATIENCE).map_err(|_| "the desk is late".to_owned())?;
                 status["counters"] = counters(&self.counters.to_string());
                 status["pid"] = std::process::id().into();
@@ -107,7 +116,10 @@
                 let fellows = self.fellows.as_ref().ok_or("fellows are off: the log says why")?;
                 let (tell, told) = sync_channel(1);
                 let successor = asked["to"].as_str().map(str::to_owned);
-                fellows.post(ToFellows::Move { group: group()?, successor, off: what == "cancel", tell });
+                self.tell_fellows(
+                    fellows,
+                    ToFellows::Move { group: group()?, successor, off: what == "cancel", tell },
+                );
                 let answer =
                     told.recv_timeout(HELD).map_err(|_| "not all fronts hold yet: see fleet duties")?;
                 answer.map(Value::from)
@@ -117,7 +129,7 @@
                 let (tell, told) = sync_channel(1);
                 let (program, off) = (asked["program"].as_str().map(str::to_owned), asked["off"] == true);
                 let at_once = asked["at_once"].as_u64().unwrap_or(1) as usize;
-                fellows.post(ToFellows::Roll { program, at_once, off, tell });
+                self.tell_fellows(fellows, ToFellows::Roll { program, at_once, off, tell });
                 let answer = told.recv_timeout(PATIENCE).map_err(|_| "it has no socket yet".to_owned())?;
                 answer.map(Value::from)
             }
@@ -125,7 +137,7 @@
                 let fellows =
                     self.fellows.as_ref().ok_or("fellows are off: see fellows in the operators' file")?;
                 let (tell, told) = sync_channel(1);
-                fellows.post(ToFellows::Duties(tell));
+                self.tell_fellows(fellows, ToFellows::Duties(tell));
                 let duties = told
                     .recv_timeout(PATIENCE)
                     .map_err(|_| "it has no socket yet: its address may be taken".to_owned())?;
@@ -134,12 +146,8 @@
             Some(what @ ("move" | "cancel")) => {
                 let (tell, told) = sync_channel(1);
                 let successor = asked["to"].as_str().map(str::to_owned);
-                let _ = self.desk.send(ToDesk::Change {
-                    group: group()?,
-                    successor,
-                    off: what == "cancel",
-                    tell,
-                });
+                let change = ToDesk::Change { group: group()?, successor, off: what == "cancel", tell };
+                self.clock.post(&self.desk, change);
                 let answer = told.recv_timeout(PATIENCE).map_err(|_| "the desk is late".to_owned())?;
                 answer.map(Value::from)
             }
@@ -147,7 +155,7 @@
                 let fellows =
                     self.fellows.as_ref().ok_or("fellows are off: see fellows in the operators' file")?;
                 let (tell, told) = sync_channel(1);
-                fellows.post(ToFellows::Status(tell));
+                self.tell_fellows(fellows, ToFellows::Status(tell));
                 told.recv_timeout(PATIENCE)
                     .map_err(|_| "it has no socket yet: its address may be taken".to_owned())
             }
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -332,7 +332,7 @@
     /// The worker runs; where it did not for a while, that is counted, and whether it slept.
     fn beat(&mut self, posted: Duration, worker: &mut WorkerWatch) {
         let Hands { clock, counters, request_log, .. } = &self.hands;
-        clock.beat();
+        clock.note_beat();
         if let Some(spell) = clock.take_standstill() {
             counters.worker_standstills.add();
             request_log.held_up(spell);
--- a/crates/front/src/keep.rs
+++ b/crates/front/src/keep.rs
@@ -1,5 +1,6 @@
 //! Keeps what the front knows in a file, whole or not at all, on a thread of its own.
 
+use crate::clock::Clock;
 use crate::mail::ToDesk;
 use crate::whole;
 use juniperdock_charter::Snapshot;
@@ -33,13 +34,13 @@
 }
 
 /// Writes now and then for as long as the program runs.
-pub fn now_and_then(how: Snapshot, desk: Sender<ToDesk>, log: slog::Logger) {
+pub fn now_and_then(how: Snapshot, clock: Clock, desk: Sender<ToDesk>, log: slog::Logger) {
     std::thread::spawn(move || {
         let mut told = false;
         loop {
             std::thread::sleep(Duration::from_secs(how.every_s));
             let (tell, knows) = sync_channel(1);
-            let _ = desk.send(ToDesk::Remember(tell));
+            clock.post(&desk, ToDesk::Remember(tell));
             let bytes = knows.recv_timeout(PATIENCE).map_err(|e| e.to_string()).and_then(|bytes| bytes);
             let written = bytes.and_then(|bytes| write(&how.path, &bytes).map_err(|e| e.to_string()));
             if let Err(why) = &written
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -87,7 +87,13 @@
 pub fn serve(charter: &Charter, file: Option<&Path>) -> Result<(), String> {
     let signals = signals::listen()?;
     let mut taking = Taking::begin().transpose()?;
-    let (clock, ring) = Clock::start();
+    // Before anything of `may` is used.
+    may::config()
+        .set_workers(1)
+        .set_stack_size(CONNECTION_STACK / size_of::<usize>())
+        .set_pool_capacity(STACKS)
+        .set_worker_pin(false);
+    let (clock, ring) = Clock::start(START_PATIENCE)?;
     let mut told = Told::read()?;
     let (listen, discovery) =
         (told.address("GW_LISTEN", "listen")?, told.address("GW_DISCOVERY", "discovery")?);
@@ -110,12 +116,6 @@
         let log = log.clone();
         move |panic| slog::error!(log, "panic"; "at" => panic.location().map(ToString::to_string))
     }));
-    may::config()
-        .set_workers(1)
-        .set_stack_size(CONNECTION_STACK / size_of::<usize>())
-        .set_pool_capacity(STACKS)
-        .set_worker_pin(false);
-
     let counters = Arc::new(Counters::default());
     let (to_desk, desk_mail) = channel();
     let known = told.take_known();
@@ -173,12 +173,8 @@
     spawn("discovery", CONNECTION_STACK, move || discovery_client.run())?;
     let _ = to_discovery.send(ToDiscovery::Open);
 
-    let (beats, beat_clock) = (to_desk.clone(), clock.clone());
-    std::thread::spawn(move || {
-        ring(&|| {
-            let _ = beats.send(ToDesk::Beat { posted: beat_clock.now() });
-        });
-    });
+    spawn("clock", CONNECTION_STACK, ring)?;
+    clock.beat(to_desk.clone());
     let door = match &mut taking {
         None => Door::open(listen, START_PATIENCE)?,
         Some(taking) => {
@@ -222,16 +218,22 @@
     let (acceptor, its_door) = (clients.clone(), door.clone());
     spawn("acceptor", CONNECTION_STACK, move || acceptor.accept_until_shut(&its_door))?;
     if let Some(kept) = &charter.snapshot {
-        keep::now_and_then(kept.clone(), to_desk.clone(), log.clone());
+        keep::now_and_then(kept.clone(), clock.clone(), to_desk.clone(), log.clone());
     }
     let upgrade = upgrades(&clients, &door, &charter.upgrade, &log);
     let rolled = rolled(&upgrade, &charter.upgrade);
-    clients.fellows.iter().for_each(|fellows| fellows.post(ToFellows::Upgrader(rolled.clone())));
+    clients.tell_fellows(ToFellows::Upgrader(rolled));
     if let Some(socket) = &charter.control {
         let fellows = clients.fellows.clone();
         let duties = charter.fellows.as_ref().is_some_and(|laid_down| laid_down.duties);
-        let control =
-            control::Control { desk: to_desk, counters: counters.clone(), upgrade, fellows, duties };
+        let control = control::Control {
+            clock: clock.clone(),
+            desk: to_desk,
+            counters: counters.clone(),
+            upgrade,
+            fellows,
+            duties,
+        };
         control::serve(control::open(&socket.path)?, control, log.clone());
     }
     // Where a supervisor has named a socket for it.
@@ -277,12 +279,12 @@
     let new = juniperdock_charter::read(&text).map_err(join)?;
     let mut now = now.lock().unwrap_or_else(PoisonError::into_inner);
     if new.held != now.held {
-        let _ = clients.desk.send(ToDesk::Hold(most(&new.held), new.held.untaken_share));
+        clients.clock.post(&clients.desk, ToDesk::Hold(most(&new.held), new.held.untaken_share));
         now.held = new.held.clone();
     }
-    if let (Some(new), Some(old), Some(fellows)) = (&new.fellows, &mut now.fellows, &clients.fellows) {
+    if let (Some(new), Some(old), Some(_)) = (&new.fellows, &mut now.fellows, &clients.fellows) {
         // The files may have changed under the same names.
-        fellows.post(ToFellows::Keys(fellows::keys(&new.keys)?));
+        clients.tell_fellows(ToFellows::Keys(fellows::keys(&new.keys)?));
         old.keys.clone_from(&new.keys);
     }
     let other = [
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -2,14 +2,16 @@
 //! once all that was taken is answered.
 
 use crate::clients::SharedClients;
+use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::mail::{ToDiscovery, ToFellows};
 use crate::told::Told;
-use juniperdock_link::Door;
+use juniperdock_link::{Bell, Door};
 use may::sync::mpsc::Sender;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -34,6 +36,11 @@
     }
 }
 
+/// Wakes an actor from this thread.
+fn wake(clients: &SharedClients, bell: Bell) {
+    clients.clock.at(Duration::ZERO, move || bell.ring());
+}
+
 /// The next signal. The library takes any failed read of its own socket for the end of the world; one that the machine is
 /// short of memory for passes.
 fn next_signal(signals: &mut Signals) -> Option<i32> {
@@ -48,6 +55,7 @@
 /// Reads the configuration again. Where the list is to be had counts at once; all else at the next start.
 fn reload(
     told: &Told,
+    clock: &Clock,
     list: &Sender<ToDiscovery>,
     laid_down: &dyn Fn() -> Result<Vec<&'static str>, String>,
     counters: &Counters,
@@ -66,7 +74,7 @@
     }
     match told.again() {
         Ok((discovery, other)) => {
-            let _ = list.send(ToDiscovery::At(discovery));
+            clock.post(list, ToDiscovery::At(discovery));
             if !other.is_empty() {
                 slog::warn!(log, "a change that counts from the next start only"; "in" => other.join(", "));
             }
@@ -84,7 +92,7 @@
     told: &Told,
     list: &Sender<ToDiscovery>,
     laid_down: &dyn Fn() -> Result<Vec<&'static str>, String>,
-    clients: &SharedClients,
+    clients: &Arc<SharedClients>,
     door: &Door,
     counters: &Counters,
     longest: Duration,
@@ -93,7 +101,7 @@
     while let Some(signal) = next_signal(&mut signals) {
         match signal {
             SIGUSR1 => eprintln!("counters: {counters}"),
-            SIGHUP => reload(told, list, laid_down, counters, log),
+            SIGHUP => reload(told, &clients.clock, list, laid_down, counters, log),
             _ => break,
         }
     }
@@ -101,11 +109,11 @@
     let told_to_end = clients.clock.now();
     let close_at = told_to_end + LINGER;
     let last_call_at = close_at + longest.min(MAX_SHUTDOWN);
-    clients.fellows.iter().for_each(|fellows| fellows.post(ToFellows::Leave));
+    clients.tell_fellows(ToFellows::Leave);
     std::thread::sleep(close_at.saturating_sub(clients.clock.now()));
     clients.close();
     // The acceptor takes in who has come by now, and shuts the door.
-    door.bell().ring();
+    wake(clients, door.bell());
     await_clients(clients, last_call_at);
     clients.call_last();
     await_clients(clients, clients.clock.now() + LAST_CALL);
--- a/crates/front/src/upgrade.rs
+++ b/crates/front/src/upgrade.rs
@@ -136,7 +136,7 @@
     /// What this front knows; nothing where the desk is late.
     fn memory(&self) -> Vec<u8> {
         let (tell, told) = sync_channel(1);
-        let _ = self.clients.desk.send(ToDesk::Remember(tell));
+        self.clients.clock.post(&self.clients.desk, ToDesk::Remember(tell));
         let memory = told.recv_timeout(KNOWS).map_err(|e| e.to_string()).and_then(|memory| memory);
         memory.unwrap_or_else(|why| {
             slog::warn!(self.log, "the new process has to learn anew"; "why" => why);
@@ -179,10 +179,11 @@
             Do::Commit => {
                 if self.say(&word::commit(), None) {
                     self.clients.shut.store(true, Ordering::Release);
-                    self.door.bell().ring();
+                    let bell = self.door.bell();
+                    self.clients.clock.at(Duration::ZERO, move || bell.ring());
                     // The new process needs the address, and speaks in this place from now on.
-                    self.clients.fellows.iter().for_each(|fellows| fellows.post(ToFellows::Leave));
-                    let _ = self.clients.desk.send(ToDesk::Give(self.idles.0.clone()));
+                    self.clients.tell_fellows(ToFellows::Leave);
+                    self.clients.clock.post(&self.clients.desk, ToDesk::Give(self.idles.0.clone()));
                     slog::info!(self.log, "handed over"; "clients" => self.away.len(), "pid" => self.child.id());
                     let _ = tell.try_send(Ok(self.child.id()));
                 }
@@ -225,7 +226,7 @@
             while self.clients.acceptor.load(Ordering::Acquire) {
                 std::thread::sleep(LOOK);
             }
-            self.clients.fellows.iter().for_each(|fellows| fellows.post(ToFellows::Enter));
+            self.clients.tell_fellows(ToFellows::Enter);
             let (clients, door) = (self.clients.clone(), self.door.clone());
             if let Err(why) = spawn("acceptor", CONNECTION_STACK, move || clients.accept_until_shut(&door)) {
                 slog::crit!(self.log, "nobody can be taken in any more"; "why" => why);
@@ -372,7 +373,7 @@
     pub fn serve(mut self, clients: &Arc<SharedClients>) -> Result<(), String> {
         self.until(Stage::Serving)?;
         if !self.memory.is_empty() {
-            let _ = clients.desk.send(ToDesk::Recall(std::mem::take(&mut self.memory)));
+            clients.clock.post(&clients.desk, ToDesk::Recall(std::mem::take(&mut self.memory)));
         }
         self.take_in(clients);
         let clients = clients.clone();
@@ -388,7 +389,7 @@
 
     fn take_in(&mut self, clients: &Arc<SharedClients>) {
         for (member, stream) in self.idle.drain(..) {
-            let _ = clients.desk.send(ToDesk::Take(member, stream));
+            clients.clock.post(&clients.desk, ToDesk::Take(member, stream));
         }
         // Those sent last ask most: they are not to wait behind the others.
         for client in self.coming.drain(..).rev() {
--- a/crates/front/tests/clocks.rs
+++ b/crates/front/tests/clocks.rs
@@ -3,6 +3,7 @@
 
 use juniperdock_fault_controls::{Controls, preload};
 use juniperdock_front::clock::Clock;
+use juniperdock_link::spawn;
 use juniperdock_server_clock::{Told, Verdict};
 use juniperdock_standins::{Front, address, txn};
 use std::sync::mpsc::channel;
@@ -84,8 +85,8 @@
 #[test]
 fn a_correction_of_the_time_moves_no_deadline_and_no_alarm() {
     const HOUR: Duration = Duration::from_secs(3600);
-    let (clock, ring) = Clock::start();
-    std::thread::spawn(move || ring(&|| {}));
+    let (clock, ring) = Clock::start(Duration::ZERO).expect("a clock");
+    spawn("clock", 64 << 10, ring).expect("a coroutine");
     let (rung, rings) = channel();
     let (begun, before) = (Instant::now(), clock.now());
     clock.at(before + HOUR / 2, move || {
--- a/crates/front/tests/desk.rs
+++ b/crates/front/tests/desk.rs
@@ -73,7 +73,7 @@
 
 #[test]
 fn after_a_panic_the_desk_answers_all_and_starts_anew() {
-    let (clock, _ring) = Clock::start();
+    let (clock, _ring) = Clock::start(Duration::ZERO).expect("a clock");
     let ((mail, read), (discovery, _discovery)) = (channel(), channel());
     let hire: Hire = Box::new(|_, _, _, _| Ok(()));
     let counters = Arc::new(Counters::default());
@@ -115,7 +115,7 @@
 
 #[test]
 fn after_a_panic_nothing_is_written_for_what_has_its_answer() {
-    let (clock, _ring) = Clock::start();
+    let (clock, _ring) = Clock::start(Duration::ZERO).expect("a clock");
     let ((mail, read), (discovery, _discovery), (jobs, job)) = (channel(), channel(), channel());
     // The member's actor is the story's own: what it is given stays unwritten.
     let hire: Hire = Box::new(move |_, _, read, _| {
--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -4,7 +4,7 @@
 use juniperdock_request_guard::{ClientPresence, RequestGuard};
 
 fn reach(desk: Sender<ToDesk>) -> Reach {
-    let (clock, _ring) = Clock::start();
+    let (clock, _ring) = Clock::start(Duration::ZERO).expect("a clock");
     let second = Duration::from_secs(1);
     Reach {
         clock,
--- a/crates/front/tests/worker.rs
+++ b/crates/front/tests/worker.rs
@@ -13,20 +13,25 @@
 /// The thread that runs coroutines.
 fn worker() -> ThreadId {
     let (tell, told) = channel();
-    spawn("who", STACK, move || drop(tell.send(current().id()))).expect("a coroutine");
+    spawn("who", STACK, move || {
+        let _ = tell.send(current().id());
+    })
+    .expect("a coroutine");
     told.recv_timeout(PATIENCE).expect("it runs")
 }
 
 #[test]
 fn alarms_ring_on_the_worker() {
     may::config().set_workers(1);
-    let (clock, ring) = Clock::start();
-    std::thread::spawn(move || ring(&|| {}));
+    let (clock, ring) = Clock::start(Duration::ZERO).expect("a clock");
+    spawn("clock", STACK, ring).expect("a coroutine");
     let worker = worker();
     let (tell, told) = channel();
     for ms in [0, 1, 5, 30, 60] {
         let tell = tell.clone();
-        clock.at(clock.now() + Duration::from_millis(ms), move || drop(tell.send(current().id())));
+        clock.at(clock.now() + Duration::from_millis(ms), move || {
+            let _ = tell.send(current().id());
+        });
     }
     for _ in 0..5 {
         let ringing = told.recv_timeout(PATIENCE).expect("it rings");
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -2,8 +2,10 @@
 //! the socket or another's bell wakes it. One bounded ring buffer a direction; no second descriptor.
 
 mod connect;
+mod timer;
 
 pub use connect::{ConnectError, Connecting};
+pub use timer::{Timer, TimerSetter};
 
 use may::coroutine::Builder;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
--- /dev/null
+++ b/crates/link/src/timer.rs
@@ -0,0 +1,100 @@
+//! A timer that the worker's own epoll watches (timerfd_create(2), monotonic clock): it wakes its coroutine without another
+//! thread. Other threads do not wake coroutines by the wakers of `may`: those push to a lock-free queue, and while a thread
+//! that has taken a place there does not run, the worker spins on that place.
+
+use crate::is_shortage;
+use may::io::{CoIo, WaitIo};
+use rustix::io::{Errno, read};
+use rustix::time::{
+    Itimerspec, TimerfdClockId, TimerfdFlags, TimerfdTimerFlags, Timespec, timerfd_create, timerfd_settime,
+};
+use std::io;
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd, OwnedFd, RawFd};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Between two tries to open one.
+const PAUSE: Duration = Duration::from_millis(5);
+/// A timer that is set to nothing would never fire.
+const LEAST: Duration = Duration::from_nanos(1);
+/// The farthest that a timer is set.
+const MOST: Duration = Duration::from_secs(3600);
+
+#[derive(Clone)]
+struct Descriptor(Arc<OwnedFd>);
+
+impl AsRawFd for Descriptor {
+    fn as_raw_fd(&self) -> RawFd {
+        self.0.as_raw_fd()
+    }
+}
+
+impl AsFd for Descriptor {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.0.as_fd()
+    }
+}
+
+/// Sets the timer; from any thread.
+#[derive(Clone)]
+pub struct TimerSetter(Descriptor);
+
+/// Waits for the timer; for one coroutine.
+pub struct Timer {
+    // Dropped in this order: the descriptor is closed last.
+    io: CoIo<Descriptor>,
+    descriptor: Descriptor,
+}
+
+impl Timer {
+    /// Where the machine is short of descriptors or memory just now it is tried again, for so long. Blocks its thread.
+    ///
+    /// # Errors
+    /// What the machine says last.
+    pub fn open(patience: Duration) -> io::Result<Timer> {
+        let begun = Instant::now();
+        loop {
+            match Timer::create() {
+                Err(e) if is_shortage(&e) && begun.elapsed() < patience => std::thread::sleep(PAUSE),
+                opened => return opened,
+            }
+        }
+    }
+
+    fn create() -> io::Result<Timer> {
+        let flags = TimerfdFlags::NONBLOCK | TimerfdFlags::CLOEXEC;
+        let descriptor = Descriptor(Arc::new(timerfd_create(TimerfdClockId::Monotonic, flags)?));
+        let io = CoIo::new(descriptor.clone()).map_err(io::Error::from)?;
+        Ok(Timer { io, descriptor })
+    }
+
+    pub fn setter(&self) -> TimerSetter {
+        TimerSetter(self.descriptor.clone())
+    }
+
+    /// Waits until it fires, or returns at once if it has since this was called last.
+    pub fn wait(&self) {
+        let mut fired = [0; size_of::<u64>()];
+        loop {
+            match read(&self.descriptor, &mut fired) {
+                Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => {
+                    self.io.wait_io();
+                }
+                _ => return,
+            }
+        }
+    }
+}
+
+impl TimerSetter {
+    /// It fires after so long, once, in place of whenever it was set to fire; after an hour at the latest.
+    pub fn set(&self, after: Duration) {
+        let after = after.clamp(LEAST, MOST);
+        let it_value = Timespec { tv_sec: after.as_secs() as i64, tv_nsec: i64::from(after.subsec_nanos()) };
+        let it_interval = Timespec { tv_sec: 0, tv_nsec: 0 };
+        let spec = Itimerspec { it_interval, it_value };
+        // It fails for descriptors and times that are none only (timerfd_settime(2)).
+        let _ = timerfd_settime(&self.0, TimerfdTimerFlags::empty(), &spec);
+    }
+}
