Read the timer once a firing

Cause: a firing took two reads, the first of which only said that it had not fired. Change: wait, then read.

--- a/crates/link/src/timer.rs
+++ b/crates/link/src/timer.rs
@@ -72,18 +72,12 @@
         TimerSetter(self.descriptor.clone())
     }
 
-    /// Waits until it fires, or returns at once if it has since this was called last.
+    /// Waits until it fires, or returns at once if it has since this was called last. May return too early.
     pub fn wait(&self) {
+        self.io.wait_io();
+        // How often it has fired is of no use; read, so that it can be told anew.
         let mut fired = [0; size_of::<u64>()];
-        loop {
-            match read(&self.descriptor, &mut fired) {
-                Err(Errno::INTR) => {}
-                Err(Errno::AGAIN) => {
-                    self.io.wait_io();
-                }
-                _ => return,
-            }
-        }
+        while let Err(Errno::INTR) = read(&self.descriptor, &mut fired) {}
     }
 }
 
