--- /dev/null
+++ b/crates/lab/src/fleet/ledger.rs
@@ -0,0 +1,47 @@
+//! What clients saw goes into the history.
+
+use super::history::History;
+use crate::sockets::{Ask, Ledger};
+use juniperdock_emulator::Told;
+use serde_json::json;
+use std::time::Duration;
+
+/// Writes down what clients saw.
+pub(super) struct Clients(pub History);
+
+impl Ledger for Clients {
+    fn asked(&mut self, at: Duration, front: usize, ask: &Ask) {
+        let left = ask.left.as_micros() as u64;
+        self.0.note(at, "asked", json!({ "front": front, "txn": ask.txn, "left": left }));
+    }
+
+    fn cut_off(&mut self, at: Duration, front: usize, txn: u32) {
+        self.0.note(at, "cut off", json!({ "front": front, "txn": txn }));
+    }
+
+    fn left(&mut self, at: Duration, front: usize, txn: u32) {
+        self.0.note(at, "left", json!({ "front": front, "txn": txn }));
+    }
+
+    fn answered(
+        &mut self,
+        at: Duration,
+        front: usize,
+        txn: u32,
+        told: Told,
+        code: Option<&str>,
+        ended: bool,
+    ) {
+        let told = match told {
+            Told::Committed => "committed",
+            Told::Declined => "declined",
+            Told::Unknown => "unknown",
+            Told::Nothing => "nothing",
+        };
+        self.0.note(
+            at,
+            "answered",
+            json!({ "front": front, "txn": txn, "told": told, "code": code, "ended": ended }),
+        );
+    }
+}
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -2,18 +2,22 @@
 //! in one history, and audited by that alone. `docs/fleet.md` says what is looked for.
 
 pub mod audit;
+mod control;
 mod crowd;
 pub mod history;
+mod ledger;
 mod machine;
 pub mod owners;
 pub mod page;
 pub mod play;
 pub mod primaries;
+mod process;
 pub mod relay;
 pub mod schedule;
 pub mod soak;
 
 pub use audit::{Figures, figures};
+pub use control::ask;
 pub use play::play;
 pub use schedule::{Harm, Mishap, Schedule};
 
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -1,173 +1,36 @@
 //! Starts the processes, lets them be met by what the schedule says, and writes everything down.
 
+use super::control::{answer, ask};
 use super::crowd::Crowd;
 use super::history::History;
+use super::ledger::Clients;
 use super::machine::Machine;
+use super::process::{PATIENCE, Process, STEP};
 use super::relay::Relay;
 use super::schedule::{Harm, Mishap, Schedule};
 use crate::scenario::{Befallen, Befalls, Fleet, Load, Of, OfKind, Reads, Runs, Scenario};
-use crate::sockets::{Ask, Ledger, State, Town, client, list, settings};
-use juniperdock_control::{Frames, frame};
-use juniperdock_emulator::{Entry, Note, Out, Told, World};
+use crate::sockets::{State, Town, client, list, settings};
+use juniperdock_emulator::{Entry, Note, Out, World};
 use juniperdock_router::host::{Ending, Listed};
 use juniperdock_standins::{Agent, WATCH, address};
 use serde_json::{Value, json};
-use std::fs::OpenOptions;
-use std::io::{Read, Write};
 use std::net::SocketAddr;
-use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, TryRecvError, channel};
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
-/// How often the world is looked at.
-const STEP: Duration = Duration::from_millis(1);
 /// How often each front is asked how it stands.
 const ASKED: Duration = Duration::from_millis(150);
-/// How long a front may take to be there, or to end.
-const PATIENCE: Duration = Duration::from_secs(20);
 /// Clients wait for so long beyond their time: a busy machine loses nobody's answer.
 const SLACK: Duration = Duration::from_millis(1500);
 /// A slow front is stopped for the first and runs for the second.
 const TURNS: (Duration, Duration) = (Duration::from_millis(70), Duration::from_millis(50));
 
-/// One front's process.
-struct Process {
-    dir: PathBuf,
-    child: Option<Child>,
-    /// The one that serves: after an upgrade another than the child.
-    pid: u32,
-    stopped: bool,
-}
-
-impl Process {
-    fn start(&mut self, program: &str, environment: &[(&str, String)]) -> Result<(), String> {
-        let log = OpenOptions::new().create(true).append(true).open(self.dir.join("log"));
-        let log = log.map_err(|e| e.to_string())?;
-        let child = Command::new(program)
-            .envs(environment.iter().map(|(name, value)| (name, value)))
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .map_err(|e| format!("{program}: {e}"))?;
-        (self.pid, self.stopped) = (child.id(), false);
-        self.child = Some(child);
-        Ok(())
-    }
-
-    fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([name, &self.pid.to_string()]).stderr(Stdio::null()).status();
-    }
-
-    fn runs(&mut self) -> bool {
-        let child = self.child.as_mut().filter(|child| child.id() == self.pid);
-        match child {
-            Some(child) => matches!(child.try_wait(), Ok(None)),
-            // Another's child: its place in the machine's list is gone, or it is a shell of a process.
-            None => std::fs::read_to_string(format!("/proc/{}/stat", self.pid)).is_ok_and(|stat| {
-                !stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('Z'))
-            }),
-        }
-    }
-
-    /// The processor time of its present process so far, by the machine's clock ticks of 10 ms.
-    fn cpu_ms(&self) -> Option<u64> {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid)).ok()?;
-        let mut fields = stat.rsplit(')').next()?.split_whitespace().skip(11);
-        let (user, system): (u64, u64) = (fields.next()?.parse().ok()?, fields.next()?.parse().ok()?);
-        Some((user + system) * 10)
-    }
-
-    fn kill(&mut self) {
-        self.signal("-KILL");
-        let begun = Instant::now();
-        while self.runs() && begun.elapsed() < PATIENCE {
-            std::thread::sleep(STEP);
-        }
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        if self.pid != 0 {
-            self.kill();
-        }
-        if let Some(child) = &mut self.child {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
 /// Before and behind the signal that ends a process.
 const SIGNALS_IN_SERIES: &[&str] = &["-HUP", "-USR1", "-HUP"];
 
-/// Writes down what clients saw.
-struct Clients(History);
-
-impl Ledger for Clients {
-    fn asked(&mut self, at: Duration, front: usize, ask: &Ask) {
-        let left = ask.left.as_micros() as u64;
-        self.0.note(at, "asked", json!({ "front": front, "txn": ask.txn, "left": left }));
-    }
-
-    fn cut_off(&mut self, at: Duration, front: usize, txn: u32) {
-        self.0.note(at, "cut off", json!({ "front": front, "txn": txn }));
-    }
-
-    fn left(&mut self, at: Duration, front: usize, txn: u32) {
-        self.0.note(at, "left", json!({ "front": front, "txn": txn }));
-    }
-
-    fn answered(
-        &mut self,
-        at: Duration,
-        front: usize,
-        txn: u32,
-        told: Told,
-        code: Option<&str>,
-        ended: bool,
-    ) {
-        let told = match told {
-            Told::Committed => "committed",
-            Told::Declined => "declined",
-            Told::Unknown => "unknown",
-            Told::Nothing => "nothing",
-        };
-        self.0.note(
-            at,
-            "answered",
-            json!({ "front": front, "txn": txn, "told": told, "code": code, "ended": ended }),
-        );
-    }
-}
-
-/// Asks a front through its control socket; none where it says no, or nothing.
-pub fn ask(socket: &Path, asked: &Value, wait: Duration) -> Option<Value> {
-    answer(socket, asked, wait).filter(|answer| answer["ok"] == true).map(|answer| answer["is"].clone())
-}
-
-/// What a front answers, whatever it is.
-fn answer(socket: &Path, asked: &Value, wait: Duration) -> Option<Value> {
-    let mut stream = UnixStream::connect(socket).ok()?;
-    stream.set_read_timeout(Some(wait)).ok()?;
-    stream.write_all(&frame(asked)).ok()?;
-    let (mut frames, mut piece) = (Frames::default(), [0; 4096]);
-    loop {
-        if let Some(answer) = frames.whole().ok()? {
-            return Some(answer);
-        }
-        match stream.read(&mut piece).ok()? {
-            0 => return None,
-            n => frames.take(&piece[..n]),
-        }
-    }
-}
-
 /// The world round the fronts.
 pub(crate) fn scenario(schedule: &Schedule) -> Scenario {
     let kind = |name: &str, part, reads, runs| OfKind {
@@ -361,7 +224,7 @@
         rig.environments.push(environment);
         rig.agents.push(agent);
         rig.at.push(at);
-        rig.processes.push(Process { dir, child: None, pid: 0, stopped: false });
+        rig.processes.push(Process::new(dir));
         rig.start(front)?;
     }
     let over = Arc::new(AtomicBool::new(false));
--- /dev/null
+++ b/crates/lab/src/fleet/process.rs
@@ -0,0 +1,85 @@
+//! One process of the program under test: started, sent signals, waited for.
+
+use std::fs::OpenOptions;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// How often the world, or the end of a process, is looked at.
+pub(super) const STEP: Duration = Duration::from_millis(1);
+/// How long a process may take to be there, or to end.
+pub(super) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One front's process.
+pub(super) struct Process {
+    pub dir: PathBuf,
+    child: Option<Child>,
+    /// The one that serves: after an upgrade another than the child.
+    pub pid: u32,
+    pub stopped: bool,
+}
+
+impl Process {
+    /// One that has not been started; its files lie in this folder.
+    pub fn new(dir: PathBuf) -> Process {
+        Process { dir, child: None, pid: 0, stopped: false }
+    }
+
+    pub fn start(&mut self, program: &str, environment: &[(&str, String)]) -> Result<(), String> {
+        let log = OpenOptions::new().create(true).append(true).open(self.dir.join("log"));
+        let log = log.map_err(|e| e.to_string())?;
+        let child = Command::new(program)
+            .envs(environment.iter().map(|(name, value)| (name, value)))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(|e| format!("{program}: {e}"))?;
+        (self.pid, self.stopped) = (child.id(), false);
+        self.child = Some(child);
+        Ok(())
+    }
+
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args([name, &self.pid.to_string()]).stderr(Stdio::null()).status();
+    }
+
+    pub fn runs(&mut self) -> bool {
+        let child = self.child.as_mut().filter(|child| child.id() == self.pid);
+        match child {
+            Some(child) => matches!(child.try_wait(), Ok(None)),
+            // Another's child: its place in the machine's list is gone, or it is a shell of a process.
+            None => std::fs::read_to_string(format!("/proc/{}/stat", self.pid)).is_ok_and(|stat| {
+                !stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('Z'))
+            }),
+        }
+    }
+
+    /// The processor time of its present process so far, by the machine's clock ticks of 10 ms.
+    pub fn cpu_ms(&self) -> Option<u64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid)).ok()?;
+        let mut fields = stat.rsplit(')').next()?.split_whitespace().skip(11);
+        let (user, system): (u64, u64) = (fields.next()?.parse().ok()?, fields.next()?.parse().ok()?);
+        Some((user + system) * 10)
+    }
+
+    pub fn kill(&mut self) {
+        self.signal("-KILL");
+        let begun = Instant::now();
+        while self.runs() && begun.elapsed() < PATIENCE {
+            std::thread::sleep(STEP);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if self.pid != 0 {
+            self.kill();
+        }
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
