--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod offices;
 pub mod prove;
 pub mod report;
+pub mod request_logs;
 pub mod scale;
 pub mod scenario;
 pub mod simulate;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,7 +7,7 @@
 use juniperdock_lab::measure::Outcome;
 use juniperdock_lab::scenario::{self, SHELF, Scenario, find};
 use juniperdock_lab::simulate::simulate;
-use juniperdock_lab::{circle, fleet, load, offices, prove, report, scale, sockets, upgrade};
+use juniperdock_lab::{circle, fleet, load, offices, prove, report, request_logs, scale, sockets, upgrade};
 use std::io::IsTerminal;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -205,6 +205,11 @@
         #[arg(long, default_value = "target")]
         histories: PathBuf,
     },
+    /// Reads the logs of processes that ran with JUNIPERDOCK_LOG=debug: requests without an end, hold-ups of workers.
+    Logs {
+        #[arg(required = true)]
+        folders: Vec<PathBuf>,
+    },
     /// Owners of duties by the hundred seeds, simulated: kills, stops, cuts, loss, drift of clocks.
     Offices {
         #[arg(long, default_value_t = 1)]
@@ -456,6 +461,14 @@
             }
             Ok(all_hold)
         }
+        What::Logs { folders } => {
+            let mut seen = request_logs::Findings::default();
+            for folder in &folders {
+                seen.read_folder(folder)?;
+            }
+            println!("{seen}");
+            Ok(seen.hold())
+        }
         What::Offices { seed, seeds, fronts, seconds, drift, unfenced } => {
             let lasts = Duration::from_secs(seconds);
             let shape = offices::Shape { fronts: fronts as usize, lasts, drift, unfenced };
