--- a/crates/front/tests/calls.rs
+++ b/crates/front/tests/calls.rs
@@ -1,7 +1,8 @@
 //! The machine's calls fail for a while, through a library of ours in the process: nothing that passes ends anything.
 
 use juniperdock_fault_controls::{Controls, preload};
-use juniperdock_standins::{Front, address, txn};
+use juniperdock_standins::{Client, Front, PATIENCE, address, message, txn};
+use std::io::Write;
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Command;
@@ -114,3 +115,34 @@
     let (well, text) = front.end();
     assert!(well && text.contains("violations=0"), "{text}");
 }
+
+/// Well inside the 0.45 s for which a process that ends still takes clients in.
+const COMES_IN_TIME: Duration = Duration::from_millis(200);
+
+#[test]
+fn who_comes_while_a_process_ends_is_answered_though_calls_are_interrupted() {
+    let town = Town::new();
+    let faults = Faults::new("ends", Controls::default());
+    let front = faults.front(&town);
+    until(|| front.client().ask(&txn("lookup", 3000, "r")).value.is_some());
+    faults.set(Controls { interrupted: ALL / 2, ..Controls::default() });
+    front.signal("-TERM");
+    let told = Instant::now();
+    let mut clients = Vec::new();
+    while told.elapsed() < COMES_IN_TIME && clients.len() < 12 {
+        let mut stream = TcpStream::connect(front.at).expect("it still takes clients in");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time");
+        let statement = format!("{}\0", txn("lookup", 3000, &format!("c{}", clients.len())));
+        let opening = [0, 0, 0, 9, 0, 3, 0, 0, 0];
+        let sent = [&opening[..], &message(b'Q', statement.as_bytes())].concat();
+        stream.write_all(&sent).expect("it reads");
+        clients.push(Client { stream });
+    }
+    for client in &mut clients {
+        assert_eq!(client.reply().last, b'Z', "welcomed");
+        let reply = client.reply();
+        assert!(reply.value.is_some() || reply.code.is_some(), "{reply:?}");
+    }
+    let (well, text) = front.end();
+    assert!(well && text.contains("violations=0"), "{text}");
+}
--- a/crates/front/tests/soak.rs
+++ b/crates/front/tests/soak.rs
@@ -7,15 +7,24 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperdock");
 
-#[test]
-fn ten_processes_keep_the_invariants_whatever_befalls_them() {
-    let schedule = Schedule::soak(3, 10, 8.0);
-    let path = std::env::temp_dir().join(format!("jd-soak-{}.jsonl", std::process::id()));
-    play(&schedule, 3, PROGRAM, &path, None).unwrap_or_else(|why| panic!("{why}"));
+/// Of each seed so many seconds of faults, and what it takes to heal.
+const SECONDS: f64 = 8.0;
+
+fn holds(seed: u64) {
+    let schedule = Schedule::soak(seed, 10, SECONDS);
+    let path = std::env::temp_dir().join(format!("jd-soak-{seed}-{}.jsonl", std::process::id()));
+    play(&schedule, seed, PROGRAM, &path, None).unwrap_or_else(|why| panic!("{why}"));
     let seen = soak::findings(&read(&path).unwrap_or_else(|why| panic!("{why}")));
     let _ = std::fs::remove_file(&path);
-    assert!(seen.hold(), "{seen}");
-    assert!(seen.figures.committed > 100 && seen.left > 0, "{seen}");
+    assert!(seen.hold(), "seed {seed}: {seen}");
+    assert!(seen.figures.committed > 100 && seen.left > 0, "seed {seed}: {seen}");
+}
+
+#[test]
+fn ten_processes_keep_the_invariants_whatever_befalls_them() {
+    for seed in [3, 8, 14] {
+        holds(seed);
+    }
 }
 
 /// The oracle sees what it is there for: a statement that a server had, and whose connection then ended without a word.
