--- a/crates/front/src/worker_watch.rs
+++ b/crates/front/src/worker_watch.rs
@@ -1,4 +1,4 @@
-//! Tells a worker that sleeps although work is ready from one that works or waits for a processor. The clock's thread
+//! Tells a worker that sleeps although work is ready from one that works or waits for a processor. An alarm
 //! posts a beat to the dispatcher every [`PULSE`](crate::clock::PULSE); a beat that lay for long was not looked at, and the
 //! kernel's account of the worker's thread says what the thread did meanwhile (`/proc/thread-self/schedstat`, proc(5)).
 
