Compare probes with and without sharing where a busy machine does not hide them

Traced by playing it under load: with sharing it is 0.20 in every play; without, a front asks once for all reads that wait meanwhile, so slow answers mean fewer probes: 0.35 alone, 0.29 to 0.31 on one or two cores beside 12 to 30 busy loops or beside the other tests of the file, as the median time to an answer goes from 19 to 37 ms. No fault of the router: the check compared times.

Change: the same comparison and the same factor, on a load where few reads wait together (one group of three members, nine fronts, 140 txns a second in place of two groups, six fronts, 360).

--- a/crates/front/tests/owners.rs
+++ b/crates/front/tests/owners.rs
@@ -36,18 +36,21 @@
     duties: bool,
     bend: Option<Bend>,
 ) -> (Vec<Line>, Figures) {
-    let schedule = Schedule {
-        title: name.to_owned(),
-        fronts,
-        per_second,
-        every_ms: 250,
-        lasts_s,
-        duties,
-        mishaps,
-        ..Schedule::default()
-    };
+    let title = name.to_owned();
+    let schedule = Schedule { title, fronts, per_second, lasts_s, duties, mishaps, ..shared_work() };
+    played_schedule(&schedule, bend)
+}
+
+/// What all stories here have in common.
+fn shared_work() -> Schedule {
+    Schedule { every_ms: 250, ..Schedule::default() }
+}
+
+/// Plays a schedule, and judges its history by all rules.
+fn played_schedule(schedule: &Schedule, bend: Option<Bend>) -> (Vec<Line>, Figures) {
+    let name = &schedule.title;
     let path = std::env::temp_dir().join(format!("jd-{name}-{}.jsonl", std::process::id()));
-    play(&schedule, 11, PROGRAM, &path, bend).unwrap_or_else(|why| panic!("{name}: {why}"));
+    play(schedule, 11, PROGRAM, &path, bend).unwrap_or_else(|why| panic!("{name}: {why}"));
     let lines = read(&path).unwrap_or_else(|why| panic!("{name}: {why}"));
     if std::env::var_os("JUNIPERDOCK_KEEP").is_none() {
         let _ = std::fs::remove_file(&path);
@@ -257,14 +260,21 @@
     assert!(next.count() > 0);
 }
 
-/// Members are asked by a few for all: the same load takes far fewer probes, and no read is stale.
+/// Members are asked by a few for all: the same load takes far fewer probes, and no read is stale. Few members and few
+/// txns at each front: on a busy machine reads that come meanwhile share the probe that one of them waits for, and where
+/// there are many the fronts that ask by themselves seem to need no more probes than those that share.
 #[test]
 fn members_are_asked_by_a_few_for_all() {
-    let (with, _) = played_at("asked", 360.0, 6, 9.0, Vec::new(), true, None);
-    let (without, _) = played_at("asks", 360.0, 6, 9.0, Vec::new(), false, None);
-    let ([on, spared, txns], [off, none, others]) = (probes(&with), probes(&without));
+    let probes_a_txn = |title: &str, duties: bool| {
+        let load =
+            Schedule { fronts: 9, groups: 1, members: 3, per_second: 140.0, lasts_s: 9.0, ..shared_work() };
+        let (lines, _) = played_schedule(&Schedule { title: title.to_owned(), duties, ..load }, None);
+        let [sent, spared, txns] = probes(&lines);
+        (sent as f64 / txns as f64, spared)
+    };
+    let (with, spared) = probes_a_txn("asked", true);
+    let (without, none) = probes_a_txn("asks", false);
+    println!("probes a txn: {with:.2} with, {without:.2} without");
     assert!(none == 0 && spared > 0, "{spared} {none}");
-    let (on, off) = (on as f64 / txns as f64, off as f64 / others as f64);
-    println!("probes a txn: {on:.2} with, {off:.2} without");
-    assert!(on * 1.25 < off, "{on:.2} with, {off:.2} without");
+    assert!(with * 1.25 < without, "{with:.2} with, {without:.2} without");
 }
