Log the machine's monotonic clock; steps of wall clocks in the schedules of owners and fleets

The rig dated the logs of processes by their own wall clocks: lines of an hour back stood before all others, and the auditors, which read the history in order, saw terms go back and owners overlap.

A front that starts an hour behind refuses all others as 'future' (124 to 398 datagrams each) and stays alone or with its like: fronts 3, 5 and 6 formed a fleet of their own.

--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -371,7 +371,11 @@
             slog_async::Async::new(drain).chan_size(1024).build()
         }
         Form::Json => {
-            let drain = slog_json::Json::new(lines).add_default_keys().build();
+            let monotonic_us = slog::FnValue(|_| juniperdock_link::monotonic().as_micros() as u64);
+            let drain = slog_json::Json::new(lines)
+                .add_default_keys()
+                .add_key_value(slog::o!("monotonic_us" => monotonic_us))
+                .build();
             slog_async::Async::new(Mutex::new(drain).fuse()).chan_size(1024).build()
         }
     };
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -290,9 +290,9 @@
             history.note(town.now(), "said", json!({ "front": front, "text": line }));
             continue;
         };
-        let ts = log["ts"].as_str().and_then(|ts| humantime::parse_rfc3339_weak(ts).ok());
-        let unix = ts.and_then(|ts| ts.duration_since(std::time::UNIX_EPOCH).ok()).unwrap_or_default();
-        let at = unix.saturating_sub(Duration::from_millis(town.origin as u64));
+        // Not by the wall clock, which may have been stepped for that process.
+        let monotonic_us = log["monotonic_us"].as_u64().unwrap_or_default();
+        let at = Duration::from_micros(monotonic_us).saturating_sub(town.monotonic_origin);
         history.note(at, "log", json!({ "front": front, "log": log }));
     }
 }
--- a/crates/lab/src/fleet/schedule.rs
+++ b/crates/lab/src/fleet/schedule.rs
@@ -414,6 +414,32 @@
         schedule
     }
 
+    /// The same, while the wall clock of each front is stepped every two seconds, an hour or some seconds forward or back,
+    /// until the last mishap is over. Processes that start meanwhile start under the clock as it is then.
+    #[must_use]
+    pub fn with_clock_steps(mut self) -> Schedule {
+        const EVERY_S: f64 = 2.0;
+        const STEPS_MS: [i32; 4] = [3_600_000, -3_600_000, 3_000, -5_000];
+        let steps = (self.healed_s() / EVERY_S) as usize;
+        for front in 0..self.fronts {
+            for step in 0..steps {
+                let off_ms = STEPS_MS[(front + step) % STEPS_MS.len()];
+                self.mishaps.push(Mishap {
+                    at_s: step as f64 * EVERY_S,
+                    lasts_s: EVERY_S,
+                    what: Harm::ClockStepped,
+                    front: Some(front),
+                    other: None,
+                    side: Vec::new(),
+                    number: usize::from(off_ms < 0),
+                    share: Some(1.0),
+                    by: Some(f64::from(off_ms.unsigned_abs())),
+                });
+            }
+        }
+        self
+    }
+
     /// A day of so many fronts drawn from a seed: mishaps one after the other and over each other, then calm.
     pub fn drawn(seed: u64, fronts: usize, mishaps: usize, calm_s: f64) -> Schedule {
         let mut chance = Stream::of(seed, "mishaps", 0);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -187,6 +187,9 @@
         /// Looks at a history that lies there, and plays nothing.
         #[arg(long)]
         look: bool,
+        /// The wall clocks of all fronts are stepped meanwhile.
+        #[arg(long)]
+        clock_steps: bool,
     },
     /// Many processes under faults of all kinds that overlap: kills, ends, hold-ups, failing calls, crowds, lost primaries.
     Soak {
@@ -242,6 +245,9 @@
         /// Fewer changes of owners prove too little.
         #[arg(long, default_value_t = 30)]
         changes: usize,
+        /// The wall clocks of all fronts are stepped meanwhile.
+        #[arg(long)]
+        clock_steps: bool,
         /// Where everything that happened is written.
         #[arg(long, default_value = "target/owners.jsonl")]
         history: PathBuf,
@@ -256,6 +262,9 @@
         /// How long changes go on.
         #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(1..=3600))]
         seconds: u64,
+        /// The wall clocks of all fronts are stepped meanwhile.
+        #[arg(long)]
+        clock_steps: bool,
         /// Where everything that happened is written.
         #[arg(long, default_value = "target/primaries.jsonl")]
         history: PathBuf,
@@ -402,6 +411,7 @@
             schema,
             dry_run,
             look,
+            clock_steps,
         } => {
             if schema {
                 println!("{:#}", juniperdock_charter::schema_of::<fleet::Schedule>());
@@ -418,6 +428,7 @@
                     })?
                 }
             };
+            let schedule = if clock_steps { schedule.with_clock_steps() } else { schedule };
             if dry_run {
                 println!("{}", serde_json::to_string_pretty(&schedule).map_err(|e| e.to_string())?);
                 return Ok(true);
@@ -476,19 +487,21 @@
             println!("{seen}");
             Ok(seen.holds())
         }
-        What::Owners { seed, fronts, front, seconds, changes, history } => {
+        What::Owners { seed, fronts, front, seconds, changes, clock_steps, history } => {
             let schedule = fleet::Schedule::owners(seed, fronts as usize, seconds as f64);
+            let schedule = if clock_steps { schedule.with_clock_steps() } else { schedule };
             fleet::play(&schedule, seed, &front, &history, None)?;
             let seen = fleet::owners::changes(&fleet::history::read(&history)?);
             println!("seed {seed}\n{seen}");
             Ok(seen.holds(changes))
         }
-        What::Primaries { seed, front, seconds, history } => {
+        What::Primaries { seed, front, seconds, clock_steps, history } => {
             // Held for as long as its client waits: what a change costs shows in full.
             let held = |_: usize, _: &mut serde_json::Value, charter: &mut serde_json::Value| {
                 charter["held"] = serde_json::json!({ "untaken_share": 1.0 });
             };
             let schedule = fleet::Schedule::primaries(seed, seconds as f64);
+            let schedule = if clock_steps { schedule.with_clock_steps() } else { schedule };
             fleet::play(&schedule, seed, &front, &history, Some(&held))?;
             let seen = fleet::primaries::changes(&fleet::history::read(&history)?);
             println!("seed {seed}\n{seen}");
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -6,6 +6,7 @@
 use crate::measure::{Measure, Moment, Outcome};
 use crate::scenario::{OfKind, Reads, Runs, Scenario};
 use juniperdock_emulator::{Entry, Out, Stream, Told, World};
+use juniperdock_link::monotonic;
 use juniperdock_router::host::{Ending, Listed, Report, Role};
 use juniperdock_standins::wire::{error, field, message, parameter, read_message, ready, row};
 use juniperdock_standins::{Agent, Client, Front, Reply, WATCH, address, unix_ms};
@@ -109,6 +110,8 @@
     pub begun: Instant,
     /// The machine's time at the beginning, in milliseconds since 1970.
     pub origin: u128,
+    /// The machine's monotonic clock at the beginning, by which processes date their logs.
+    pub monotonic_origin: Duration,
     /// How long clients wait beyond their time.
     pub slack: Duration,
     /// Decides who leaves early.
@@ -135,7 +138,8 @@
     pub fn new(state: State, slack: Duration) -> Arc<Town> {
         let (state, asked) = (Mutex::new(state), Condvar::new());
         let leaving = Mutex::new(Leaving { share: 0.0, chance: Stream::of(1, "leaving", 0) });
-        Arc::new(Town { state, asked, begun: Instant::now(), origin: unix_ms(), slack, leaving })
+        let (begun, monotonic_origin, origin) = (Instant::now(), monotonic(), unix_ms());
+        Arc::new(Town { state, asked, begun, origin, monotonic_origin, slack, leaving })
     }
 
     /// Members' addresses for one front, so many of them, on one address of the machine.
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,7 +5,7 @@
 mod timer;
 
 pub use connect::{ConnectError, Connecting};
-pub use timer::{Timer, TimerSetter};
+pub use timer::{Timer, TimerSetter, monotonic};
 
 use may::coroutine::Builder;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
--- a/crates/link/src/timer.rs
+++ b/crates/link/src/timer.rs
@@ -6,13 +6,20 @@
 use may::io::{CoIo, WaitIo};
 use rustix::io::{Errno, read};
 use rustix::time::{
-    Itimerspec, TimerfdClockId, TimerfdFlags, TimerfdTimerFlags, Timespec, timerfd_create, timerfd_settime,
+    ClockId, Itimerspec, TimerfdClockId, TimerfdFlags, TimerfdTimerFlags, Timespec, clock_gettime,
+    timerfd_create, timerfd_settime,
 };
 use std::io;
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd, OwnedFd, RawFd};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// The machine's monotonic clock (clock_gettime(2), CLOCK_MONOTONIC), the same in all its processes.
+pub fn monotonic() -> Duration {
+    let now = clock_gettime(ClockId::Monotonic);
+    Duration::new(now.tv_sec as u64, now.tv_nsec as u32)
+}
+
 /// Between two tries to open one.
 const PAUSE: Duration = Duration::from_millis(5);
 /// A timer that is set to nothing would never fire.
