--- a/crates/fellows/tests/stories.rs
+++ b/crates/fellows/tests/stories.rs
@@ -1,6 +1,6 @@
 //! Short stories of two or a few fronts, each with a guard that it fails without.
 
-use juniperdock_fellows::{Event, Fellows, Host, Keys, LONGEST, Liveness, Refused, Standing, Times};
+use juniperdock_fellows::{Event, Fellows, Host, Keys, LONGEST, Liveness, Refused, Standing, Times, life_at};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -210,6 +210,39 @@
     assert!(town.fronts[1].fellows()[0].incarnation > 1000, "a life above the one that they remember");
 }
 
+/// Hours ahead or behind, at 1970, or in the last years that lives can count: it is there all the same, for all.
+#[test]
+fn a_clock_that_is_far_off_keeps_nobody_out() {
+    const NOW: u32 = 500_000_000;
+    const HOUR: u32 = 3600 * 1000 / 64;
+    for off in [NOW - HOUR, NOW + HOUR, NOW - 24 * HOUR, NOW + 24 * HOUR, 1, life_at(Duration::MAX)] {
+        let mut town = Town::of(3);
+        town.fronts = (0..3).map(|i| front(i, 3, NOW, 2)).collect();
+        town.pass(ms(3000));
+        town.fronts[0] = front(0, 3, off, 2);
+        town.pass(ms(6000));
+        assert!((0..3).all(|i| town.stands(i) == Standing::Whole), "life {off}");
+        assert!((0..3).all(|i| town.fronts[i].present() == [0, 1, 2]), "life {off}");
+        assert!(town.fronts[1].fellows()[0].incarnation > NOW, "life {off}");
+        // Set right again, it starts anew: whatever it was in before is remembered.
+        let before = town.fronts[0].incarnation();
+        town.fronts[0] = front(0, 3, NOW + 100, 2);
+        town.pass(ms(6000));
+        assert!((0..3).all(|i| town.stands(i) == Standing::Whole), "after life {off}");
+        assert!(town.fronts[1].fellows()[0].incarnation > before, "after life {off}");
+    }
+}
+
+/// All start anew at once under clocks that are apart: nobody remembers anything, and they agree.
+#[test]
+fn fronts_whose_clocks_are_hours_apart_find_each_other() {
+    let mut town = Town::of(5);
+    let lives = [1, 500_000_000, 499_943_750, 500_056_250, 2_000_000_000];
+    town.fronts = lives.iter().enumerate().map(|(i, &life)| front(i, 5, life, 2)).collect();
+    town.pass(ms(6000));
+    assert!((0..5).all(|i| town.stands(i) == Standing::Whole && town.fronts[i].present() == [0, 1, 2, 3, 4]));
+}
+
 /// A datagram that front 1 of 3 has just taken from front 0, and the two.
 fn taken() -> (Town, Vec<u8>) {
     let mut town = Town::of(3);
--- a/crates/front/tests/fleet.rs
+++ b/crates/front/tests/fleet.rs
@@ -252,3 +252,19 @@
     assert_eq!(story.statuses(0).count() + story.statuses(1).count(), 0, "the command says that it is off");
     assert_eq!(story.seen.datagram_max, 0);
 }
+
+/// Fronts start anew while their wall clocks are an hour off, either way: nobody is left out, and all agree.
+#[test]
+fn who_starts_under_a_wall_clock_that_is_an_hour_off_is_there_for_all() {
+    let off = |front, number| Mishap {
+        number,
+        share: Some(1.0),
+        by: Some(3_600_000.0),
+        ..of(front, Harm::ClockStepped, 2.5, 4.0)
+    };
+    let killed = |front| of(front, Harm::FrontKilled, 3.0, 1.0);
+    let story = told("hours", 5, vec![off(1, 1), off(2, 0), killed(1), killed(2)], |_| {}, None);
+    story.sound();
+    let end = story.lines.iter().find(|line| line.what == "told to end").expect("it ended").at;
+    assert!((0..5).all(|front| story.stands(front, end) == "whole"));
+}
