Bound a front's life by its own range, not by the wall clock

Cause: fellows refused lives over ten minutes ahead of their own wall clock (take, answered, the codec). A front that started an hour behind so refused everybody, also the answer that tells it which life is remembered, and stayed alone or with others like it; one that started ahead was refused by all.

Change: a life is refused only where it is the last that 32 bits hold; a wall clock gives lives up to 2^24 below that, so that later ones are left. The clock is a hint: who is remembered in a later life goes above it, as before.

--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -2,7 +2,7 @@
 
 use crate::dice::Dice;
 use crate::seal::{BODY, Head, Keys, Refused, kind};
-use crate::who::{AHEAD, Who};
+use crate::who::{LATEST, Who};
 use crate::window::Window;
 use bytes::{Buf, BufMut};
 use foca::{
@@ -12,8 +12,6 @@
 use oorandom::Rand64;
 use std::collections::VecDeque;
 use std::num::{NonZeroU8, NonZeroUsize};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// Timers are due at most this much late for being sorted.
@@ -144,11 +142,10 @@
     }
 }
 
-/// The library's codec, bounded: no place outside the tier and no life of the future gets into the state.
+/// The library's codec, bounded: no place outside the tier and no life that no front can be in gets into the state.
 #[derive(Debug)]
 struct Tongue {
     tier: u16,
-    horizon: Arc<AtomicU32>,
 }
 
 #[derive(Debug)]
@@ -164,7 +161,7 @@
 
 impl Tongue {
     fn possible(&self, who: &Who) -> Result<(), Absurd> {
-        let good = who.index < self.tier && who.life <= self.horizon.load(Ordering::Relaxed);
+        let good = who.index < self.tier && who.life <= LATEST;
         if good { Ok(()) } else { Err(Absurd) }
     }
 }
@@ -257,9 +254,6 @@
     tier: usize,
     /// The first life of this process: what was meant for an earlier one is refused.
     born: u32,
-    horizon: Arc<AtomicU32>,
-    /// The present life by the driver's clock at the start, at `Duration::ZERO`.
-    epoch: u32,
     keys: Keys,
     version: u8,
     times: Times,
@@ -311,17 +305,14 @@
         keys: Keys,
     ) -> Fellows {
         let tier = tier.clamp(1, usize::from(u16::MAX));
-        let horizon = Arc::new(AtomicU32::new(life.saturating_add(AHEAD)));
         let who = Who { index: me as u16, life };
-        let tongue = Tongue { tier: tier as u16, horizon: horizon.clone() };
+        let tongue = Tongue { tier: tier as u16 };
         let swim = Foca::new(who, config(tier, times, 0), Dice(Rand64::new(u128::from(seed) << 1)), tongue);
         let mut fellows = Fellows {
             swim,
             me,
             tier,
             born: life,
-            horizon,
-            epoch: life,
             keys,
             version,
             times,
@@ -554,8 +545,6 @@
             self.doubt(now, host);
             self.greet(host);
         }
-        let units = u32::try_from(now.as_millis() / 64).unwrap_or(u32::MAX);
-        self.horizon.store(self.epoch.saturating_add(units).saturating_add(AHEAD), Ordering::Relaxed);
     }
 
     /// A front that is slow waits longer before it takes others for dead.
@@ -715,7 +704,7 @@
 
     /// What another told of those that this front does not have.
     fn called(&mut self, now: Duration, mut body: &[u8], host: &mut impl Host) -> Result<(), Refused> {
-        let tongue = Tongue { tier: self.tier as u16, horizon: self.horizon.clone() };
+        let tongue = Tongue { tier: self.tier as u16 };
         let mut members = Vec::new();
         while !body.is_empty() {
             let (member, rest) =
@@ -803,7 +792,7 @@
         if from != source || from == self.me {
             return Err(Refused::Stranger);
         }
-        if head.from.life > self.horizon.load(Ordering::Relaxed) {
+        if head.from.life > LATEST {
             return Err(Refused::Future);
         }
         let mark = &mut self.marks[from];
@@ -891,7 +880,7 @@
         if !self.proven.contains(&index) {
             self.proven.push(index);
         }
-        if known > self.horizon.load(Ordering::Relaxed) {
+        if known >= LATEST {
             return Err(Refused::Absurd);
         }
         // It remembers a later life of this place: the clock was set back. This life is to count all the same.
--- a/crates/fellows/src/seal.rs
+++ b/crates/fellows/src/seal.rs
@@ -54,7 +54,7 @@
     Replayed,
     /// From a life that is over.
     Outlived,
-    /// From a life that has not begun.
+    /// From a life that is later than any that a front gets into.
     Future,
     /// It says what can't be.
     Absurd,
