A test of two processes told the same life, failing: the second counts as a replay

Fronts 1 and 2 do not hear each other; a process of front 0 that starts behind is told 1001 by front 1, the next one the same by front 2.

--- a/crates/fellows/tests/stories.rs
+++ b/crates/fellows/tests/stories.rs
@@ -233,6 +233,29 @@
     }
 }
 
+/// Two processes of one place that start behind, one after the other, are told the same life by fronts that do not hear each
+/// other: the second is not taken for the first, whose datagrams came already.
+#[test]
+fn two_processes_that_are_told_the_same_life_are_told_apart() {
+    let mut town = Town::of(3);
+    town.pass(ms(3000));
+    // Front 2 hears nobody, and front 1 hears the first of the two for a while.
+    town.cut_off(&[2]);
+    town.fronts[0] = front(0, 3, 500, 2);
+    town.pass(ms(60_000));
+    assert!(town.fronts[1].fellows()[0].incarnation > 1000);
+    // The second hears front 2 alone.
+    town.cut.clear();
+    town.cut_off(&[1]);
+    town.fronts[0] = front(0, 3, 400, 2);
+    town.pass(ms(4000));
+    assert!(town.fronts[2].fellows()[0].incarnation > 1000);
+    town.cut.clear();
+    town.pass(ms(6000));
+    let replayed = town.fronts[1].refused[Refused::Replayed as usize];
+    assert!(replayed == 0 && (0..3).all(|i| town.fronts[i].present() == [0, 1, 2]), "{replayed} replayed");
+}
+
 /// All start anew at once under clocks that are apart: nobody remembers anything, and they agree.
 #[test]
 fn fronts_whose_clocks_are_hours_apart_find_each_other() {
