Draw the life above a remembered one, so that two processes are not told the same

Cause: who is remembered in a later life took the next one. Two processes of a place that were told so by fronts that do not hear each other were in one life, and the second's datagrams counted as replays of the first's.

Change: one of 1,024 above it, drawn by the seed and the life that the process began with.

--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -39,6 +39,9 @@
 const SLOW: u32 = 2;
 /// Timers in time, after which a front counts as a grade less slow.
 const TIMELY: u32 = 16;
+/// A life above one that is remembered is drawn among so many: two processes that were told the same one, by fronts that do
+/// not hear each other, are told apart, and their datagrams.
+const LIVES_ABOVE: u64 = 1024;
 /// Datagrams a second taken from one fellow, and how many at once.
 const RATE: f64 = 100.0;
 const BURST: f64 = 200.0;
@@ -316,7 +319,8 @@
             keys,
             version,
             times,
-            rng: Rand64::new(u128::from(seed) << 1 | 1),
+            // The seed is the same for all processes of a place.
+            rng: Rand64::new(u128::from(life) << 64 | u128::from(seed) << 1 | 1),
             number: 0,
             marks: vec![Mark { room: BURST, ..Mark::default() }; tier],
             timers: Wheel::new(TICK),
@@ -885,7 +889,8 @@
         }
         // It remembers a later life of this place: the clock was set back. This life is to count all the same.
         if known > self.incarnation() {
-            let next = Who { index: self.me as u16, life: known + 1 };
+            let above = 1 + self.rng.rand_range(0..LIVES_ABOVE) as u32;
+            let next = Who { index: self.me as u16, life: known.saturating_add(above).min(LATEST) };
             self.born = next.life;
             let _ = self.with(now, host, |swim, acts| swim.change_identity(next, acts));
         }
