--- a/crates/front/tests/owners.rs
+++ b/crates/front/tests/owners.rs
@@ -247,6 +247,21 @@
     assert_eq!(logs(&lines, "this front could not be rolled").count(), 1);
 }
 
+/// A roll that is ordered after the wall clocks went back an hour follows the one before, at all fronts.
+#[test]
+fn a_roll_that_is_ordered_after_a_step_back_begins_and_ends() {
+    let bend = |_: usize, _: &mut Value, charter: &mut Value| {
+        charter["upgrade"] = serde_json::json!({ "program": "/bin/false", "ready_ms": 1500 });
+    };
+    let back =
+        Mishap { number: 1, share: Some(1.0), by: Some(3_600_000.0), ..mishap(Harm::ClockStepped, 8.0, 8.0) };
+    let order = |front, at_s| of(front, Harm::RollOrdered, at_s, 0.0);
+    let mishaps = vec![order(1, 5.0), back, order(0, 10.0)];
+    let (lines, _) = played_at("two-rolls", 40.0, 3, 16.0, mishaps, true, Some(&bend));
+    let ended: Vec<u64> = logs(&lines, "roll ended").filter_map(|(.., log)| log["number"].as_u64()).collect();
+    assert!(ended.len() >= 2 && ended[0] < ended[ended.len() - 1], "{ended:?}");
+}
+
 /// The owner of a roll is killed in the middle: the next one goes on from what was told.
 #[test]
 fn the_next_owner_goes_on_with_a_roll() {
