Number a roll above the newest that is known; the wall clock is a hint

Cause: a roll's number was the wall clock's (order_roll). After a step back a new roll counted as older than the last: its owner dropped the order, or rolled under a number that no other front took over.

Change: the number is one above the newest roll that the front knows, at least; the owner numbers an order again by what it knows, and passes over one that it has already.

--- a/crates/duties/src/roll.rs
+++ b/crates/duties/src/roll.rs
@@ -104,6 +104,14 @@
         Ok(Roll { number, program: program.map(str::to_owned), at_once, ..Roll::default() })
     }
 
+    /// The same roll, numbered above the newest one that is known. Its number by a wall clock, which may have been stepped
+    /// back, is a hint only.
+    #[must_use]
+    pub fn numbered_after(mut self, newest: &Roll) -> Roll {
+        self.number = self.number.max(newest.number.saturating_add(1));
+        self
+    }
+
     /// Whether it is the one of two that is to be followed.
     pub fn later(&self, other: &Roll) -> bool {
         (self.number, self.step) > (other.number, other.step)
--- a/crates/duties/tests/stories.rs
+++ b/crates/duties/tests/stories.rs
@@ -219,6 +219,14 @@
     assert!(told.later(&roll) && !told.going());
 }
 
+#[test]
+fn a_roll_is_numbered_above_the_newest_that_is_known() {
+    let newest = Roll::new(900, None, 1).expect("good words");
+    let ordered = |number| Roll::new(number, None, 1).expect("good words").numbered_after(&newest);
+    assert_eq!([ordered(5).number, ordered(900).number, ordered(7000).number], [901, 901, 7000]);
+    assert!(ordered(5).later(&newest));
+}
+
 #[test]
 fn a_roll_stops_at_the_first_front_that_is_missing_fails_or_serves_badly() {
     let begun = || {
--- a/crates/front/src/duties.rs
+++ b/crates/front/src/duties.rs
@@ -252,8 +252,11 @@
                     let owns = self.rolling.is_some() && !payload.is_empty();
                     match payload.first() {
                         Some(&BEGIN) if owns && !self.roll.going() => {
-                            let newer = Roll::read(&payload[1..]).filter(|roll| roll.later(&self.roll));
-                            newer.into_iter().for_each(|roll| self.roll = roll);
+                            // Who ordered it may not have heard of the newest one.
+                            let ordered = Roll::read(&payload[1..]);
+                            let ordered = ordered.filter(|roll| roll.number != self.roll.number);
+                            let ordered = ordered.map(|roll| roll.numbered_after(&self.roll));
+                            ordered.into_iter().for_each(|roll| self.roll = roll);
                         }
                         Some(&STATE) => {
                             let newer = Roll::read(&payload[1..]).filter(|roll| roll.later(&self.roll));
@@ -305,7 +308,7 @@
             );
         }
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-        let roll = Roll::new(unix.as_millis() as u64, program, at_once)?;
+        let roll = Roll::new(unix.as_millis() as u64, program, at_once)?.numbered_after(&self.roll);
         if self.rolling.is_some() {
             if off {
                 drop(Rolling::call_off(&mut self.roll))
