A test of the emulator, failing: a repeated write is answered before any replica has it

Both writes (txns 3822, 3854) ran at a primary that was cut from its peers, were cancelled by the front and repeated, were answered committed at once, and undone 6 ms later by the election. No clock is in it: the emulated primary answered from its marks without a replica (world.rs, 'knows').

--- a/crates/emulator/tests/stories.rs
+++ b/crates/emulator/tests/stories.rs
@@ -142,6 +142,28 @@
     assert!(world.audit.kept(), "{:?}", world.audit.broken);
 }
 
+/// A repeated write with a mark waits for a replica as the first one does: else it is answered, and lost with its primary.
+#[test]
+fn a_repeated_write_is_not_answered_before_a_replica_has_the_first() {
+    let apart = trouble(100, 3000, What::Member(Whom::Primary(0), Ill::CutFromPeers));
+    let mut world = World::new(shape(200.0, vec![apart]));
+    run(&mut world, 120, |_| None);
+    let (mut sent, mut committed) = (0, 0);
+    while let Some(out) = world.next(ms(600)) {
+        match out {
+            Out::Arrived { txn, kind, .. } if kind == WRITE => {
+                world.submit(0, txn, 0);
+                world.submit(0, txn, 0);
+                sent += 1;
+            }
+            Out::Arrived { txn, .. } => world.answer(0, txn, Told::Declined, None),
+            Out::Ended { ending: Ending::Committed, .. } => committed += 1,
+            _ => {}
+        }
+    }
+    assert!(sent >= 4 && committed == 0, "{committed} of {sent}");
+}
+
 #[test]
 fn a_hung_primary_that_wakes_ends_its_writes_in_errors_and_none_takes_effect() {
     let hung = trouble(1000, 2500, What::Member(Whom::Primary(0), Ill::Hung));
