Emulated primaries answer a repeated write only once a replica has the first

Cause: World::work answered a write whose mark it knew at once, also where the first attempt still waited for a replica; a primary that was cut off so acknowledged what its successor never had.

Change: it waits for the replica as the first attempt does (reply_once_replicated, also used by that).

--- a/crates/emulator/src/group.rs
+++ b/crates/emulator/src/group.rs
@@ -59,6 +59,12 @@
         self.marks.get(&mark).is_some_and(|&at| at + remembered >= arrived)
     }
 
+    /// Where the write of a mark lies in the log, while it is kept.
+    pub fn place_of(&self, mark: u64) -> Option<u64> {
+        let index = self.log.iter().rposition(|write| write.mark == mark)?;
+        Some(self.first + index as u64)
+    }
+
     /// Drops the branch from a place on; gives what was in it.
     pub fn drop_from(&mut self, place: u64) -> Vec<Write> {
         let keep = place.saturating_sub(self.first) as usize;
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -1197,7 +1197,10 @@
         let effect = self.shape.kinds[kind].terms.effect;
         let marked = matches!(effect, Effect::Referenced { .. });
         if marked && self.groups[group].knows(mark, sent, self.shape.log.marks) {
-            return self.reply(sub, Ending::Committed);
+            return match self.groups[group].place_of(mark).filter(|_| self.shape.log.synchronous) {
+                Some(place) => self.reply_once_replicated(sub, member, place),
+                None => self.reply(sub, Ending::Committed),
+            };
         }
         let place = self.groups[group].commit(now, if marked { mark } else { 0 }, txn);
         self.tries[txn as usize].ran += 1;
@@ -1223,14 +1226,37 @@
                 self.wake(other);
             }
         }
-        let alone = self.groups[group].members.iter().filter(|&&m| !self.members[m].gone).count() < 2;
-        if self.shape.log.synchronous && !alone {
-            self.await_replica(sub, group, place);
+        if self.shape.log.synchronous {
+            self.reply_once_replicated(sub, member, place);
         } else {
             self.reply(sub, Ending::Committed);
         }
     }
 
+    /// A primary answers a write once a replica has it; one that has no replicas, at once.
+    fn reply_once_replicated(&mut self, sub: u32, member: usize, place: u64) {
+        let (now, group) = (self.now, self.members[member].group);
+        let others: Vec<usize> = self.groups[group]
+            .members
+            .iter()
+            .copied()
+            .filter(|&m| m != member && !self.members[m].gone)
+            .collect();
+        // What is not pending there any more has been applied.
+        let has = |m: &usize| {
+            self.members[*m]
+                .pending
+                .iter()
+                .find(|write| write.place == place)
+                .is_none_or(|write| write.here <= now)
+        };
+        if others.is_empty() || others.iter().any(has) {
+            self.reply(sub, Ending::Committed);
+        } else {
+            self.await_replica(sub, group, place);
+        }
+    }
+
     /// A replica has a write: its primary answers, if it still is one.
     fn acked(&mut self, sub: u32) {
         let member = self.subs[sub as usize].member;
