Auditors under stepped clocks: plant lives above all that were lived; group changes alone

Change: a life is planted above all lives of that front; only mishaps of primaries count as changes of groups.

--- a/crates/lab/src/fleet/audit.rs
+++ b/crates/lab/src/fleet/audit.rs
@@ -709,8 +709,10 @@
     if let Some(at) = at {
         let index =
             (front(&lines[at]) + 1) % lines[at].more["status"]["fronts"].as_array().map_or(1, Vec::len);
-        let life = lines[at].more["status"]["fronts"][index]["incarnation"].as_u64().unwrap_or_default();
-        lines[at].more["status"]["fronts"][index]["incarnation"] = (life.max(1 << 20) + 5 * FORGED).into();
+        // Above all lives that it was in: it may have started under a clock that was ahead.
+        let own = |line: &Line| line.more["status"]["incarnation"].as_u64().filter(|_| front(line) == index);
+        let latest = Town::of(lines).each("status").filter_map(own).max().unwrap_or_default();
+        lines[at].more["status"]["fronts"][index]["incarnation"] = (latest.max(1 << 20) + 5 * FORGED).into();
         let latest = Town::of(lines).each("status").filter(|line| front(line) == index).count();
         return latest > 0;
     }
--- a/crates/lab/src/fleet/primaries.rs
+++ b/crates/lab/src/fleet/primaries.rs
@@ -3,7 +3,7 @@
 
 use super::audit::{Town, front, micros, txn};
 use super::history::Line;
-use super::{Figures as Fleet, figures};
+use super::{Figures as Fleet, Harm, figures};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::time::Duration;
@@ -77,7 +77,12 @@
         let elected = elections.iter().find(its).map(|e| e.1);
         (group, mishap["what"].as_str().unwrap_or_default().to_owned(), *from, elected)
     };
-    let turns: Vec<_> = town.mishaps.iter().map(turn).collect();
+    // Only those that meet a group: others have another number.
+    let of_group = |mishap: &serde_json::Value| {
+        serde_json::from_value(mishap["what"].clone()).is_ok_and(|what| Harm::PRIMARY.contains(&what))
+    };
+    let turns = town.mishaps.iter().filter(|(mishap, ..)| of_group(mishap));
+    let turns: Vec<_> = turns.map(turn).collect();
     let turns: Vec<Turn> = turns
         .iter()
         .map(|(group, kind, lost, elected)| Turn { group: *group, kind, lost: *lost, elected: *elected })
