--- a/crates/front/tests/clocks.rs
+++ b/crates/front/tests/clocks.rs
@@ -42,6 +42,26 @@
     }
 }
 
+/// What waits for a server while the process finds out that its clock is behind goes on waiting, and is served.
+#[test]
+fn what_waits_while_a_clock_is_corrected_is_served() {
+    for (name, off_ms) in [("h", -3_600_000), ("i", -10_000), ("j", -1000)] {
+        let town = Town::new();
+        let front = with_clock_off(&town, name, off_ms);
+        let served = std::thread::scope(|scope| {
+            let asked: Vec<_> = (0..24)
+                .map(|i| {
+                    let (mut client, kind) = (front.client(), if i % 2 == 0 { "order" } else { "lookup" });
+                    scope.spawn(move || client.ask(&txn(kind, 3000, &format!("t{i}"))))
+                })
+                .collect();
+            asked.into_iter().map(|asked| asked.join().expect("an answer")).collect::<Vec<_>>()
+        });
+        let refused: Vec<_> = served.iter().filter(|reply| reply.value.is_none()).collect();
+        assert!(refused.is_empty(), "{} of 24, clock off by {off_ms} ms: {refused:?}", refused.len());
+    }
+}
+
 #[test]
 fn with_a_wall_clock_that_is_behind_no_replica_is_read_beyond_its_bound() {
     for (name, off_ms) in [("f", -1000), ("g", -10_000)] {
