Keep requests that never had an attempt over a correction of the clock

Cause: a correction starts the router anew (desk.rs, start_anew), which answered all in hand 40003, also what had only waited for a server.

Change: what has no answer and never had an attempt is handed to the new router (take_waiting, take_up); its time, its guard and its ticket stay. What had an attempt gets 40003 as before, and so does everything after a panic.

All of clocks.rs passes.

--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -30,6 +30,8 @@
     answered: bool,
     /// The attempt that is out: its server, and whether it may still be written.
     out: Option<(usize, AttemptPermit)>,
+    /// Whether any attempt was ever made.
+    submitted: bool,
     /// Reminders of it that have not been due.
     alarms: Vec<Alarm>,
 }
@@ -125,6 +127,26 @@
     }
 }
 
+impl Hands {
+    /// Takes a txn out of what is in hand; nothing comes due or is written for it any more.
+    fn take(&mut self, txn: usize) -> Option<Held> {
+        let held = self.txns[txn].take()?;
+        // The router may have been lost in a panic: nothing is written for what has its answer.
+        held.out.iter().for_each(|(_, permit)| permit.hold_until(Duration::ZERO));
+        held.alarms.iter().for_each(|alarm| self.clock.cancel(alarm));
+        self.tickets.remove(&held.arrival.ticket);
+        self.free.push(txn);
+        Some(held)
+    }
+
+    /// Takes out all that have neither an answer nor ever had an attempt: they certainly have not run.
+    fn take_waiting(&mut self) -> Vec<Box<Arrival>> {
+        let waits = |held: &Option<Held>| held.as_ref().is_some_and(|held| !held.answered && !held.submitted);
+        let waiting: Vec<usize> = (0..self.txns.len()).filter(|&txn| waits(&self.txns[txn])).collect();
+        waiting.into_iter().filter_map(|txn| self.take(txn)).map(|held| held.arrival).collect()
+    }
+}
+
 impl Host for Hands {
     fn send(&mut self, txn: usize, member: usize, until: Duration) {
         let at = self.clock.now();
@@ -134,6 +156,7 @@
         let permit = held.arrival.guard.permit(until);
         self.unwritten.push(txn);
         held.out = Some((member, permit.clone()));
+        held.submitted = true;
         let Arrival { ticket, expiry, .. } = *held.arrival;
         let (statement, left) = (held.arrival.statement.clone(), held.arrival.left.clone());
         let submit = Submit { ticket, statement, left, give_up: expiry, permit, at };
@@ -158,13 +181,7 @@
     }
 
     fn release(&mut self, txn: usize) {
-        if let Some(held) = self.txns[txn].take() {
-            // The router may have been lost in a panic: nothing is written for what has its answer.
-            held.out.iter().for_each(|(_, permit)| permit.hold_until(Duration::ZERO));
-            held.alarms.iter().for_each(|alarm| self.clock.cancel(alarm));
-            self.tickets.remove(&held.arrival.ticket);
-            self.free.push(txn);
-        }
+        self.take(txn);
     }
 
     fn forget(&mut self, member: usize) {
@@ -408,15 +425,18 @@
         }
     }
 
-    /// What the router knew was dated by an origin that was behind: it would be taken for younger than it is.
-    fn clock_advanced(&mut self, by: Duration) {
+    /// What the router knew was dated by an origin that was behind: it would be taken for younger than it is. What waits
+    /// without any attempt made is taken up by the new router, in its own time; the rest may have run.
+    fn clock_advanced(&mut self, now: Duration, by: Duration) {
         self.hands.counters.clock_advanced.add();
         self.hands.origin.start += by.as_micros() as i64;
         slog::warn!(self.log, "the wall clock was behind the servers'"; "by_ms" => by.as_millis() as u64);
+        let waiting = self.hands.take_waiting();
         if let Err(why) = self.start_anew() {
             slog::crit!(self.log, "the desk can't go on"; "why" => why);
             std::process::exit(1);
         }
+        waiting.into_iter().for_each(|arrival| self.take_up(now, arrival));
     }
 
     /// After a panic nothing the router knew can be trusted: all in hand is rolled back, and a new router
@@ -540,7 +560,7 @@
                 self.plan(now, group, order, successor.as_deref(), off);
             }
             ToDesk::List(list) => self.list(now, &list),
-            ToDesk::ClockAdvanced(by) => self.clock_advanced(by),
+            ToDesk::ClockAdvanced(by) => self.clock_advanced(now, by),
             ToDesk::ProbesDue => self.hands.probes_due = None,
             ToDesk::ListLost => {
                 self.hands.counters.lists_failed.add();
@@ -586,6 +606,11 @@
 
     fn arrived(&mut self, now: Duration, a: Box<Arrival>) {
         self.hands.counters.held_up_most_us.at_least(now.saturating_sub(a.at).as_micros() as u64);
+        self.take_up(now, a);
+    }
+
+    /// Hands a request to the router, if it may still be started.
+    fn take_up(&mut self, now: Duration, a: Box<Arrival>) {
         match a.guard.may_start(now) {
             Ok(()) => {}
             Err(Withheld::OutOfTime) => return a.client.post((a.ticket, Answer::Declined(None))),
@@ -605,7 +630,8 @@
         let (retried, session, wrote_ago) = (a.retried, a.session, a.wrote_ago);
         let bytes = a.statement.len() + size_of::<Arrival>();
         self.hands.tickets.insert(a.ticket, txn);
-        self.hands.txns[txn] = Some(Held { arrival: a, answered: false, out: None, alarms: Vec::new() });
+        self.hands.txns[txn] =
+            Some(Held { arrival: a, answered: false, out: None, submitted: false, alarms: Vec::new() });
         let hands = &mut self.hands;
         self.router.txn_arrived(now, txn, kind, group, left, retried, None, session, wrote_ago, bytes, hands);
         self.hands.probes.used(now, group, self.router.waiting_in(group) > 0);
