--- a/crates/front/tests/clocks.rs
+++ b/crates/front/tests/clocks.rs
@@ -14,11 +14,15 @@
 
 /// A front whose wall clock is off by so much, for as long as it runs.
 fn with_clock_off(town: &Town, name: &str, off_ms: i64) -> Front {
+    with_clock_off_and(town, name, off_ms, None)
+}
+
+fn with_clock_off_and(town: &Town, name: &str, off_ms: i64, charter: Option<&str>) -> Front {
     let file = std::env::temp_dir().join(format!("jd-clock-{name}-{}", std::process::id()));
     Controls { wall_clock_ms: off_ms, ..Controls::default() }.write(&file).expect("a file");
     let environment = preload(&file).expect("the library");
     let config = Front::config(&town.known, 1024);
-    let front = Front::with_environment(PROGRAM, address(), town.agent.at, &config, None, &environment);
+    let front = Front::with_environment(PROGRAM, address(), town.agent.at, &config, charter, &environment);
     drop(front.client());
     let _ = std::fs::remove_file(file);
     front
@@ -62,6 +66,29 @@
     }
 }
 
+/// What a process knew is as old as it is for the next one, whatever was done to the wall clock in between.
+#[test]
+fn a_snapshot_is_as_old_as_it_is_whatever_the_wall_clock_says() {
+    let town = Town::new();
+    let file = std::env::temp_dir().join(format!("jd-clocks-snapshot-{}", std::process::id()));
+    let charter = format!("{{ snapshot: {{ path: {:?}, every_s: 1 }} }}", file.display().to_string());
+    let ended = |front: Front| {
+        front.signal("-TERM");
+        front.end().1
+    };
+    let first = with_clock_off_and(&town, "k", 0, Some(&charter));
+    assert!(first.client().ask(&txn("order", 3000, "w")).value.is_some());
+    until(|| file.exists());
+    ended(first);
+    for (name, off_ms) in [("l", -3_600_000), ("m", 3_600_000)] {
+        let kept = std::fs::read(&file).expect("a snapshot");
+        let text = ended(with_clock_off_and(&town, name, off_ms, Some(&charter)));
+        assert!(text.contains("a snapshot is taken up"), "clock off by {off_ms} ms: {text}");
+        std::fs::write(&file, kept).expect("a file");
+    }
+    let _ = std::fs::remove_file(&file);
+}
+
 #[test]
 fn with_a_wall_clock_that_is_behind_no_replica_is_read_beyond_its_bound() {
     for (name, off_ms) in [("f", -1000), ("g", -10_000)] {
