--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::{Alarm, Clock, PULSE};
 use crate::counters::Counters;
+use crate::keep::machine_time;
 use crate::mail::{Answer, Arrival, End, Job, Submit, ToDesk, ToDiscovery, ToFellows, ToMember};
 use crate::request_log::{RequestEvent, RequestLog};
 use crate::worker_watch::WorkerWatch;
@@ -140,10 +141,10 @@
     }
 
     /// Takes out all that have neither an answer nor ever had an attempt: they certainly have not run.
-    fn take_waiting(&mut self) -> Vec<Box<Arrival>> {
+    fn take_waiting(&mut self) -> Vec<Held> {
         let waits = |held: &Option<Held>| held.as_ref().is_some_and(|held| !held.answered && !held.submitted);
         let waiting: Vec<usize> = (0..self.txns.len()).filter(|&txn| waits(&self.txns[txn])).collect();
-        waiting.into_iter().filter_map(|txn| self.take(txn)).map(|held| held.arrival).collect()
+        waiting.into_iter().filter_map(|txn| self.take(txn)).collect()
     }
 }
 
@@ -436,7 +437,7 @@
             slog::crit!(self.log, "the desk can't go on"; "why" => why);
             std::process::exit(1);
         }
-        waiting.into_iter().for_each(|arrival| self.take_up(now, arrival));
+        waiting.into_iter().for_each(|held| self.take_up(now, held.arrival));
     }
 
     /// After a panic nothing the router knew can be trusted: all in hand is rolled back, and a new router
@@ -736,15 +737,17 @@
             let (typical, usual) = router.keep_type(kind);
             OfType { name: name.clone(), typical, usual }
         });
-        Memory { taken: unix(now), members, groups, types: kinds.collect() }
+        let (taken, machine_time) = (unix(now), machine_time());
+        Memory { taken, members, groups, types: kinds.collect(), machine_time }
     }
 
     /// Takes up what the process before this one knew of members, groups and types that are here too.
     fn recall(&mut self, now: Duration, bytes: &[u8]) -> Result<Duration, String> {
-        let memory = juniperdock_snapshot::decode(bytes)?;
+        let mut memory = juniperdock_snapshot::decode(bytes)?;
         let start = self.hands.origin.start;
         let unix = start + now.as_micros() as i64;
-        let age = memory.age(unix)?;
+        let age = memory.age(unix, machine_time().as_ref())?;
+        memory.date_anew(unix, age);
         let worth = Worth::of(age);
         // What was before this process's start is at its start: all that comes now is later.
         let since = |unix: i64| span(unix - start);
--- a/crates/front/src/keep.rs
+++ b/crates/front/src/keep.rs
@@ -4,6 +4,7 @@
 use crate::mail::ToDesk;
 use crate::whole;
 use juniperdock_charter::Snapshot;
+use juniperdock_snapshot::MachineTime;
 use may::sync::mpsc::Sender;
 use std::fs;
 use std::path::Path;
@@ -13,6 +14,15 @@
 /// How long the desk may take over what it knows.
 const PATIENCE: Duration = Duration::from_secs(2);
 
+/// Which run of the machine this is (random(4)).
+const BOOT_ID: &str = "/proc/sys/kernel/random/boot_id";
+
+/// The machine's own time, where it tells which run it is in.
+pub fn machine_time() -> Option<MachineTime> {
+    let boot = fs::read_to_string(BOOT_ID).ok()?.trim().to_owned();
+    Some(MachineTime { boot, up_us: juniperdock_link::since_boot().as_micros() as i64 })
+}
+
 /// Replaces the file; a draft of a front that was killed is in nobody's way.
 fn write(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
     let mut draft = path.as_os_str().to_owned();
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,7 +5,7 @@
 mod timer;
 
 pub use connect::{ConnectError, Connecting};
-pub use timer::{Timer, TimerSetter, monotonic};
+pub use timer::{Timer, TimerSetter, monotonic, since_boot};
 
 use may::coroutine::Builder;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
--- a/crates/link/src/timer.rs
+++ b/crates/link/src/timer.rs
@@ -20,6 +20,12 @@
     Duration::new(now.tv_sec as u64, now.tv_nsec as u32)
 }
 
+/// How long the machine has been up, time suspended with it (CLOCK_BOOTTIME).
+pub fn since_boot() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    Duration::new(now.tv_sec as u64, now.tv_nsec as u32)
+}
+
 /// Between two tries to open one.
 const PAUSE: Duration = Duration::from_millis(5);
 /// A timer that is set to nothing would never fire.
--- a/crates/snapshot/src/lib.rs
+++ b/crates/snapshot/src/lib.rs
@@ -4,12 +4,15 @@
 //! foreign, of another version, too old or from the future is refused with one line, and the program starts
 //! from nothing.
 //!
-//! Times are microseconds since 1970: a process counts from its own start. What a fact is worth later,
+//! Times are microseconds since 1970: a process counts from its own start. The wall clock may be stepped between two
+//! processes, so a snapshot also tells the machine's own time, by which the next one finds its age. What a fact is worth later,
 //! [`Worth`] says: proofs, terms, drains and budgets spent hold; roles are hints; what was learnt of speed
 //! fades.
 
+mod machine_time;
 mod worth;
 
+pub use machine_time::MachineTime;
 pub use worth::Worth;
 
 use schemars::JsonSchema;
@@ -17,8 +20,10 @@
 use std::time::Duration;
 
 const MARK: [u8; 4] = *b"JDSN";
-/// The version written here, the only one that is read.
-pub const VERSION: u16 = 1;
+/// The version written here.
+pub const VERSION: u16 = 2;
+/// Read as well: the same without the machine's time.
+const WITHOUT_MACHINE_TIME: u16 = 1;
 const HEAD: usize = 14;
 /// The most bytes of a snapshot: some hundred for each of 100,000 members.
 pub const LONGEST: usize = 64 << 20;
@@ -35,6 +40,8 @@
     pub members: Vec<OfMember>,
     pub groups: Vec<OfGroup>,
     pub types: Vec<OfType>,
+    /// When it was taken, by the machine's own time.
+    pub machine_time: Option<MachineTime>,
 }
 
 /// Of one member, by its id in the list.
@@ -112,7 +119,7 @@
         return Err("snapshot: foreign, its mark is missing".to_owned());
     }
     let version = u16::from_be_bytes([head[4], head[5]]);
-    if version != VERSION {
+    if ![VERSION, WITHOUT_MACHINE_TIME].contains(&version) {
         return Err(format!("snapshot: expected version {VERSION}, found {version}"));
     }
     let number = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
@@ -122,7 +129,9 @@
     if crc32fast::hash(body) != number(10) {
         return Err("snapshot: spoilt, its checksum is another".to_owned());
     }
-    let (memory, rest) = postcard::take_from_bytes::<Memory>(body).map_err(|e| format!("snapshot: {e}"))?;
+    let no_machine_time: &[u8] = if version == WITHOUT_MACHINE_TIME { &[0] } else { &[] };
+    let body = [body, no_machine_time].concat();
+    let (memory, rest) = postcard::take_from_bytes::<Memory>(&body).map_err(|e| format!("snapshot: {e}"))?;
     if !rest.is_empty() {
         return Err("snapshot: more behind its end".to_owned());
     }
@@ -141,9 +150,11 @@
         Err("snapshot: a number or a name in it is none".to_owned())
     }
 
-    /// How old it is; the error says why it can't be used. `now` in microseconds since 1970.
-    pub fn age(&self, now: i64) -> Result<Duration, String> {
-        let age = now.saturating_sub(self.taken);
+    /// How old it is; the error says why it can't be used. `now` in microseconds since 1970, `here` by the machine. Within
+    /// one run of the machine its own time decides, and the wall clock, which may have been stepped, does not.
+    pub fn age(&self, now: i64, here: Option<&MachineTime>) -> Result<Duration, String> {
+        let by_machine = here.zip(self.machine_time.as_ref()).and_then(|(here, taken)| here.since(taken));
+        let age = by_machine.unwrap_or_else(|| now.saturating_sub(self.taken));
         if age < -(AHEAD.as_micros() as i64) {
             return Err(format!("snapshot: from the future by {} ms, was the clock set back?", -age / 1000));
         }
@@ -153,6 +164,27 @@
         }
         Ok(age)
     }
+
+    /// Dates all by a clock that says `now` while the snapshot is of that age.
+    pub fn date_anew(&mut self, now: i64, age: Duration) {
+        let taken = now.saturating_sub(age.as_micros() as i64);
+        let ahead = taken.saturating_sub(self.taken);
+        self.taken = taken;
+        let of_members = self.members.iter_mut().flat_map(|of| {
+            [
+                &mut of.warm_at,
+                &mut of.position,
+                &mut of.shunned,
+                &mut of.served,
+                &mut of.stepped,
+                &mut of.heard,
+            ]
+        });
+        let of_groups = self.groups.iter_mut().flat_map(|of| [&mut of.began, &mut of.newest]);
+        for time in of_members.chain(of_groups).flatten() {
+            *time = time.saturating_add(ahead);
+        }
+    }
 }
 
 /// What a snapshot holds, as a JSON schema.
