--- /dev/null
+++ b/crates/front/src/desk/host.rs
@@ -0,0 +1,231 @@
+//! What the router wants done, carried out: jobs and cancels for servers' actors, answers for clients, alarms, probes, and
+//! the requests that are open.
+
+use crate::clock::{Alarm, Clock};
+use crate::counters::Counters;
+use crate::mail::{Answer, Arrival, Job, Submit, ToDesk, ToDiscovery, ToMember};
+use crate::request_log::{RequestEvent, RequestLog};
+use juniperdock_door::{Indices, Origin, span};
+use juniperdock_duties::{Care, Fact};
+use juniperdock_request_guard::AttemptPermit;
+use juniperdock_router::host::{Change, Host, Report, Role};
+use juniperdock_server_list::{ProbeQueue, ServerTable};
+use juniperdock_tenure::{Step, Why};
+use may::sync::mpsc::{Sender, channel};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Hire;
+
+pub(super) struct OpenRequest {
+    pub(super) arrival: Box<Arrival>,
+    pub(super) answered: bool,
+    /// The attempt that is out: its server, and whether it may still be written.
+    pub(super) out: Option<(usize, AttemptPermit)>,
+    /// Whether any attempt was ever made.
+    pub(super) submitted: bool,
+    /// Reminders of it that have not been due.
+    pub(super) alarms: Vec<Alarm>,
+}
+
+/// Carries out what the router wants done.
+pub(super) struct RouterHost {
+    pub(super) txns: Vec<Option<OpenRequest>>,
+    /// Those whose submission may not have been written yet.
+    pub(super) unwritten: Vec<usize>,
+    pub(super) tickets: HashMap<u64, usize>,
+    pub(super) free: Vec<usize>,
+    pub(super) ids: Indices<String>,
+    /// What lists last said of each member, and its actor, while it has connections.
+    pub(super) servers: ServerTable,
+    pub(super) members: Vec<Option<Sender<ToMember>>>,
+    /// Groups by the numbers that the list gives them.
+    pub(super) cells: Indices<u64>,
+    pub(super) hire: Hire,
+    pub(super) log: slog::Logger,
+    pub(super) request_log: RequestLog,
+    pub(super) clock: Clock,
+    /// Where positions lie, as of the mail that is being taken: the clock's own may be ahead of what lies in the mailbox.
+    pub(super) origin: Origin,
+    pub(super) desk: Sender<ToDesk>,
+    pub(super) discovery: Sender<ToDiscovery>,
+    /// Probes that the router wants, until they may start.
+    pub(super) wanted_probes: Vec<usize>,
+    pub(super) probes: ProbeQueue,
+    /// When the next probe may start, if that is waited for.
+    pub(super) probes_due: Option<Duration>,
+    pub(super) counters: Arc<Counters>,
+    /// Members are asked by a few fronts for all.
+    pub(super) care: Option<Care>,
+}
+
+impl RouterHost {
+    /// Now, since 1970.
+    pub(super) fn unix(&self, now: Duration) -> Duration {
+        span(self.origin.start) + now
+    }
+
+    /// What was told of a member, in place of a report that it makes now. A position from before this process's
+    /// start can't be said here.
+    pub(super) fn instead(&self, now: Duration, member: usize) -> Option<Report> {
+        let fact = self.care.as_ref()?.instead(now, self.unix(now), member)?;
+        let position = Some(fact.position.checked_sub(span(self.origin.start))?);
+        let role = fact.primary.map(|primary| if primary { Role::Primary } else { Role::Replica });
+        let (queue, busy) = (fact.queue.map(f64::from), fact.busy.map(|busy| f64::from(busy) / 100.0));
+        Some(Report { position, role, queue, busy })
+    }
+
+    /// What a member has said, as other fronts are told it.
+    pub(super) fn fact(&self, report: Report) -> Option<Fact> {
+        Some(Fact {
+            position: span(self.origin.start) + report.position?,
+            primary: report.role.map(|role| role == Role::Primary),
+            queue: report.queue.map(|queue| queue.clamp(0.0, f64::from(u16::MAX)) as u16),
+            busy: report.busy.map(|busy| (busy * 100.0).clamp(0.0, 255.0) as u8),
+        })
+    }
+
+    pub(super) fn answer(&mut self, txn: usize, answer: Answer) {
+        let Some(held) = self.txns[txn].as_mut().filter(|held| !held.answered) else { return };
+        held.answered = true;
+        held.arrival.client.post((held.arrival.ticket, answer));
+    }
+
+    /// A member's actor ends with its last connection; a job starts another.
+    pub(super) fn tell(&mut self, member: usize, mail: ToMember) {
+        let unsent = match &self.members[member] {
+            Some(actor) => actor.send(mail).err().map(|unsent| unsent.0),
+            None => Some(mail),
+        };
+        if unsent.is_some() {
+            // With its mailbox goes the last of it.
+            self.members[member] = None;
+        }
+        let Some(first @ (ToMember::Job(_) | ToMember::Took(_))) = unsent else { return };
+        let (mail, read) = channel();
+        self.members[member] = Some(mail.clone());
+        let nowhere = SocketAddr::from(([0; 4], 0));
+        let address = self.servers.get(member).map_or(nowhere, |server| server.address);
+        if let Err(why) = (self.hire)(member, address, read, mail.clone()) {
+            slog::error!(self.log, "a member has no actor"; "why" => why);
+        }
+        let _ = mail.send(first);
+    }
+
+    /// Takes a txn out of what is in hand; nothing comes due or is written for it any more.
+    pub(super) fn take(&mut self, txn: usize) -> Option<OpenRequest> {
+        let held = self.txns[txn].take()?;
+        // The router may have been lost in a panic: nothing is written for what has its answer.
+        held.out.iter().for_each(|(_, permit)| permit.hold_until(Duration::ZERO));
+        held.alarms.iter().for_each(|alarm| self.clock.cancel(alarm));
+        self.tickets.remove(&held.arrival.ticket);
+        self.free.push(txn);
+        Some(held)
+    }
+
+    /// Takes out all that have neither an answer nor ever had an attempt: they certainly have not run.
+    pub(super) fn take_waiting(&mut self) -> Vec<OpenRequest> {
+        let waits =
+            |held: &Option<OpenRequest>| held.as_ref().is_some_and(|held| !held.answered && !held.submitted);
+        let waiting: Vec<usize> = (0..self.txns.len()).filter(|&txn| waits(&self.txns[txn])).collect();
+        waiting.into_iter().filter_map(|txn| self.take(txn)).collect()
+    }
+}
+
+impl Host for RouterHost {
+    fn send(&mut self, txn: usize, member: usize, until: Duration) {
+        let at = self.clock.now();
+        let Some(held) = self.txns[txn].as_mut() else { return };
+        let event = RequestEvent::Assigned { server: member, valid_until: until };
+        self.request_log.request(held.arrival.ticket, event);
+        let permit = held.arrival.guard.permit(until);
+        self.unwritten.push(txn);
+        held.out = Some((member, permit.clone()));
+        held.submitted = true;
+        let Arrival { ticket, expiry, .. } = *held.arrival;
+        let (statement, left) = (held.arrival.statement.clone(), held.arrival.left.clone());
+        let submit = Submit { ticket, statement, left, give_up: expiry, permit, at };
+        self.counters.submitted.add();
+        self.tell(member, ToMember::Job(Job::Submit(submit)));
+    }
+
+    fn cancel(&mut self, txn: usize, _submission: u32) {
+        // One submission of a txn is out at a time: the one last sent.
+        if let Some(OpenRequest { arrival, out: Some((member, _)), .. }) = &self.txns[txn] {
+            let (member, ticket) = (*member, arrival.ticket);
+            self.tell(member, ToMember::Cancel(ticket));
+        }
+    }
+
+    fn decline(&mut self, txn: usize, come_back: Option<Duration>) {
+        self.answer(txn, Answer::Declined(come_back));
+    }
+
+    fn unknown(&mut self, txn: usize) {
+        self.answer(txn, Answer::Unknown("given up; it may have run"));
+    }
+
+    fn release(&mut self, txn: usize) {
+        self.take(txn);
+    }
+
+    fn forget(&mut self, member: usize) {
+        self.counters.members_forgotten.add();
+        self.care.iter_mut().for_each(|care| care.left(member));
+        self.tell(member, ToMember::Leave);
+        self.members[member] = None;
+        self.servers.forget(member);
+        self.ids.forget(member);
+    }
+
+    fn probe(&mut self, member: usize) {
+        if let Some(report) = self.instead(self.clock.now(), member) {
+            self.counters.probes_spared.add();
+            let _ = self.desk.send(ToDesk::Instead { member, report });
+            return;
+        }
+        self.wanted_probes.push(member);
+    }
+
+    fn remind(&mut self, at: Duration, handle: u64) {
+        let desk = self.desk.clone();
+        self.counters.reminders.add();
+        let alarm = self.clock.at(at, move || {
+            let _ = desk.send(ToDesk::Due { handle, at });
+        });
+        // Those of a txn end with it: its index is used again.
+        let txn = Some((handle / 2) as usize).filter(|_| !handle.is_multiple_of(2));
+        if let Some(Some(held)) = txn.and_then(|txn| self.txns.get_mut(txn)) {
+            held.alarms.push(alarm);
+        }
+    }
+
+    fn listen(&mut self) {
+        let _ = self.discovery.send(ToDiscovery::Open);
+    }
+
+    fn primary_changed(&mut self, change: &Change) {
+        let counters = &self.counters;
+        let name = |member: Option<usize>| member.map_or("-", |member| self.ids.id(member).as_str());
+        let vacant_ms = change.vacant_for.map(|span| span.as_millis() as u64);
+        match change.why {
+            Why::Planned => {
+                counters.plans.add_if(change.plan.is_some_and(|plan| !plan.ended()));
+                counters
+                    .plans_undone
+                    .add_if(change.plan.is_some_and(|plan| matches!(plan.step, Step::Undone(_))));
+            }
+            _ if change.to.is_none() => counters.vacancies.add(),
+            _ => {
+                counters.primary_changes.add();
+                counters.vacant_most_ms.at_least(vacant_ms.unwrap_or(0));
+            }
+        }
+        slog::info!(self.log, "primary";
+            "group" => self.cells.id(change.group), "term" => change.term, "from" => name(change.from),
+            "to" => name(change.to), "why" => ?change.why, "vacant_ms" => vacant_ms,
+            "plan" => change.plan.map(|plan| format!("{:?} {:?}", plan.reason, plan.step)));
+    }
+}
