A test of the rig's agent, failing: its watches never end

The rig had 4,945 threads and 5,151 descriptors: watches that look for news every 2 ms and never end (standins/src/agent.rs) and listeners of members (lab/src/sockets.rs). The test fails with WouldBlock after 30 s.

--- /dev/null
+++ b/crates/standins/tests/agent.rs
@@ -0,0 +1,25 @@
+//! The list's agent: watches end with it, so that many plays in one process do not slow each other down.
+
+use juniperdock_standins::{Agent, PATIENCE, WATCH};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+#[test]
+fn watches_end_with_their_agent() {
+    let agent = Agent::start(WATCH);
+    let mut watch = TcpStream::connect(agent.at).expect("a connection");
+    watch.set_read_timeout(Some(PATIENCE)).expect("a limit");
+    watch.write_all(b"GET /watch HTTP/1.1\r\n\r\n").expect("sent");
+    agent.tell("one".to_owned());
+    agent.asked.recv_timeout(PATIENCE).expect("a watch");
+    let at = agent.at;
+    drop(agent);
+    let mut told = Vec::new();
+    watch.read_to_end(&mut told).expect("the watch ends");
+    assert!(told.starts_with(WATCH.as_bytes()));
+    let refused = (0..100).any(|_| {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        TcpStream::connect(at).is_err()
+    });
+    assert!(refused, "nobody listens any more");
+}
