End the rig's watches with their agent and its listeners with their play

A watch was a thread that looked for news every 2 ms, also after its front had gone; the listeners of members stood in accept for ever.

Change: watches wait for news and end with their agent; Town::end ends clients and listeners, in one place for the three runners. Nothing that run starts is touched.

--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -265,11 +265,7 @@
     }
     let done = rig.run(&scenario);
     over.store(true, Ordering::Relaxed);
-    {
-        let mut state = town.lock();
-        state.over = true;
-        town.asked.notify_all();
-    }
+    town.end();
     rig.relay.end();
     let logs: Vec<PathBuf> = rig.processes.iter().map(|process| process.dir.join("log")).collect();
     drop(rig);
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -116,6 +116,8 @@
     pub slack: Duration,
     /// Decides who leaves early.
     pub leaving: Mutex<Leaving>,
+    /// Where connections to members are taken in.
+    listening: Mutex<Vec<SocketAddr>>,
 }
 
 /// A share of the clients leaves a moment after it has asked.
@@ -139,7 +141,17 @@
         let (state, asked) = (Mutex::new(state), Condvar::new());
         let leaving = Mutex::new(Leaving { share: 0.0, chance: Stream::of(1, "leaving", 0) });
         let (begun, monotonic_origin, origin) = (Instant::now(), monotonic(), unix_ms());
-        Arc::new(Town { state, asked, begun, origin, monotonic_origin, slack, leaving })
+        let listening = Mutex::default();
+        Arc::new(Town { state, asked, begun, origin, monotonic_origin, slack, leaving, listening })
+    }
+
+    /// All is over: clients and members end.
+    pub fn end(&self) {
+        self.lock().over = true;
+        self.asked.notify_all();
+        // Whoever waits for connections looks whether all is over.
+        let listening = std::mem::take(&mut *self.listening.lock().unwrap_or_else(PoisonError::into_inner));
+        listening.iter().for_each(|at| drop(TcpStream::connect(at)));
     }
 
     /// Members' addresses for one front, so many of them, on one address of the machine.
@@ -148,9 +160,13 @@
         let open = |number| {
             let listener = TcpListener::bind(SocketAddr::new(ip, 0)).map_err(|e| format!("a member: {e}"))?;
             let at = listener.local_addr().map_err(|e| e.to_string())?;
+            self.listening.lock().unwrap_or_else(PoisonError::into_inner).push(at);
             let town = self.clone();
             std::thread::spawn(move || {
                 for stream in listener.incoming().flatten() {
+                    if town.lock().over {
+                        break;
+                    }
                     let town = town.clone();
                     std::thread::spawn(move || member(&town, stream, front, number));
                 }
@@ -496,9 +512,8 @@
     if let Some(keep) = keep {
         keep(&addresses);
     }
-    let mut state = town.lock();
-    state.over = true;
-    town.asked.notify_all();
+    town.end();
+    let state = town.lock();
     let audit = &state.world.audit;
     let mut outcome = measure.outcome(scenario, seed, "the program", false, audit.counts, &audit.broken);
     (outcome.events, outcome.wall_s) = (state.world.events, town.now().as_secs_f64());
--- a/crates/lab/src/upgrade.rs
+++ b/crates/lab/src/upgrade.rs
@@ -252,10 +252,7 @@
         }
         // What is under way ends.
         std::thread::sleep(SLACK);
-        let mut state = town.lock();
-        state.over = true;
-        drop(state);
-        town.asked.notify_all();
+        town.end();
         ran = driver.join().unwrap_or_default();
     });
     // Who serves now ends as any front does.
--- a/crates/standins/src/agent.rs
+++ b/crates/standins/src/agent.rs
@@ -2,12 +2,11 @@
 
 use crate::address;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 
-/// The list's agent: answers each watch with the whole list, then passes on what the story says.
+/// The list's agent: answers each watch with the whole list, then passes on what the story says. Its watches end with it.
 pub struct Agent {
     pub at: SocketAddr,
     lists: Lists,
@@ -25,25 +24,26 @@
         let shared = lists.clone();
         std::thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
+                if shared.are_over() {
+                    break;
+                }
                 let mut line = String::new();
                 let _ = BufReader::new(&stream).read_line(&mut line);
                 let _ = tell.send(line);
                 let lists = shared.clone();
                 std::thread::spawn(move || {
+                    if stream.write_all(head.as_bytes()).is_err() {
+                        return;
+                    }
                     let mut told = 0;
-                    let mut ok = stream.write_all(head.as_bytes()).is_ok();
-                    while ok {
-                        let line = lists.0.lock().ok().and_then(|l| l.get(told).cloned());
-                        told += usize::from(line.is_some());
-                        match line {
-                            // In two chunks, so that a line is split.
-                            Some(line) => {
-                                let (one, two) = line.split_at(line.len() / 2);
-                                let chunks =
-                                    format!("{:x}\r\n{one}\r\n{:x}\r\n{two}\n\r\n", one.len(), two.len() + 1);
-                                ok = stream.write_all(chunks.as_bytes()).is_ok();
-                            }
-                            None => std::thread::sleep(Duration::from_millis(2)),
+                    while let Some(line) = lists.wait_for(told) {
+                        told += 1;
+                        // In two chunks, so that a line is split.
+                        let (one, two) = line.split_at(line.len() / 2);
+                        let chunks =
+                            format!("{:x}\r\n{one}\r\n{:x}\r\n{two}\n\r\n", one.len(), two.len() + 1);
+                        if stream.write_all(chunks.as_bytes()).is_err() {
+                            return;
                         }
                     }
                 });
@@ -61,13 +61,48 @@
     }
 }
 
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.lists.end();
+        // Whoever waits for connections looks whether all is over.
+        drop(TcpStream::connect(self.at));
+    }
+}
+
+#[derive(Default)]
+struct Told {
+    lines: Vec<String>,
+    is_over: bool,
+}
+
 /// What an agent passes on; clones are the same one.
 #[derive(Clone, Default)]
-pub struct Lists(Arc<Mutex<Vec<String>>>);
+pub struct Lists(Arc<(Mutex<Told>, Condvar)>);
 
 impl Lists {
+    fn lock(&self) -> MutexGuard<'_, Told> {
+        self.0.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub fn tell(&self, list: String) {
-        self.0.lock().expect("no panic there").push(list);
+        self.lock().lines.push(list);
+        self.0.1.notify_all();
+    }
+
+    fn end(&self) {
+        self.lock().is_over = true;
+        self.0.1.notify_all();
+    }
+
+    fn are_over(&self) -> bool {
+        self.lock().is_over
+    }
+
+    /// The line of a number, as soon as there is one; none once all is over.
+    fn wait_for(&self, number: usize) -> Option<String> {
+        let waits = |told: &mut Told| !told.is_over && told.lines.len() <= number;
+        let told = self.0.1.wait_while(self.lock(), waits).unwrap_or_else(PoisonError::into_inner);
+        told.lines.get(number).filter(|_| !told.is_over).cloned()
     }
 }
 
