--- a/crates/front/tests/endings.rs
+++ b/crates/front/tests/endings.rs
@@ -161,11 +161,13 @@
     let shut = Instant::now();
     until(|| shut.elapsed() > Duration::from_millis(1500));
     // Its time is over only after the process has to be gone.
+    let said = shut.elapsed();
     client.say(&of_session("b", "order", 4900, "behind"));
     assert_eq!(client.reply().last, b'Z', "the one in hand");
-    let behind = client.reply();
-    assert!(behind.code.is_some(), "{behind:?}");
-    assert!(front.end().0);
+    let (behind, told) = (client.reply(), shut.elapsed());
+    let (well, text) = front.end();
+    assert!(behind.code.is_some(), "said after {said:?}, told after {told:?}: {behind:?}\n{text}");
+    assert!(well);
 }
 
 #[test]
