--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod sites;
+mod marks;
 mod stuck;
 
 fn main() {
@@ -23,6 +24,7 @@
     let record = common::Record::create(&format!("{folder}/record.txt"));
     record.line(&format!("case {case}, trouble {}", common::trouble()));
     let verdict = match case {
+        "marks" => marks::run(&record),
         "stuck" => stuck::run(&record),
         _ => common::COULD_NOT_RUN,
     };
