Review case 3: a store's second copy of an answer is served to the next request

Cause: where no idle connection to a store has rested for 3 ms, the pool takes one that has not. A second copy of the last answer that comes a little behind it is then taken for the answer to the next statement.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod sites;
+mod foreign;
 mod marks;
 mod stuck;
 
@@ -24,6 +25,7 @@
     let record = common::Record::create(&format!("{folder}/record.txt"));
     record.line(&format!("case {case}, trouble {}", common::trouble()));
     let verdict = match case {
+        "foreign" => foreign::run(&record),
         "marks" => marks::run(&record),
         "stuck" => stuck::run(&record),
         _ => common::COULD_NOT_RUN,
