Review cases: exact positions in case 2, the site with longer ways in case 3

Cause: a run of case 2 without its disruption failed by one read: the stand-in rounded a position up by 0.24 ms. Case 3 hung on how quick the machine is, as the ways of its site differ by 0.35 ms at most. Case 1 counted inherited descriptors.

--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -183,8 +183,10 @@
 
     fn answer(&self, text: &str) -> Vec<u8> {
         if text == "SHOW server_load" {
-            let (x0, x1) = (self.position() as f64 / 1e6, u8::from(self.primary.load(Ordering::SeqCst)));
-            return [row(&format!("x0={x0:.3},x1={x1},q=0,busy=0.1")), ready()].concat();
+            // Exact: a position that was rounded up would claim commits that are not there yet.
+            let (at, x1) = (self.position(), u8::from(self.primary.load(Ordering::SeqCst)));
+            let (secs, micros) = (at / 1_000_000, at % 1_000_000);
+            return [row(&format!("x0={secs}.{micros:06},x1={x1},q=0,busy=0.1")), ready()].concat();
         }
         if text == "SELECT 1" {
             return [row("1"), ready()].concat();
@@ -614,6 +616,20 @@
     std::env::var("TROUBLE").as_deref() != Ok("0")
 }
 
+/// Descriptors that this process got from the one that started it, beside the three usual ones: its children get them, too.
+static INHERITED: AtomicU64 = AtomicU64::new(0);
+
+/// To be called before anything is opened.
+pub fn note_inherited() {
+    // One is that of the folder which is read here.
+    let open = std::fs::read_dir("/proc/self/fd").map_or(0, |all| all.count());
+    INHERITED.store(open.saturating_sub(4) as u64, Ordering::SeqCst);
+}
+
+pub fn inherited() -> usize {
+    INHERITED.load(Ordering::SeqCst) as usize
+}
+
 /// Process groups that were started and not ended.
 static GROUPS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
--- a/review/standins/foreign.rs
+++ b/review/standins/foreign.rs
@@ -7,14 +7,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Four clusters of three stores, and one client for each, which asks again as soon as it is answered.
-const CLUSTERS: u64 = 4;
+/// Four groups of five stores, and one client for each, which asks again as soon as it is answered.
+const GROUPS: u64 = 4;
+const MEMBERS: u64 = 5;
 const SECONDS: u64 = 40;
 /// One answer in ten is followed by its second copy.
 const COPIES: f64 = 0.1;
 /// By how much the way may delay the second of two segments more than the first, in microseconds: the site's
-/// `cross_ms` of at most 1.3 ms and its `jitter` of at most 0.27.
-const JITTER_US: f64 = 1300.0 * 0.27;
+/// `cross_ms` of at most 2.6 ms and its `jitter` of at most 0.32.
+const JITTER_US: f64 = 2600.0 * 0.32;
 
 pub fn run(record: &Arc<Record>) -> u8 {
     let folder = Folder::create();
@@ -25,8 +26,8 @@
             group,
             primary,
             lag_ms: 10,
-            work_ms: (62.0, 110.0),
-            tells_position: false,
+            work_ms: (52.0, 89.0),
+            tells_position: true,
             started_ms: 0,
         };
         let (random, copies, notes, name) =
@@ -53,9 +54,9 @@
         start_store_with(setup, &log, record, Box::new(deliver))
     };
     let stores: Vec<Arc<Store>> =
-        (0..3 * CLUSTERS).map(|n| store(&format!("s-{n}"), n / 3, n % 3 == 0)).collect();
+        (0..MEMBERS * GROUPS).map(|n| store(&format!("s-{n}"), n / MEMBERS, n % MEMBERS == 0)).collect();
     let agent = Agent::start(1, &stores.iter().map(Arc::as_ref).collect::<Vec<_>>(), record);
-    let config = folder.write("config.json", &sites::brno().config(&agent.at.to_string(), &agent.whole()));
+    let config = folder.write("config.json", &sites::addis().config(&agent.at.to_string(), &agent.whole()));
     let environment = [("GW_DISCOVERY", agent.at.to_string()), ("GW_CONFIG", config), ("GW_NAME", "n0".to_owned())];
     let front = Front::start(free_address(), &environment, folder.path("front.log"));
     if !front.await_ready(Duration::from_secs(30)) {
@@ -66,7 +67,7 @@
     let until = Instant::now() + Duration::from_secs(SECONDS);
     let (served, failed, foreign) = (AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0));
     std::thread::scope(|scope| {
-        for n in 0..CLUSTERS {
+        for n in 0..GROUPS {
             let (served, failed, foreign, at) = (&served, &failed, &foreign, front.at);
             scope.spawn(move || {
                 let mut client = None;
@@ -79,7 +80,7 @@
                         continue;
                     };
                     let (id, handle) = (format!("{n:04x}{i:08x}"), format!("h{n}-{i}"));
-                    let text = read_of("catalogue-read", &id, 1500, n, &handle);
+                    let text = read_of("price-look", &id, 1000, n, &handle);
                     record.line(&format!("client {n} sends id={id} reads {handle}"));
                     let answer = if Client::send(open, &text) { open.answer() } else { Answer { ended: true, ..Answer::default() } };
                     record.line(&format!("client {n} gets id={id}: {}", answer.text()));
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -22,6 +22,7 @@
         common::end_everything();
         std::process::exit(i32::from(common::COULD_NOT_RUN));
     }));
+    common::note_inherited();
     let record = common::Record::create(&format!("{folder}/record.txt"));
     record.line(&format!("case {case}, trouble {}", common::trouble()));
     let verdict = match case {
--- a/review/standins/sites.rs
+++ b/review/standins/sites.rs
@@ -47,6 +47,24 @@
     }
 }
 
+/// addis-ledger.toml, for one front.
+pub fn addis() -> Site {
+    let services = [
+        service("price-look", "pure", "all", 400.0, 1000.0, 0.0, 3.0, 5000.0),
+        service("sale-post", "side_effect", "all", 500.0, 2000.0, 0.3, 4.0, 5000.0),
+    ]
+    .join(",");
+    Site {
+        settings: format!(
+            r#"{{"Balancers":1,"Me":0,"Zone":0,"Zones":["a"],"Discovery":"on_request","Services":[{services}],
+"Bounds":{{"Cancel":true,"ConnIdle":30000.0,"ConnectTimeout":250.0,"MaxRetryAfter":0.0,"MayProbe":true,"Peers":false,"RetryAfter":false,"SecondCopies":true,"TryLimit":8}},
+"Guarantees":{{"ColdFrom":0.19,"GoneIsAdvice":true,"GraceToAnswer":20.0,"OverloadFor":3000.0,"StopSendingWithin":500.0,"TipMultiple":2.5,"WarmUp":18000.0}},
+"LoadInfo":{{"Fields":["x0","x1"],"Via":"on_probe"}},
+"Specifics":{{"ListRole":"initial","MaxAge":[1500.0,0.0],"Patience":50.0,"ReadLevel":["recent","update"],"ServerChecks":"hold","SessionMarks":"client","Sync":false,"TellsPosition":true}}}}"#
+        ),
+    }
+}
+
 impl Site {
     /// The configuration file.
     pub fn config(&self, discovery: &str, known: &str) -> String {
--- a/review/standins/stuck.rs
+++ b/review/standins/stuck.rs
@@ -118,7 +118,7 @@
         let Some(new) = pid else { return };
         let descriptors = || std::fs::read_dir(format!("/proc/{new}/fd")).map_or(0, |all| all.count());
         let told = Instant::now();
-        while told.elapsed() < Duration::from_secs(5) && descriptors() < AFTER_DESCRIPTORS {}
+        while told.elapsed() < Duration::from_secs(5) && descriptors() < AFTER_DESCRIPTORS + inherited() {}
         stop(new);
         record.say(&format!("the new process {new} hangs (SIGSTOP) with {} descriptors", descriptors()));
         std::thread::sleep(ms(200));
