Review stand-ins leave no folder behind when a run could not be made

Cause: of 26 runs of case 2 without its disruption, four to six at once, one ended with 2, as another had taken its port; its temporary folder stayed.

--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -577,12 +577,16 @@
     found
 }
 
+fn folder_path() -> PathBuf {
+    std::env::temp_dir().join(format!("juniperdock-review-{}", std::process::id()))
+}
+
 /// A private folder for a run, removed at its end.
 pub struct Folder(pub PathBuf);
 
 impl Folder {
     pub fn create() -> Folder {
-        let path = std::env::temp_dir().join(format!("juniperdock-review-{}", std::process::id()));
+        let path = folder_path();
         std::fs::create_dir_all(&path).expect("a temporary folder");
         Folder(path)
     }
@@ -637,6 +641,7 @@
 pub fn end_everything() {
     let groups = std::mem::take(&mut *GROUPS.lock().expect("no panic with the lock"));
     groups.iter().for_each(|group| signal("KILL", &format!("-{group}")));
+    let _ = std::fs::remove_dir_all(folder_path());
 }
 
 unsafe extern "C" {
