Log how long a server connection was idle before a statement, and why it closed

Change: the request log's line of a written statement has idle_for; RequestLog::server_closed, never called until now, says why a connection to a server ended, with a typed reason. Behaviour is unchanged.

--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -5,7 +5,7 @@
 use crate::connect::{ConnectFailure, ConnectRequest, connect};
 use crate::counters::Counters;
 use crate::messages::{AttemptEnd, DispatcherMessage, Job, MemberMessage};
-use crate::request_log::{RequestEvent, RequestLog};
+use crate::request_log::{RequestEvent, RequestLog, ServerCloseReason};
 use juniperdock_connection::{BufferLimits, Failure, Link, Reached, Waker, spawn};
 use juniperdock_deployment::{self as deployment, Origin};
 use juniperdock_pg as pg;
@@ -253,18 +253,7 @@
         let stack = context.stack_bytes;
         let wanted = if let InitialWork::Job(job) = &work { Some(job.clone()) } else { None };
         let started = spawn("connection", stack, move || {
-            let (deferred, timer_set_for) = (RefCell::default(), Cell::default());
-            ServerConnection {
-                id,
-                member,
-                address,
-                pool,
-                context,
-                messages: receiver,
-                deferred,
-                timer_set_for,
-            }
-            .run(work);
+            ServerConnection::new(id, member, address, pool, context, receiver).run(work);
         });
         if let Err(why) = started {
             slog::error!(self.context.log, "the coroutine of a connection can't be started"; "why" => why);
@@ -341,17 +330,33 @@
     deferred: RefCell<VecDeque<ConnectionMessage>>,
     /// The time of the timer that was set last.
     timer_set_for: Cell<Duration>,
+    /// Since when the connection has carried no job, or had carried none when it got its present one; `None` before
+    /// its first idle time.
+    idle_since: Cell<Option<Duration>>,
 }
 
 impl ServerConnection {
+    fn new(
+        id: u64,
+        member: usize,
+        address: SocketAddr,
+        pool: Sender<MemberMessage>,
+        context: PoolContext,
+        messages: Receiver<ConnectionMessage>,
+    ) -> ServerConnection {
+        let (deferred, timer_set_for, idle_since) = (RefCell::default(), Cell::default(), Cell::default());
+        ServerConnection { id, member, address, pool, context, messages, deferred, timer_set_for, idle_since }
+    }
+
     fn run(self, work: InitialWork) {
         let (mut current, adopted) = match work {
             InitialWork::Job(job) => (Some(job), None),
             InitialWork::Adopted(stream) => (None, Some(stream)),
         };
         let result = catch_unwind(AssertUnwindSafe(|| self.serve_jobs(&mut current, adopted)));
-        if result.is_err() {
-            self.context.counters.panics.add();
+        match result {
+            Ok(why) => self.context.request_log.server_closed(self.member, self.id, why),
+            Err(_) => self.context.counters.panics.add(),
         }
         if let Some(job) = current.take() {
             self.report_outcome(&job, AttemptOutcome::Dropped, Reply::default());
@@ -376,34 +381,33 @@
     }
 
     /// Opens or adopts the connection, then carries jobs until it ends.
-    fn serve_jobs(&self, current: &mut Option<Job>, adopted: Option<TcpStream>) {
+    fn serve_jobs(&self, current: &mut Option<Job>, adopted: Option<TcpStream>) -> ServerCloseReason {
         let started_at = self.context.clock.now();
         let first = match (current.as_ref(), adopted) {
-            (Some(job), _) => match self.open_session(job, started_at) {
-                Ok(link) => Some(link),
-                Err(outcome) => {
-                    if let Some(job) = current.take() {
-                        self.report_outcome(&job, outcome, Reply::default());
-                    }
-                    return;
+            (Some(job), _) => self.open_session(job, started_at).map_err(|outcome| {
+                if let Some(job) = current.take() {
+                    self.report_outcome(&job, outcome, Reply::default());
                 }
-            },
-            (None, Some(stream)) => {
-                let link = Link::new(stream, self.context.buffers());
-                link.ok().and_then(|link| {
+                ServerCloseReason::NotOpened
+            }),
+            (None, Some(stream)) => Link::new(stream, self.context.buffers())
+                .map_err(|_| ServerCloseReason::NotOpened)
+                .and_then(|link| {
                     let _ = self.pool.send(MemberMessage::WakerReady(self.id, link.waker()));
                     self.wait_for_job(link, current)
-                })
-            }
-            (None, None) => None,
+                }),
+            (None, None) => Err(ServerCloseReason::NotOpened),
+        };
+        let mut link = match first {
+            Ok(link) => link,
+            Err(why) => return why,
         };
-        let Some(mut link) = first else { return };
         let took = (self.context.clock.now() - started_at).as_micros() as u64;
         if current.is_some() {
             self.context.counters.connect_most_us.record_max(took);
         }
         loop {
-            let Some(job) = current.as_ref() else { return };
+            let Some(job) = current.as_ref() else { return ServerCloseReason::ClosedByPool };
             let result = self.run_job(&mut link, job);
             let peer_is_suspect =
                 matches!((job, result.outcome), (Job::Probe { .. }, AttemptOutcome::TimedOut));
@@ -417,42 +421,47 @@
                 // A machine that stopped responding resets its old connections when it is back.
                 let _ = self.pool.send(MemberMessage::CloseIdle);
             }
-            let Some(back) = reusable.and_then(|link| self.wait_for_job(link, current)) else { return };
-            link = back;
+            let idle = reusable.ok_or(ServerCloseReason::Unusable);
+            link = match idle.and_then(|link| self.wait_for_job(link, current)) {
+                Ok(link) => link,
+                Err(why) => return why,
+            };
         }
     }
 
-    /// Waits for the next job; `None` if the connection is over or belongs to another process.
-    fn wait_for_job(&self, mut link: Link, current: &mut Option<Job>) -> Option<Link> {
+    /// Waits for the next job. The error says why the connection is over.
+    fn wait_for_job(&self, mut link: Link, current: &mut Option<Job>) -> Result<Link, ServerCloseReason> {
+        self.idle_since.set(Some(self.context.clock.now()));
         let _ = self.pool.send(MemberMessage::Idle(self.id));
         loop {
             match self.next_message() {
                 Ok(ConnectionMessage::Job(job)) => {
                     // Checked for an end before it is used again.
-                    if !is_still_idle(&mut link) {
+                    if let Err(why) = check_idle(&mut link) {
                         let _ = self.pool.send(MemberMessage::Job(job));
-                        return None;
+                        return Err(why);
                     }
                     *current = Some(job);
-                    return Some(link);
+                    return Ok(link);
                 }
                 Ok(ConnectionMessage::Cancel(_)) => {}
                 Ok(ConnectionMessage::Transfer(name, to)) => {
-                    if is_still_idle(&mut link)
-                        && let Ok(descriptor) = link.descriptor()
-                    {
+                    check_idle(&mut link)?;
+                    if let Ok(descriptor) = link.descriptor() {
                         let _ = to.send((name, descriptor));
                     }
-                    return None;
+                    return Err(ServerCloseReason::Transferred);
                 }
                 Ok(ConnectionMessage::Close) => {
                     let _ = link.queue(&pg::terminate()).and_then(|()| link.pump());
-                    return None;
+                    return Err(ServerCloseReason::ClosedByPool);
                 }
                 // The pool has ended.
-                Err(TryRecvError::Disconnected) => return None,
-                Err(_) if !is_still_idle(&mut link) => return None,
-                Err(_) => link.wait(),
+                Err(TryRecvError::Disconnected) => return Err(ServerCloseReason::ClosedByPool),
+                Err(TryRecvError::Empty) => {
+                    check_idle(&mut link)?;
+                    link.wait();
+                }
             }
         }
     }
@@ -595,7 +604,8 @@
                 && let Job::Submit(submit) = job
             {
                 submit.permit.record_written(clock.now());
-                let event = RequestEvent::Written { server: self.member, connection: self.id };
+                let idle_for = self.idle_since.get().map(|since| now.saturating_sub(since));
+                let event = RequestEvent::Written { server: self.member, connection: self.id, idle_for };
                 self.context.request_log.request(submit.request_id, event);
             }
             if reply.ready {
@@ -841,9 +851,16 @@
     }
 }
 
-/// Whether an idle connection has neither ended nor received anything unexpected.
-fn is_still_idle(link: &mut Link) -> bool {
-    link.pump().is_ok() && !link.ended && link.inbound.is_empty()
+/// Reads what an idle connection has received; an error if it has ended or if that was anything at all.
+fn check_idle(link: &mut Link) -> Result<(), ServerCloseReason> {
+    let pumped = link.pump();
+    if !link.inbound.is_empty() {
+        return Err(ServerCloseReason::UnexpectedBytes);
+    }
+    if pumped.is_err() || link.ended {
+        return Err(ServerCloseReason::EndedWhileIdle);
+    }
+    Ok(())
 }
 
 #[cfg(test)]
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -34,6 +34,23 @@
     Panicked,
 }
 
+/// Why a connection to a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerCloseReason {
+    /// It could not be opened, or could not be adopted from the previous process.
+    NotOpened,
+    /// Its last job failed, was cancelled or got an invalid answer.
+    Unusable,
+    /// The server closed it while it was idle, or it failed.
+    EndedWhileIdle,
+    /// The server sent bytes that no statement had asked for.
+    UnexpectedBytes,
+    /// The pool closed it.
+    ClosedByPool,
+    /// Another process has it now.
+    Transferred,
+}
+
 /// One change of a request's state.
 #[derive(Debug)]
 pub enum RequestEvent<'a> {
@@ -61,6 +78,8 @@
     Written {
         server: usize,
         connection: u64,
+        /// How long the connection had been idle before; `None` if it is new.
+        idle_for: Option<Duration>,
     },
     /// An attempt has ended.
     AttemptEnded {
@@ -118,9 +137,9 @@
     }
 
     /// A connection to a server has closed.
-    pub fn server_closed(&self, server: usize, connection: u64, why: &str) {
+    pub fn server_closed(&self, server: usize, connection: u64, why: ServerCloseReason) {
         if self.enabled {
-            slog::debug!(self.log, "server connection closed"; "why" => why, "connection" => connection, "server" => server);
+            slog::debug!(self.log, "server connection closed"; "why" => ?why, "connection" => connection, "server" => server);
         }
     }
 
--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -71,18 +71,8 @@
 #[test]
 fn cancel_check_keeps_other_messages() {
     let ((pool, _pool), (dispatcher, _dispatcher), (sender, receiver)) = (channel(), channel(), channel());
-    let (deferred, timer_set_for) = (RefCell::default(), Cell::default());
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    let connection = ServerConnection {
-        id: 1,
-        member: 3,
-        address,
-        pool,
-        context: context(dispatcher),
-        messages: receiver,
-        deferred,
-        timer_set_for,
-    };
+    let connection = ServerConnection::new(1, 3, address, pool, context(dispatcher), receiver);
     let job = submit(Duration::MAX);
     for request_id in [8, 9] {
         let _ = sender.send(ConnectionMessage::Cancel(request_id));
@@ -115,9 +105,7 @@
     let (ended, end) = std::sync::mpsc::channel();
     let context = context(dispatcher);
     spawn("line", context.stack_bytes, move || {
-        let (deferred, timer_set_for) = (RefCell::default(), Cell::default());
-        let connection =
-            ServerConnection { id: 1, member: 3, address, pool, context, messages, deferred, timer_set_for };
+        let connection = ServerConnection::new(1, 3, address, pool, context, messages);
         connection.serve_jobs(&mut Some(submit(Duration::from_secs(3600))), None);
         let _ = ended.send(());
     })
