Use no server connection again before it has been idle for 3 ms

Cause: answers carry no id. docs/front.md has 3 ms of rest for that, but it was a preference of the pool's choice alone: MemberPool::next_idle took the first idle connection all the same if none had been idle for as long.

Change: ServerConnection::await_reuse. Whichever way a connection gets a job (pool, adopted in an upgrade, returned), it waits until it has been idle for 3 ms, then reads once more, with no wait between that read and the write; if anything came it ends, and the job goes back, never written. A read that failed for want of memory counted as nothing to read; it is repeated. The wait for the dispatcher after a stall comes before that read now. A job that is returned to an actor that has ended has an outcome. connect_most_us no longer counts the idle time of adopted connections.

Why it works: what a server sends right behind an answer arrives within 3 ms (docs/front.md) and so is read while the connection carries nothing. No connection is opened for it: there are never more than jobs at once.

--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -1,7 +1,7 @@
 //! A member's actor and its connections. The actor keeps the pool; each connection carries one job at a time and
 //! reports its outcome to the dispatcher.
 
-use crate::clock::Clock;
+use crate::clock::{Clock, SHORTAGE_PAUSE};
 use crate::connect::{ConnectFailure, ConnectRequest, connect};
 use crate::counters::Counters;
 use crate::messages::{AttemptEnd, DispatcherMessage, Job, MemberMessage};
@@ -22,7 +22,8 @@
 use std::sync::mpsc::TryRecvError;
 use std::time::Duration;
 
-/// Bytes that a member sends right behind an answer arrive within this time.
+/// Bytes that a member sends right behind an answer arrive within this time. No connection carries another job before
+/// it has been idle for as long: an answer names no request, so such bytes would be taken for the next one's answer.
 const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(3);
 
 /// Messages to a connection.
@@ -196,8 +197,9 @@
         }
     }
 
-    /// Takes the last used connection that has been idle for long enough that anything a member sends right behind an
-    /// answer has come in, such as its end or extra bytes. If there is none, the one that has been idle longest.
+    /// Takes the last used connection that has been idle for [`MIN_IDLE_BEFORE_REUSE`]. If there is none, the one that
+    /// has been idle longest: it lets the rest of that time pass before it writes ([`ServerConnection::await_reuse`]).
+    /// Opening another would cost the member a handshake and one of its connections.
     fn next_idle(&mut self) -> Option<u64> {
         let now = self.context.clock.now();
         let since = |id: &u64| self.connections.get(id).and_then(|c| c.idle_since);
@@ -355,7 +357,7 @@
         };
         let result = catch_unwind(AssertUnwindSafe(|| self.serve_jobs(&mut current, adopted)));
         match result {
-            Ok(why) => self.context.request_log.server_closed(self.member, self.id, why),
+            Ok(why) => self.record_close(why),
             Err(_) => self.context.counters.panics.add(),
         }
         if let Some(job) = current.take() {
@@ -366,25 +368,34 @@
         // A job that was sent just now has not been written: it goes to another connection.
         while let Ok(message) = self.next_message().or_else(|_| self.messages.recv()) {
             match message {
-                ConnectionMessage::Job(job) => {
-                    // The actor of a removed member may have ended; nothing was written.
-                    if let Err(unsent) = self.pool.send(MemberMessage::Job(job))
-                        && let MemberMessage::Job(job) = unsent.0
-                    {
-                        self.report_outcome(&job, AttemptOutcome::Moot, Reply::default());
-                    }
-                }
+                ConnectionMessage::Job(job) => self.return_to_pool(job),
                 ConnectionMessage::Cancel(_) | ConnectionMessage::Transfer(..) => {}
                 ConnectionMessage::Close => break,
             }
         }
     }
 
+    fn record_close(&self, why: ServerCloseReason) {
+        let unexpected_bytes = why == ServerCloseReason::UnexpectedBytes;
+        self.context.counters.connections_unexpected_bytes.add_if(unexpected_bytes);
+        self.context.request_log.server_closed(self.member, self.id, why);
+    }
+
+    /// Returns a job of which nothing has been written: it goes to another connection.
+    fn return_to_pool(&self, job: Job) {
+        // The actor of a removed member may have ended.
+        if let Err(unsent) = self.pool.send(MemberMessage::Job(job))
+            && let MemberMessage::Job(job) = unsent.0
+        {
+            self.report_outcome(&job, AttemptOutcome::Moot, Reply::default());
+        }
+    }
+
     /// Opens or adopts the connection, then carries jobs until it ends.
     fn serve_jobs(&self, current: &mut Option<Job>, adopted: Option<TcpStream>) -> ServerCloseReason {
         let started_at = self.context.clock.now();
         let first = match (current.as_ref(), adopted) {
-            (Some(job), _) => self.open_session(job, started_at).map_err(|outcome| {
+            (Some(job), _) => self.open_for(job, started_at).map_err(|outcome| {
                 if let Some(job) = current.take() {
                     self.report_outcome(&job, outcome, Reply::default());
                 }
@@ -402,10 +413,6 @@
             Ok(link) => link,
             Err(why) => return why,
         };
-        let took = (self.context.clock.now() - started_at).as_micros() as u64;
-        if current.is_some() {
-            self.context.counters.connect_most_us.record_max(took);
-        }
         loop {
             let Some(job) = current.as_ref() else { return ServerCloseReason::ClosedByPool };
             let result = self.run_job(&mut link, job);
@@ -429,6 +436,15 @@
         }
     }
 
+    /// Opens the connection for a job; the error is the job's outcome.
+    fn open_for(&self, job: &Job, started_at: Duration) -> Result<Link, AttemptOutcome> {
+        let link = self.open_session(job, started_at)?;
+        let took = self.context.clock.now().saturating_sub(started_at);
+        self.context.counters.connect_most_us.record_max(took.as_micros() as u64);
+        self.catch_up_after_stall();
+        Ok(link)
+    }
+
     /// Waits for the next job. The error says why the connection is over.
     fn wait_for_job(&self, mut link: Link, current: &mut Option<Job>) -> Result<Link, ServerCloseReason> {
         self.idle_since.set(Some(self.context.clock.now()));
@@ -436,12 +452,11 @@
         loop {
             match self.next_message() {
                 Ok(ConnectionMessage::Job(job)) => {
-                    // Checked for an end before it is used again.
-                    if let Err(why) = check_idle(&mut link) {
-                        let _ = self.pool.send(MemberMessage::Job(job));
+                    let reusable = self.await_reuse(&mut link, current.insert(job));
+                    if let Err(why) = reusable {
+                        current.take().into_iter().for_each(|job| self.return_to_pool(job));
                         return Err(why);
                     }
-                    *current = Some(job);
                     return Ok(link);
                 }
                 Ok(ConnectionMessage::Cancel(_)) => {}
@@ -466,6 +481,44 @@
         }
     }
 
+    /// Waits until the idle connection may carry this job: until whatever the member sent right behind its last answer
+    /// has come in. The error says why the connection can't carry it; nothing has been written then.
+    fn await_reuse(&self, link: &mut Link, job: &Job) -> Result<(), ServerCloseReason> {
+        let clock = &self.context.clock;
+        let reusable_at = self.idle_since.get().unwrap_or(clock.now()) + MIN_IDLE_BEFORE_REUSE;
+        if clock.now() < reusable_at {
+            self.context.counters.connections_reuse_awaited.add();
+        }
+        while clock.now() < reusable_at {
+            check_idle(link)?;
+            self.wait_until(link, reusable_at);
+        }
+        loop {
+            self.catch_up_after_stall();
+            // Nothing else runs between this read and the write of the statement.
+            check_idle(link)?;
+            if !link.lacks_memory() {
+                return Ok(());
+            }
+            // The read failed, so something may be unread.
+            if clock.now() >= self.deadline(job) {
+                return Err(ServerCloseReason::LacksMemory);
+            }
+            clock.pause(SHORTAGE_PAUSE);
+        }
+    }
+
+    /// After a stall a client's end may still be unread: its actor gets a turn first, then the dispatcher.
+    fn catch_up_after_stall(&self) {
+        let clock = &self.context.clock;
+        clock.note_running();
+        for _ in 0..BARRIERS_AFTER_STALL {
+            if clock.recently_stalled() {
+                self.dispatcher_barrier();
+            }
+        }
+    }
+
     /// Waits until the dispatcher has handled everything that was sent to it before. Yielding alone is not enough:
     /// `may` takes up what other threads have woken only when nothing else runs.
     fn dispatcher_barrier(&self) {
@@ -563,14 +616,9 @@
         deferred.len() < before
     }
 
-    /// Carries one job to its end.
+    /// Carries one job to its end, over a new connection or after [`ServerConnection::await_reuse`].
     fn run_job(&self, link: &mut Link, job: &Job) -> JobResult {
         let (clock, deadline, mut reply) = (&self.context.clock, self.deadline(job), Reply::default());
-        // After a stall the client's end may still be unread: its actor gets a turn first, then the dispatcher.
-        clock.note_running();
-        (0..BARRIERS_AFTER_STALL)
-            .take_while(|_| clock.recently_stalled())
-            .for_each(|_| self.dispatcher_barrier());
         let now = clock.now();
         let text = match job {
             Job::Submit(submit) => {
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -45,6 +45,8 @@
     EndedWhileIdle,
     /// The server sent bytes that no statement had asked for.
     UnexpectedBytes,
+    /// Reads failed for want of memory for so long that the next statement's time was over.
+    LacksMemory,
     /// The pool closed it.
     ClosedByPool,
     /// Another process has it now.
--- /dev/null
+++ b/crates/front/tests/connection_reuse.rs
@@ -0,0 +1,181 @@
+//! When a connection to a member carries its next statement. Answers name no request, so what a member sends right
+//! behind an answer must be read before the connection is used again (`docs/front.md`, Pools and budgets).
+
+use cluster::{PROGRAM, wait_until};
+use juniperdock_fault_controls::{Controls, preload};
+use juniperdock_test_support::wire::{parameter, read_message, ready};
+use juniperdock_test_support::{Agent, Front, WATCH, address, list, message, row, txn, unix_ms};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+mod cluster;
+
+/// What a member sends right behind an answer arrives within this time, as `docs/front.md` says.
+const MIN_IDLE: Duration = Duration::from_millis(3);
+/// How long the member waits for a statement that comes too soon before it sends its second copy all the same.
+const COPY_AFTER: Duration = Duration::from_millis(2);
+
+/// What a [`CopyingMember`] has seen.
+#[derive(Default)]
+struct Seen {
+    connections: AtomicUsize,
+    open: AtomicUsize,
+    most_open: AtomicUsize,
+    /// Statements that came before the connection had been idle for [`MIN_IDLE`].
+    early: AtomicUsize,
+    /// Second copies that were sent within [`MIN_IDLE`] of the answer.
+    copies: AtomicUsize,
+}
+
+/// A primary that answers each txn with its statement as the row. If it copies, it sends each answer a second time:
+/// as soon as the next statement comes on that connection, or after [`COPY_AFTER`] if none does.
+struct CopyingMember {
+    at: SocketAddr,
+    seen: Arc<Seen>,
+}
+
+impl CopyingMember {
+    fn start(copies: bool) -> CopyingMember {
+        let listener = TcpListener::bind(address()).expect("a free address");
+        let at = listener.local_addr().expect("an address");
+        let seen = Arc::<Seen>::default();
+        let shared = seen.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let seen = shared.clone();
+                std::thread::spawn(move || {
+                    seen.connections.fetch_add(1, Ordering::SeqCst);
+                    let open = seen.open.fetch_add(1, Ordering::SeqCst) + 1;
+                    seen.most_open.fetch_max(open, Ordering::SeqCst);
+                    let _ = serve(stream, copies, &seen);
+                    seen.open.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        CopyingMember { at, seen }
+    }
+
+    fn count(&self, of: impl Fn(&Seen) -> &AtomicUsize) -> usize {
+        of(&self.seen).load(Ordering::SeqCst)
+    }
+
+    fn server_list(&self) -> String {
+        list(1, true, &[("m-0", self.at, "up")])
+    }
+}
+
+/// Serves one connection until it ends.
+fn serve(mut stream: TcpStream, copies: bool, seen: &Seen) -> Option<()> {
+    use std::io::Write;
+    stream.set_nodelay(true).ok()?;
+    read_message(&mut stream, false)?;
+    stream.write_all(&[message(b'R', &[0; 4]), ready()].concat()).ok()?;
+    let mut answered_at: Option<Instant> = None;
+    while let Some((b'Q', body)) = read_message(&mut stream, true) {
+        let early = answered_at.is_some_and(|at| at.elapsed() < MIN_IDLE);
+        seen.early.fetch_add(usize::from(early), Ordering::SeqCst);
+        let text = String::from_utf8_lossy(&body).trim_end_matches('\0').to_owned();
+        let is_probe = text == "SHOW server_load";
+        let value =
+            if is_probe { format!("x0={:.3},x1=1,q=0,busy=0.1", unix_ms() as f64 / 1000.0) } else { text };
+        let answer = [row(value.as_bytes()), parameter("node_role", "leader"), ready()].concat();
+        // Taken before the answer can be read, so that what counts as too soon certainly is.
+        let before = Instant::now();
+        answered_at = Some(before);
+        stream.write_all(&answer).ok()?;
+        if copies && !is_probe {
+            wait_for_statement(&stream, COPY_AFTER)?;
+            if before.elapsed() < MIN_IDLE {
+                seen.copies.fetch_add(1, Ordering::SeqCst);
+                stream.write_all(&answer).ok()?;
+            }
+        }
+    }
+    Some(())
+}
+
+/// Waits until a statement has come, or for this long; `None` if the connection has ended. Looks again and again, as a
+/// time limit of the socket is only as exact as the kernel's tick.
+fn wait_for_statement(stream: &TcpStream, most: Duration) -> Option<()> {
+    let began = Instant::now();
+    stream.set_nonblocking(true).ok()?;
+    let mut peeked = stream.peek(&mut [0]);
+    while peeked.is_err() && began.elapsed() < most {
+        std::thread::yield_now();
+        peeked = stream.peek(&mut [0]);
+    }
+    stream.set_nonblocking(false).ok()?;
+    (!matches!(peeked, Ok(0))).then_some(())
+}
+
+/// Sends orders one right after the other and returns how many were answered with another's row, and how many got no
+/// row.
+fn run_orders(front: &Front, count: usize) -> (usize, usize) {
+    let (mut foreign, mut without_row) = (0, 0);
+    let mut client = front.client();
+    for i in 0..count {
+        match client.query(&txn("order", 4000, &format!("n{i}"))).value {
+            Some(value) => {
+                foreign += usize::from(!String::from_utf8_lossy(&value).contains(&format!("id=n{i},")))
+            }
+            None => without_row += 1,
+        }
+    }
+    (foreign, without_row)
+}
+
+/// Guards against serving a member's second copy of an answer to the request that uses the connection next.
+#[test]
+fn second_copy_of_an_answer_is_never_served_to_the_next_request() {
+    let member = CopyingMember::start(true);
+    let agent = Agent::start(WATCH);
+    let front = Front::start(PROGRAM, agent.at, &member.server_list(), 1024);
+    wait_until(|| front.client().query(&txn("order", 4000, "first")).value.is_some());
+    let (foreign, without_row) = run_orders(&front, 100);
+    assert_eq!((foreign, without_row), (0, 0), "of 100 orders: another's row, no row");
+    assert_eq!(member.count(|seen| &seen.early), 0, "statements that came too soon");
+    assert!(member.count(|seen| &seen.copies) > 0, "no copy was sent in time");
+}
+
+/// Guards against opening connections where one will have been idle for long enough in a moment: there are never more
+/// than requests at once.
+#[test]
+fn requests_in_a_row_use_no_more_connections_than_there_are_clients() {
+    const CLIENTS: usize = 8;
+    let member = CopyingMember::start(false);
+    let agent = Agent::start(WATCH);
+    let front = Front::start(PROGRAM, agent.at, &member.server_list(), 1024);
+    wait_until(|| front.client().query(&txn("order", 4000, "first")).value.is_some());
+    std::thread::scope(|scope| {
+        for _ in 0..CLIENTS {
+            scope.spawn(|| assert_eq!(run_orders(&front, 50), (0, 0), "of 50 orders: another's row, no row"));
+        }
+    });
+    assert_eq!(member.count(|seen| &seen.early), 0, "statements that came too soon");
+    // One more for a probe beside them.
+    let most_open = member.count(|seen| &seen.most_open);
+    assert!(most_open <= CLIENTS + 1, "{most_open} connections at once");
+}
+
+/// Guards against taking an idle connection for a clean one when the read that should have shown the second copy failed
+/// for want of memory.
+#[test]
+fn second_copy_is_not_missed_while_reads_fail_for_want_of_memory() {
+    let member = CopyingMember::start(true);
+    let agent = Agent::start(WATCH);
+    let path = std::env::temp_dir().join(format!("jd-reuse-{}", std::process::id()));
+    Controls::default().write(&path).expect("a file");
+    let environment = preload(&path).expect("the library");
+    let config = Front::config(&member.server_list(), 1024);
+    let front = Front::start_with_environment(PROGRAM, address(), agent.at, &config, None, &environment);
+    wait_until(|| front.client().query(&txn("order", 4000, "first")).value.is_some());
+    // Every other call on a socket fails.
+    Controls { seed: 54, fails: 65_536 / 2, ..Controls::default() }.write(&path).expect("a file");
+    let (foreign, _) = run_orders(&front, 150);
+    Controls::default().write(&path).expect("a file");
+    let _ = std::fs::remove_file(&path);
+    assert_eq!(foreign, 0, "of 150 orders: another's row");
+    assert!(member.count(|seen| &seen.copies) > 0, "no copy was sent in time");
+}
--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -150,3 +150,48 @@
     listener.set_nonblocking(true).expect("a socket");
     assert!(listener.accept().is_err(), "no connection is opened");
 }
+
+/// Adopts a connection that the previous process had used, with a job in the queue already. The member sends what looks
+/// like a second copy of its last answer as soon as a statement comes, or after 2 ms. Returns whether the job came back
+/// to the pool unwritten and whether a statement came too soon; `None` if the copy was sent too late to count.
+fn adopt_with_a_copy_on_its_way() -> Option<(bool, bool)> {
+    use std::io::{Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
+    let address = listener.local_addr().expect("an address");
+    let adopted = TcpStream::connect(address).expect("a connection");
+    adopted.set_nonblocking(true).expect("a socket");
+    let (mut member, _) = listener.accept().expect("a connection");
+    let ((pool, at_pool), (dispatcher, _reported)) = (channel(), channel());
+    let (sender, messages) = channel();
+    let _ = sender.send(ConnectionMessage::Job(submit(Duration::from_secs(3600))));
+    let context = context(dispatcher);
+    let (ended, end) = std::sync::mpsc::channel();
+    let adopted_at = std::time::Instant::now();
+    spawn("line", context.stack_bytes, move || {
+        let connection = ServerConnection::new(1, 3, address, pool, context, messages);
+        let why = connection.serve_jobs(&mut None, Some(adopted));
+        let _ = ended.send(why);
+    })
+    .expect("a coroutine");
+    member.set_nonblocking(true).expect("a socket");
+    let mut has_statement = false;
+    while !has_statement && adopted_at.elapsed() < Duration::from_millis(2) {
+        has_statement = member.read(&mut [0]).is_ok();
+    }
+    let is_early = has_statement && adopted_at.elapsed() < MIN_IDLE_BEFORE_REUSE;
+    let mut copy = Vec::new();
+    pg::ready(&mut copy);
+    let _ = member.write_all(&copy);
+    let in_time = adopted_at.elapsed() < MIN_IDLE_BEFORE_REUSE;
+    // Unless it has returned the job, the connection waits for an answer.
+    let why = end.recv_timeout(Duration::from_millis(if is_early { 0 } else { 20_000 }));
+    let returned = at_pool.try_iter().any(|message| matches!(message, MemberMessage::Job(_)));
+    in_time.then_some((returned && why == Ok(ServerCloseReason::UnexpectedBytes), is_early))
+}
+
+/// Guards against using a connection of the previous process at once, which may just have carried an answer.
+#[test]
+fn adopted_connection_is_not_used_before_it_has_been_idle() {
+    let seen = (0..50).find_map(|_| adopt_with_a_copy_on_its_way());
+    assert_eq!(seen, Some((true, false)), "the job went back to the pool, no statement came too soon");
+}
