Take no row for an answer that came before its statement was written whole

Cause: ServerConnection::run_job reads while a statement that the kernel takes in parts is not written whole. What it read was kept; only a ReadyForQuery before the last byte counted as spoilt. A row that came early, whose ReadyForQuery came after the last byte, was served as the answer.

Change: a row description while bytes are unsent ends the attempt as spoilt.

Test: a server with small buffers sends a row when the statement begins and takes in the rest 50 ms later.

--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -656,8 +656,9 @@
                 let event = RequestEvent::Written { server: self.member, connection: self.id, idle_for };
                 self.context.request_log.request(submit.request_id, event);
             }
-            if reply.ready {
-                // Ready without an answer proves nothing.
+            if reply.ready || (unsent && reply.described) {
+                // Ready without an answer proves nothing, and a row that came before its statement was written whole
+                // belongs to another.
                 let Some(outcome) = reply.outcome().filter(|_| !unsent) else {
                     return JobResult {
                         outcome: AttemptOutcome::Spoilt,
--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -4,7 +4,8 @@
 use juniperdock_request_guard::{ClientPresence, RequestGuard};
 
 fn context(dispatcher: Sender<DispatcherMessage>) -> PoolContext {
-    let (clock, _run_timers) = Clock::start(Duration::ZERO).expect("a clock");
+    let (clock, run_timers) = Clock::start(Duration::ZERO).expect("a clock");
+    spawn("timers", 64 << 10, run_timers).expect("a coroutine");
     let second = Duration::from_secs(1);
     PoolContext {
         clock,
@@ -195,3 +196,53 @@
     let seen = (0..50).find_map(|_| adopt_with_a_copy_on_its_way());
     assert_eq!(seen, Some((true, false)), "the job went back to the pool, no statement came too soon");
 }
+
+/// Guards against taking a row for a statement's answer that came while the statement was not written whole.
+#[test]
+fn row_that_comes_before_the_statement_is_written_is_not_its_answer() {
+    use std::io::{Read, Write};
+    const SMALL_BUFFER: usize = 4096;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
+    socket2::SockRef::from(&listener).set_recv_buffer_size(SMALL_BUFFER).expect("a socket");
+    let adopted = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+    socket2::SockRef::from(&adopted).set_send_buffer_size(SMALL_BUFFER).expect("a socket");
+    adopted.set_nonblocking(true).expect("a socket");
+    let (mut member, _) = listener.accept().expect("a connection");
+    let ((pool, _at_pool), (dispatcher, reported)) = (channel(), channel());
+    let (sender, messages) = channel();
+    let mut job = submit(Duration::from_secs(3600));
+    if let Job::Submit(submit) = &mut job {
+        submit.statement = "x".repeat(200 << 10).into();
+    }
+    let _ = sender.send(ConnectionMessage::Job(job));
+    let context = context(dispatcher);
+    spawn("line", context.stack_bytes, move || {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        ServerConnection::new(1, 3, address, pool, context, messages).serve_jobs(&mut None, Some(adopted));
+    })
+    .expect("a coroutine");
+    // The first byte shows that the statement is being written; most of it finds no room.
+    member.set_read_timeout(Some(Duration::from_secs(20))).expect("a time");
+    member.read_exact(&mut [0]).expect("the statement begins");
+    let answer = juniperdock_test_support::row(b"another's");
+    member.write_all(&answer).expect("the row");
+    // Time for the row to be read; the rest of the statement is taken in only now.
+    std::thread::sleep(Duration::from_millis(50));
+    let reader = std::thread::spawn(move || {
+        let mut ready = Vec::new();
+        pg::ready(&mut ready);
+        let _ = member.read_exact(&mut vec![0; 200 << 10]);
+        let _ = member.write_all(&ready);
+        let _ = member.read_to_end(&mut Vec::new());
+    });
+    drop(sender);
+    reader.join().expect("the connection ends");
+    let ends: Vec<AttemptOutcome> = reported
+        .try_iter()
+        .filter_map(|message| match message {
+            DispatcherMessage::AttemptEnded(end) => Some(end.outcome),
+            _ => None,
+        })
+        .collect();
+    assert!(matches!(ends[..], [AttemptOutcome::Spoilt]), "one end without an answer");
+}
