Split a member's connection and its answers from the pool

Reply::add takes the messages of an answer; statement_text and record_written come out of run_job. No other change; the function report is parse_report now.

--- /dev/null
+++ b/crates/front/src/member/connection.rs
@@ -0,0 +1,542 @@
+//! One connection to a member. It carries one job at a time and reports each outcome to the dispatcher.
+
+use super::PoolContext;
+use super::reply::{Reply, check_position, load_report, report_outcome};
+use crate::clock::SHORTAGE_PAUSE;
+use crate::connect::{ConnectFailure, ConnectRequest, connect};
+use crate::messages::{DispatcherMessage, Job, MemberMessage};
+use crate::request_log::{RequestEvent, ServerCloseReason};
+use juniperdock_connection::{Failure, Link, Reached};
+use juniperdock_pg as pg;
+use juniperdock_router::host::AttemptOutcome;
+use may::sync::mpsc::{Receiver, Sender, channel};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::OwnedFd;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::TryRecvError;
+use std::time::Duration;
+
+/// Bytes that a member sends right behind an answer arrive within this time. No connection carries another job before
+/// it has been idle for as long: an answer names no request, so such bytes would be taken for the next one's answer.
+pub const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(3);
+
+/// How many times a connection waits for the dispatcher to handle its queue before it writes anything right after a
+/// stall. Once is not enough for clients whose actors are woken by a timer: those run only after the first wait.
+const BARRIERS_AFTER_STALL: u32 = 2;
+
+/// Messages to a connection.
+pub enum ConnectionMessage {
+    Job(Job),
+    Cancel(u64),
+    /// Sends its descriptor to another process, with the member's id.
+    Transfer(String, std::sync::mpsc::Sender<(String, OwnedFd)>),
+    Close,
+}
+
+/// What a connection starts with.
+pub enum InitialWork {
+    Job(Job),
+    Adopted(TcpStream),
+}
+
+/// The outcome of a job, and whether its connection can carry another one.
+struct JobResult {
+    outcome: AttemptOutcome,
+    reply: Reply,
+    usable: bool,
+}
+
+/// One connection to a member.
+pub struct ServerConnection {
+    id: u64,
+    member: usize,
+    address: SocketAddr,
+    pool: Sender<MemberMessage>,
+    context: PoolContext,
+    messages: Receiver<ConnectionMessage>,
+    /// Messages that came while a job was in hand and do not concern it.
+    deferred: RefCell<VecDeque<ConnectionMessage>>,
+    /// The time of the timer that was set last.
+    timer_set_for: Cell<Duration>,
+    /// Since when the connection has carried no job, or had carried none when it got its present one; `None` before
+    /// its first idle time.
+    idle_since: Cell<Option<Duration>>,
+}
+
+impl ServerConnection {
+    /// A connection that is opened or adopted by [`ServerConnection::run`].
+    pub fn new(
+        id: u64,
+        member: usize,
+        address: SocketAddr,
+        pool: Sender<MemberMessage>,
+        context: PoolContext,
+        messages: Receiver<ConnectionMessage>,
+    ) -> ServerConnection {
+        let (deferred, timer_set_for, idle_since) = (RefCell::default(), Cell::default(), Cell::default());
+        ServerConnection { id, member, address, pool, context, messages, deferred, timer_set_for, idle_since }
+    }
+
+    /// Carries jobs until the connection ends; its coroutine's body.
+    pub fn run(self, work: InitialWork) {
+        let (mut current, adopted) = match work {
+            InitialWork::Job(job) => (Some(job), None),
+            InitialWork::Adopted(stream) => (None, Some(stream)),
+        };
+        let result = catch_unwind(AssertUnwindSafe(|| self.serve_jobs(&mut current, adopted)));
+        match result {
+            Ok(why) => self.record_close(why),
+            Err(_) => self.context.counters.panics.add(),
+        }
+        if let Some(job) = current.take() {
+            self.report_outcome(&job, AttemptOutcome::Dropped, Reply::default());
+        }
+        self.context.open_connections.fetch_sub(1, Ordering::Relaxed);
+        let _ = self.pool.send(MemberMessage::Ended(self.id));
+        // A job that was sent just now has not been written: it goes to another connection.
+        while let Ok(message) = self.next_message().or_else(|_| self.messages.recv()) {
+            match message {
+                ConnectionMessage::Job(job) => self.return_to_pool(job),
+                ConnectionMessage::Cancel(_) | ConnectionMessage::Transfer(..) => {}
+                ConnectionMessage::Close => break,
+            }
+        }
+    }
+
+    fn record_close(&self, why: ServerCloseReason) {
+        let unexpected_bytes = why == ServerCloseReason::UnexpectedBytes;
+        self.context.counters.connections_unexpected_bytes.add_if(unexpected_bytes);
+        self.context.request_log.server_closed(self.member, self.id, why);
+    }
+
+    /// Returns a job of which nothing has been written: it goes to another connection.
+    fn return_to_pool(&self, job: Job) {
+        // The actor of a removed member may have ended.
+        if let Err(unsent) = self.pool.send(MemberMessage::Job(job))
+            && let MemberMessage::Job(job) = unsent.0
+        {
+            self.report_outcome(&job, AttemptOutcome::Moot, Reply::default());
+        }
+    }
+
+    /// Opens or adopts the connection, then carries jobs until it ends.
+    pub(super) fn serve_jobs(
+        &self,
+        current: &mut Option<Job>,
+        adopted: Option<TcpStream>,
+    ) -> ServerCloseReason {
+        let started_at = self.context.clock.now();
+        let first = match (current.as_ref(), adopted) {
+            (Some(job), _) => self.open_for(job, started_at).map_err(|outcome| {
+                if let Some(job) = current.take() {
+                    self.report_outcome(&job, outcome, Reply::default());
+                }
+                ServerCloseReason::NotOpened
+            }),
+            (None, Some(stream)) => Link::new(stream, self.context.buffers())
+                .map_err(|_| ServerCloseReason::NotOpened)
+                .and_then(|link| {
+                    let _ = self.pool.send(MemberMessage::WakerReady(self.id, link.waker()));
+                    self.wait_for_job(link, current)
+                }),
+            (None, None) => Err(ServerCloseReason::NotOpened),
+        };
+        let mut link = match first {
+            Ok(link) => link,
+            Err(why) => return why,
+        };
+        loop {
+            let Some(job) = current.as_ref() else { return ServerCloseReason::ClosedByPool };
+            let result = self.run_job(&mut link, job);
+            let peer_is_suspect =
+                matches!((job, result.outcome), (Job::Probe { .. }, AttemptOutcome::TimedOut));
+            // Drops an unusable connection before the outcome is reported: it must have ended before the dispatcher
+            // can send the txn again.
+            let reusable = result.usable.then_some(link);
+            if let Some(job) = current.take() {
+                self.report_outcome(&job, result.outcome, result.reply);
+            }
+            if peer_is_suspect {
+                // A machine that stopped responding resets its old connections when it is back.
+                let _ = self.pool.send(MemberMessage::CloseIdle);
+            }
+            let idle = reusable.ok_or(ServerCloseReason::Unusable);
+            link = match idle.and_then(|link| self.wait_for_job(link, current)) {
+                Ok(link) => link,
+                Err(why) => return why,
+            };
+        }
+    }
+
+    /// Opens the connection for a job; the error is the job's outcome.
+    fn open_for(&self, job: &Job, started_at: Duration) -> Result<Link, AttemptOutcome> {
+        let link = self.open_session(job, started_at)?;
+        let took = self.context.clock.now().saturating_sub(started_at);
+        self.context.counters.connect_most_us.record_max(took.as_micros() as u64);
+        self.catch_up_after_stall();
+        Ok(link)
+    }
+
+    /// Waits for the next job. The error says why the connection is over.
+    fn wait_for_job(&self, mut link: Link, current: &mut Option<Job>) -> Result<Link, ServerCloseReason> {
+        self.idle_since.set(Some(self.context.clock.now()));
+        let _ = self.pool.send(MemberMessage::Idle(self.id));
+        loop {
+            match self.next_message() {
+                Ok(ConnectionMessage::Job(job)) => {
+                    let reusable = self.await_reuse(&mut link, current.insert(job));
+                    if let Err(why) = reusable {
+                        current.take().into_iter().for_each(|job| self.return_to_pool(job));
+                        return Err(why);
+                    }
+                    return Ok(link);
+                }
+                Ok(ConnectionMessage::Cancel(_)) => {}
+                Ok(ConnectionMessage::Transfer(name, to)) => {
+                    check_idle(&mut link)?;
+                    if let Ok(descriptor) = link.descriptor() {
+                        let _ = to.send((name, descriptor));
+                    }
+                    return Err(ServerCloseReason::Transferred);
+                }
+                Ok(ConnectionMessage::Close) => {
+                    let _ = link.queue(&pg::terminate()).and_then(|()| link.pump());
+                    return Err(ServerCloseReason::ClosedByPool);
+                }
+                // The pool has ended.
+                Err(TryRecvError::Disconnected) => return Err(ServerCloseReason::ClosedByPool),
+                Err(TryRecvError::Empty) => {
+                    check_idle(&mut link)?;
+                    link.wait();
+                }
+            }
+        }
+    }
+
+    /// Waits until the idle connection may carry this job: until whatever the member sent right behind its last answer
+    /// has come in. The error says why the connection can't carry it; nothing has been written then.
+    fn await_reuse(&self, link: &mut Link, job: &Job) -> Result<(), ServerCloseReason> {
+        let clock = &self.context.clock;
+        let reusable_at = self.idle_since.get().unwrap_or(clock.now()) + MIN_IDLE_BEFORE_REUSE;
+        if clock.now() < reusable_at {
+            self.context.counters.connections_reuse_awaited.add();
+        }
+        while clock.now() < reusable_at {
+            check_idle(link)?;
+            self.wait_until(link, reusable_at);
+        }
+        loop {
+            self.catch_up_after_stall();
+            // Nothing else runs between this read and the write of the statement.
+            check_idle(link)?;
+            if !link.lacks_memory() {
+                return Ok(());
+            }
+            // The read failed, so something may be unread.
+            if clock.now() >= self.deadline(job) {
+                return Err(ServerCloseReason::LacksMemory);
+            }
+            clock.pause(SHORTAGE_PAUSE);
+        }
+    }
+
+    /// After a stall a client's end may still be unread: its actor gets a turn first, then the dispatcher.
+    fn catch_up_after_stall(&self) {
+        let clock = &self.context.clock;
+        clock.note_running();
+        for _ in 0..BARRIERS_AFTER_STALL {
+            if clock.recently_stalled() {
+                self.dispatcher_barrier();
+            }
+        }
+    }
+
+    /// Waits until the dispatcher has handled everything that was sent to it before. Yielding alone is not enough:
+    /// `may` takes up what other threads have woken only when nothing else runs.
+    fn dispatcher_barrier(&self) {
+        let (reply, done) = channel();
+        if self.context.dispatcher.send(DispatcherMessage::Barrier(reply)).is_ok() {
+            let _ = done.recv();
+        }
+    }
+
+    pub(super) fn next_message(&self) -> Result<ConnectionMessage, TryRecvError> {
+        self.deferred.borrow_mut().pop_front().map_or_else(|| self.messages.try_recv(), Ok)
+    }
+
+    /// Connects, and waits until the member is ready; the error is the outcome of the job that needed the connection.
+    fn open_session(&self, job: &Job, started_at: Duration) -> Result<Link, AttemptOutcome> {
+        let (clock, limit) = (&self.context.clock, started_at + self.context.connect_timeout);
+        let deadline = self.deadline(job);
+        let until = limit.min(deadline);
+        // Running out of the txn's time proves nothing about the member.
+        let late = |at: Duration| {
+            if at >= deadline && at < limit { AttemptOutcome::Moot } else { AttemptOutcome::Unreachable }
+        };
+        let up = |waker| {
+            let _ = self.pool.send(MemberMessage::WakerReady(self.id, waker));
+        };
+        let wanted = ConnectRequest { to: self.address, until, limits: self.context.buffers() };
+        let connected = connect(clock, &wanted, &up, &|| self.cancelled(job));
+        let mut link = connected.map_err(|why| {
+            slog::debug!(self.context.log, "no connection to a server"; "why" => %why, "server" => self.member);
+            match why {
+                ConnectFailure::Cancelled | ConnectFailure::TooLate | ConnectFailure::LocalShortage(_) => {
+                    AttemptOutcome::Moot
+                }
+                ConnectFailure::TimedOut | ConnectFailure::Failed(_) => late(clock.now()),
+            }
+        })?;
+        link.queue(&pg::startup("api", "ledger")).map_err(|_| AttemptOutcome::Unreachable)?;
+        for busy in 1u32.. {
+            let pumped = link.pump();
+            while let Some((kind, body, length)) =
+                pg::message(link.inbound.make_contiguous(), self.context.max_message_bytes)
+                    .map_err(|_| AttemptOutcome::Unreachable)?
+            {
+                match kind {
+                    b'Z' => {
+                        link.inbound.drain(..length);
+                        return Ok(link);
+                    }
+                    b'E' if pg::error_field(body, b'C') == Some(pg::TOO_MANY_CONNECTIONS) => {
+                        return Err(AttemptOutcome::Full);
+                    }
+                    b'E' => return Err(AttemptOutcome::Unreachable),
+                    b'R' if !body.starts_with(&[0; 4]) => return Err(AttemptOutcome::Unreachable),
+                    _ => {}
+                }
+                link.inbound.drain(..length);
+            }
+            let now = clock.now();
+            if pumped.is_err() || link.ended || now >= until {
+                return Err(if pumped.is_ok() && !link.ended {
+                    late(now)
+                } else {
+                    AttemptOutcome::Unreachable
+                });
+            }
+            if self.cancelled(job) {
+                return Err(AttemptOutcome::Moot);
+            }
+            if matches!(pumped, Ok(false)) {
+                link.wait();
+            } else {
+                // A member that sends without an end must not starve the others.
+                clock.yield_if_busy(busy, link.lacks_memory());
+            }
+        }
+        Err(AttemptOutcome::Unreachable)
+    }
+
+    /// When the job is given up.
+    fn deadline(&self, job: &Job) -> Duration {
+        match job {
+            Job::Submit(submit) => submit.deadline,
+            Job::Probe { at } => *at + self.context.connect_timeout,
+        }
+    }
+
+    /// Whether the job has been cancelled; all other messages are kept for later.
+    pub(super) fn cancelled(&self, job: &Job) -> bool {
+        let mut deferred = self.deferred.borrow_mut();
+        deferred.extend(std::iter::from_fn(|| self.messages.try_recv().ok()));
+        let before = deferred.len();
+        deferred.retain(
+            |message| !matches!((message, job), (ConnectionMessage::Cancel(t), Job::Submit(s)) if *t == s.request_id),
+        );
+        deferred.len() < before
+    }
+
+    /// Carries one job to its end, over a new connection or after [`ServerConnection::await_reuse`].
+    fn run_job(&self, link: &mut Link, job: &Job) -> JobResult {
+        let (clock, deadline, mut reply) = (&self.context.clock, self.deadline(job), Reply::default());
+        let now = clock.now();
+        let text = statement_text(job, now);
+        if now >= deadline || self.cancelled(job) || !self.permitted(job, now) {
+            return JobResult { outcome: AttemptOutcome::Moot, reply, usable: true };
+        }
+        if let Err(failure) = link.queue(&pg::query(&text)) {
+            return result_of_failure(&failure, reply);
+        }
+        let mut written = false;
+        for busy in 1u32.. {
+            // The statement takes effect only with its last byte: if it was not written at once, check again before
+            // each further write.
+            if busy > 1 && !link.is_flushed() && !self.may_continue(job) {
+                return JobResult { outcome: AttemptOutcome::Moot, reply, usable: false };
+            }
+            let pumped = link.pump();
+            if let Err(why) = self.read(link, &mut reply, now) {
+                slog::warn!(self.context.log, "a member sent an invalid answer"; "member" => self.member, "why" => why);
+                // Nothing in such an answer is used.
+                return JobResult { outcome: AttemptOutcome::Spoilt, reply: Reply::default(), usable: false };
+            }
+            let unsent = !link.is_flushed();
+            if !unsent && !std::mem::replace(&mut written, true) {
+                self.record_written(job, now);
+            }
+            if reply.ready || (unsent && reply.described) {
+                // Ready without an answer proves nothing, and a row that came before its statement was written whole
+                // belongs to another.
+                let Some(outcome) = reply.outcome().filter(|_| !unsent) else {
+                    return JobResult {
+                        outcome: AttemptOutcome::Spoilt,
+                        reply: Reply::default(),
+                        usable: false,
+                    };
+                };
+                return JobResult { outcome, reply, usable: true };
+            }
+            match pumped {
+                Err(failure) => return result_of_failure(&failure, reply),
+                Ok(_) if link.ended => {
+                    let reached = if unsent { Reached::Connection } else { Reached::Written };
+                    return result_of_failure(
+                        &Failure { reached, why: "the member closed the connection".to_owned() },
+                        reply,
+                    );
+                }
+                Ok(_) => {}
+            }
+            let stop = if self.cancelled(job) {
+                Some(AttemptOutcome::Cancelled)
+            } else {
+                (clock.now() >= deadline).then_some(AttemptOutcome::TimedOut)
+            };
+            if let Some(outcome) = stop {
+                let outcome = if unsent { AttemptOutcome::Moot } else { outcome };
+                return JobResult { outcome, reply, usable: false };
+            }
+            if matches!(pumped, Ok(false)) {
+                self.wait_until(link, deadline);
+            } else {
+                // An answer without an end must not starve the others.
+                clock.yield_if_busy(busy, link.lacks_memory());
+            }
+        }
+        JobResult { outcome: AttemptOutcome::Spoilt, reply: Reply::default(), usable: false }
+    }
+
+    /// Records that all of a request's statement has been handed to the kernel; `began` is when its first byte was.
+    fn record_written(&self, job: &Job, began: Duration) {
+        let Job::Submit(submit) = job else { return };
+        submit.permit.record_written(self.context.clock.now());
+        let idle_for = self.idle_since.get().map(|since| began.saturating_sub(since));
+        let event = RequestEvent::Written { server: self.member, connection: self.id, idle_for };
+        self.context.request_log.request(submit.request_id, event);
+    }
+
+    /// The last check before the first byte is written. Probes belong to no request.
+    fn permitted(&self, job: &Job, now: Duration) -> bool {
+        let Job::Submit(submit) = job else { return true };
+        let withheld = submit.permit.consume(now).err();
+        if let Some(why) = withheld {
+            let event = RequestEvent::Withheld { server: self.member, why };
+            self.context.request_log.request(submit.request_id, event);
+        }
+        withheld.is_none()
+    }
+
+    fn may_continue(&self, job: &Job) -> bool {
+        let Job::Submit(submit) = job else { return true };
+        submit.permit.may_continue(self.context.clock.now()).is_ok()
+    }
+
+    /// Waits for an event, until that time at most. Only one timer is pending at a time, as most txns end long before
+    /// theirs.
+    fn wait_until(&self, link: &mut Link, until: Duration) {
+        if self.timer_set_for.get() <= self.context.clock.now() || self.timer_set_for.get() > until {
+            self.timer_set_for.set(until);
+            let waker = link.waker();
+            self.context.clock.run_at(until, move || waker.wake());
+        }
+        link.wait();
+    }
+
+    /// Checks the positions of a complete answer, and dates them by the origin as it is then.
+    fn judge(&self, reply: &mut Reply, asked: Duration) -> Result<(), String> {
+        let (context, member) = (&self.context, self.member);
+        let date = |reply: &Reply| reply.position_unix.and_then(|at| context.clock.origin().position(at));
+        check_position(context, member, reply.role, date(reply), asked)?;
+        if let Some(text) = &reply.load_text {
+            // An unreadable load report does not spoil the answer that it came with.
+            let reported = load_report(context, member, text, asked);
+            if let Err(why) = &reported {
+                slog::debug!(context.log, "the load report of an answer is invalid"; "member" => member, "why" => why);
+            }
+            reply.load = reported.ok();
+        }
+        // Dated last, as either check may have corrected the origin.
+        reply.position = date(reply);
+        Ok(())
+    }
+
+    /// Reads the messages that have come in.
+    fn read(&self, link: &mut Link, reply: &mut Reply, asked: Duration) -> Result<(), String> {
+        while let Some((kind, body, length)) =
+            pg::message(link.inbound.make_contiguous(), self.context.max_message_bytes)?
+        {
+            reply.add(kind, body)?;
+            if reply.ready {
+                self.judge(reply, asked)?;
+            }
+            if matches!(kind, b'T' | b'D' | b'C' | b'E') {
+                // Contiguous since the message was read.
+                reply.raw.extend_from_slice(&link.inbound.as_slices().0[..length]);
+            }
+            link.inbound.drain(..length);
+            if reply.ready {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    fn report_outcome(&self, job: &Job, outcome: AttemptOutcome, reply: Reply) {
+        if matches!(outcome, AttemptOutcome::Dropped) {
+            self.context.counters.connections_lost.add();
+        }
+        report_outcome(&self.context, self.member, job, outcome, reply);
+    }
+}
+
+/// What is sent for a job at this time.
+fn statement_text(job: &Job, now: Duration) -> String {
+    match job {
+        Job::Submit(submit) => {
+            let left = submit.deadline.saturating_sub(now).as_millis();
+            pg::with_time_left(&submit.statement, &submit.left, left)
+        }
+        Job::Probe { .. } => "SHOW server_load".to_owned(),
+    }
+}
+
+/// The result of a job whose connection failed.
+fn result_of_failure(failure: &Failure, reply: Reply) -> JobResult {
+    // A complete answer counts although the connection failed; nothing in an incomplete one is used.
+    let lost = if failure.reached < Reached::Written {
+        AttemptOutcome::Unreachable
+    } else {
+        AttemptOutcome::Dropped
+    };
+    match reply.outcome() {
+        Some(outcome) => JobResult { outcome, reply, usable: false },
+        None => JobResult { outcome: lost, reply: Reply::default(), usable: false },
+    }
+}
+
+/// Reads what an idle connection has received; an error if it has ended or if that was anything at all.
+fn check_idle(link: &mut Link) -> Result<(), ServerCloseReason> {
+    let pumped = link.pump();
+    if !link.inbound.is_empty() {
+        return Err(ServerCloseReason::UnexpectedBytes);
+    }
+    if pumped.is_err() || link.ended {
+        return Err(ServerCloseReason::EndedWhileIdle);
+    }
+    Ok(())
+}
--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -1,7 +1,12 @@
 //! A member's pool and its connections, one step at a time.
 
+use super::reply::parse_report;
 use super::*;
+use crate::request_log::ServerCloseReason;
+use juniperdock_deployment::Origin;
 use juniperdock_request_guard::{ClientPresence, RequestGuard};
+use juniperdock_router::host::Role;
+use std::net::TcpStream;
 
 fn context(dispatcher: Sender<DispatcherMessage>) -> PoolContext {
     let (clock, run_timers) = Clock::start(Duration::ZERO).expect("a clock");
@@ -91,13 +96,13 @@
 #[test]
 fn report_of_a_member_that_made_none_has_no_role() {
     let origin = Origin { start: 1_796_135_196_000_000, zero: 0 };
-    let reported = |text| report(text, &origin).expect("a report");
+    let reported = |text| parse_report(text, &origin).expect("a report");
     let none = reported("x0=0.000,x1=0,q=0,busy=0");
     assert!(none.role.is_none() && none.position.is_none());
     assert!(reported("").role.is_none());
     let made = reported("x0=1796135196.444,x1=1,q=0,busy=0.056");
     assert_eq!((made.role, made.position), (Some(Role::Primary), Some(Duration::from_millis(444))));
-    assert!(report("x0=soon", &origin).is_err());
+    assert!(parse_report("x0=soon", &origin).is_err());
 }
 
 /// Carries one job over a connection of its own, as its coroutine does; returns the messages to the dispatcher.
