Play the tests of reuse again where the stand-in's copy came late

Cause: a thread of the stand-in that is held up between its look at the clock and its write sends a copy more than 3 ms behind the answer; docs/front.md says that nothing can tell such a one from an answer, so that play shows nothing.

Change: such a copy is counted, its connection ends, and the play is made again, five times at most; then the test fails. No bound changes.

--- a/crates/front/tests/connection_reuse.rs
+++ b/crates/front/tests/connection_reuse.rs
@@ -27,6 +27,9 @@
     early: AtomicUsize,
     /// Second copies that were sent within [`MIN_IDLE`] of the answer.
     copies: AtomicUsize,
+    /// Second copies that came later, as this thread was held up while it sent one: nothing can tell them from an
+    /// answer.
+    late_copies: AtomicUsize,
 }
 
 /// A primary that answers each txn with its statement as the row. If it copies, it sends each answer a second time:
@@ -88,8 +91,12 @@
         if copies && !is_probe {
             wait_for_statement(&stream, COPY_AFTER)?;
             if before.elapsed() < MIN_IDLE {
-                seen.copies.fetch_add(1, Ordering::SeqCst);
                 stream.write_all(&answer).ok()?;
+                if before.elapsed() >= MIN_IDLE {
+                    seen.late_copies.fetch_add(1, Ordering::SeqCst);
+                    return None;
+                }
+                seen.copies.fetch_add(1, Ordering::SeqCst);
             }
         }
     }
@@ -126,6 +133,19 @@
     (foreign, without_row)
 }
 
+/// Like [`run_orders`], again if a copy came late: that play shows nothing.
+fn run_orders_without_late_copies(member: &CopyingMember, front: &Front, count: usize) -> (usize, usize) {
+    const MOST_PLAYS: usize = 5;
+    for _ in 0..MOST_PLAYS {
+        let before = member.count(|seen| &seen.late_copies);
+        let result = run_orders(front, count);
+        if member.count(|seen| &seen.late_copies) == before {
+            return result;
+        }
+    }
+    panic!("in each play a copy came late");
+}
+
 /// Guards against serving a member's second copy of an answer to the request that uses the connection next.
 #[test]
 fn second_copy_of_an_answer_is_never_served_to_the_next_request() {
@@ -133,7 +153,7 @@
     let agent = Agent::start(WATCH);
     let front = Front::start(PROGRAM, agent.at, &member.server_list(), 1024);
     wait_until(|| front.client().query(&txn("order", 4000, "first")).value.is_some());
-    let (foreign, without_row) = run_orders(&front, 100);
+    let (foreign, without_row) = run_orders_without_late_copies(&member, &front, 100);
     assert_eq!((foreign, without_row), (0, 0), "of 100 orders: another's row, no row");
     assert_eq!(member.count(|seen| &seen.early), 0, "statements that came too soon");
     assert!(member.count(|seen| &seen.copies) > 0, "no copy was sent in time");
@@ -173,7 +193,7 @@
     wait_until(|| front.client().query(&txn("order", 4000, "first")).value.is_some());
     // Every other call on a socket fails.
     Controls { seed: 54, fails: 65_536 / 2, ..Controls::default() }.write(&path).expect("a file");
-    let (foreign, _) = run_orders(&front, 150);
+    let (foreign, _) = run_orders_without_late_copies(&member, &front, 150);
     Controls::default().write(&path).expect("a file");
     let _ = std::fs::remove_file(&path);
     assert_eq!(foreign, 0, "of 150 orders: another's row");
