Use a connection at once behind a probe: a second copy of a load report is known by its bytes

Change: behind a probe that got a load report a request's statement is written at once. An answer to it that equals that report byte for byte is the server's second copy: it is left out, the true answer is awaited, and the connection is not used again after it. A statement behind a statement, a probe behind a probe and what follows an error wait as before.

--- a/crates/front/src/member/connection.rs
+++ b/crates/front/src/member/connection.rs
@@ -21,6 +21,7 @@
 
 /// Bytes that a member sends right behind an answer arrive within this time. No connection carries another job before
 /// it has been idle for as long: an answer names no request, so such bytes would be taken for the next one's answer.
+/// Behind the answer to a probe this is not needed ([`ServerConnection::probe_answer`]).
 pub const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(3);
 
 /// How many times a connection waits for the dispatcher to handle its queue before it writes anything right after a
@@ -64,6 +65,9 @@
     /// Since when the connection has carried no job, or had carried none when it got its present one; `None` before
     /// its first idle time.
     idle_since: Cell<Option<Duration>>,
+    /// The messages of the load report that the last job got, if that was a probe: a second copy of it can be told from
+    /// any row of a statement, so the connection may be used again at once.
+    probe_answer: RefCell<Option<Vec<u8>>>,
 }
 
 impl ServerConnection {
@@ -76,8 +80,18 @@
         context: PoolContext,
         messages: Receiver<ConnectionMessage>,
     ) -> ServerConnection {
-        let (deferred, timer_set_for, idle_since) = (RefCell::default(), Cell::default(), Cell::default());
-        ServerConnection { id, member, address, pool, context, messages, deferred, timer_set_for, idle_since }
+        ServerConnection {
+            id,
+            member,
+            address,
+            pool,
+            context,
+            messages,
+            deferred: RefCell::default(),
+            timer_set_for: Cell::default(),
+            idle_since: Cell::default(),
+            probe_answer: RefCell::default(),
+        }
     }
 
     /// Carries jobs until the connection ends; its coroutine's body.
@@ -156,6 +170,9 @@
             // Drops an unusable connection before the outcome is reported: it must have ended before the dispatcher
             // can send the txn again.
             let reusable = result.usable.then_some(link);
+            let is_load_report =
+                matches!((job, result.outcome), (Job::Probe { .. }, AttemptOutcome::Committed));
+            self.probe_answer.replace(is_load_report.then(|| result.reply.raw.clone()));
             if let Some(job) = current.take() {
                 self.report_outcome(&job, result.outcome, result.reply);
             }
@@ -220,7 +237,8 @@
     /// has come in. The error says why the connection can't carry it; nothing has been written then.
     fn await_reuse(&self, link: &mut Link, job: &Job) -> Result<(), ServerCloseReason> {
         let clock = &self.context.clock;
-        let reusable_at = self.idle_since.get().unwrap_or(clock.now()) + MIN_IDLE_BEFORE_REUSE;
+        let min_idle = if self.recognises_copies(job) { Duration::ZERO } else { MIN_IDLE_BEFORE_REUSE };
+        let reusable_at = self.idle_since.get().unwrap_or(clock.now()) + min_idle;
         if clock.now() < reusable_at {
             self.context.counters.connections_reuse_awaited.add();
         }
@@ -243,6 +261,17 @@
         }
     }
 
+    /// Whether a second copy of what the server answered last can be told from the answer to this job: if that was a load
+    /// report and this is a request's statement. Two reports in a row may well be the same.
+    fn recognises_copies(&self, job: &Job) -> bool {
+        matches!(job, Job::Submit(_)) && self.probe_answer.borrow().is_some()
+    }
+
+    /// Whether an answer to this job is the server's second copy of what it answered to the probe before.
+    fn is_copy_of_probe_answer(&self, job: &Job, reply: &Reply) -> bool {
+        self.recognises_copies(job) && self.probe_answer.borrow().as_ref() == Some(&reply.raw)
+    }
+
     /// After a stall a client's end may still be unread: its actor gets a turn first, then the dispatcher.
     fn catch_up_after_stall(&self) {
         let clock = &self.context.clock;
@@ -362,7 +391,7 @@
         if let Err(failure) = link.queue(&pg::query(&text)) {
             return result_of_failure(&failure, reply);
         }
-        let mut written = false;
+        let (mut written, mut had_copy) = (false, false);
         for busy in 1u32.. {
             // The statement takes effect only with its last byte: if it was not written at once, check again before
             // each further write.
@@ -379,6 +408,11 @@
             if !unsent && !std::mem::replace(&mut written, true) {
                 self.record_written(job, now);
             }
+            if reply.ready && self.is_copy_of_probe_answer(job, &reply) {
+                // The answer is still to come.
+                (reply, had_copy) = (Reply::default(), true);
+                continue;
+            }
             if reply.ready || (unsent && reply.described) {
                 // Ready without an answer proves nothing, and a row that came before its statement was written whole
                 // belongs to another.
@@ -389,7 +423,7 @@
                         usable: false,
                     };
                 };
-                return JobResult { outcome, reply, usable: true };
+                return JobResult { outcome, reply, usable: !had_copy };
             }
             match pumped {
                 Err(failure) => return result_of_failure(&failure, reply),
--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -251,3 +251,52 @@
         .collect();
     assert!(matches!(ends[..], [AttemptOutcome::Spoilt]), "one end without an answer");
 }
+
+/// Guards against serving a member's second copy of its load report to the request whose statement comes right behind the
+/// probe: such a statement is written at once.
+#[test]
+fn second_copy_of_a_load_report_is_not_the_answer_to_the_statement_behind_it() {
+    use juniperdock_test_support::row;
+    use juniperdock_test_support::wire::{read_message, ready};
+    use std::io::Write;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
+    let address = listener.local_addr().expect("an address");
+    let member = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_message(&mut stream, false).expect("an opening");
+        let mut welcome = Vec::new();
+        pg::startup_response(&mut welcome);
+        stream.write_all(&welcome).expect("a welcome");
+        let report = [row(b"x0=0.000,x1=0,q=0,busy=0"), ready()].concat();
+        read_message(&mut stream, true).expect("a probe");
+        stream.write_all(&report).expect("its answer");
+        read_message(&mut stream, true).expect("a statement");
+        // The copy crosses the statement.
+        stream.write_all(&report).expect("the copy");
+        stream.write_all(&[row(b"own"), ready()].concat()).expect("the answer");
+        read_message(&mut stream, true).is_none()
+    });
+    let ((pool, _at_pool), (dispatcher, reported)) = (channel(), channel());
+    let (sender, messages) = channel();
+    let _ = sender.send(ConnectionMessage::Job(submit(Duration::from_secs(3600))));
+    let context = context(dispatcher);
+    let (ended, end) = std::sync::mpsc::channel();
+    spawn("line", context.stack_bytes, move || {
+        let probe = Job::Probe { at: context.clock.now() };
+        let connection = ServerConnection::new(1, 3, address, pool, context, messages);
+        let _ = ended.send(connection.serve_jobs(&mut Some(probe), None));
+    })
+    .expect("a coroutine");
+    // A connection that has had a copy is not used again.
+    assert_eq!(end.recv_timeout(Duration::from_secs(20)), Ok(ServerCloseReason::Unusable));
+    assert!(member.join().expect("no panic"), "nothing more comes on that connection");
+    let rows: Vec<Vec<u8>> = reported
+        .try_iter()
+        .filter_map(|message| match message {
+            DispatcherMessage::AttemptEnded(end) => Some(end.row),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(rows, [row(b"own")], "one answer, the statement's own");
+    drop(sender);
+}
