--- a/crates/fault-controls/src/lib.rs
+++ b/crates/fault-controls/src/lib.rs
@@ -48,8 +48,8 @@
     pub breaks: u32,
     /// Rate of failed or partial writes of regular files, and of failed syncs.
     pub disk: u32,
-    /// Pads the structure to a multiple of eight bytes.
-    pub unused: u32,
+    /// Rate of mappings for stacks that fail (ENOMEM).
+    pub stacks: u32,
 }
 
 /// Size of the control file, in bytes.
@@ -68,7 +68,7 @@
             self.fails,
             self.breaks,
             self.disk,
-            self.unused,
+            self.stacks,
         ] {
             bytes.extend(word.to_ne_bytes());
         }
--- a/crates/fault-shim/src/calls.rs
+++ b/crates/fault-shim/src/calls.rs
@@ -160,6 +160,7 @@
 static FSYNC: Next = Next::of(c"fsync");
 static EPOLL_WAIT: Next = Next::of(c"epoll_wait");
 static CLOSE: Next = Next::of(c"close");
+static MMAP: Next = Next::of(c"mmap");
 
 /// # Safety
 /// As `clock_gettime(2)`.
@@ -334,3 +335,26 @@
         next(fd)
     }
 }
+
+/// # Safety
+/// As `mmap(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn mmap(
+    at: *mut c_void,
+    length: size_t,
+    protection: c_int,
+    flags: c_int,
+    fd: c_int,
+    offset: libc::off_t,
+) -> *mut c_void {
+    if flags & libc::MAP_STACK != 0 && drawn(controls().stacks) {
+        fail(libc::ENOMEM);
+        return libc::MAP_FAILED;
+    }
+    // SAFETY: as above.
+    unsafe {
+        let next: extern "C" fn(*mut c_void, size_t, c_int, c_int, c_int, libc::off_t) -> *mut c_void =
+            transmute(MMAP.address());
+        next(at, length, protection, flags, fd, offset)
+    }
+}
--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -6,6 +6,6 @@
 //! The injected errors are those that Linux documents for each call: accept (ECONNABORTED, ENFILE, ENOBUFS), socket
 //! (ENFILE, ENOBUFS), connect (EADDRNOTAVAIL, ENETUNREACH), send (ENOBUFS), recv (ENOMEM), reads, writes and waits
 //! (EINTR), connections opened by this process (ETIMEDOUT, EHOSTUNREACH, ECONNRESET), writes and syncs of regular
-//! files (ENOSPC, EIO).
+//! files (ENOSPC, EIO), mappings for stacks (ENOMEM).
 
 mod calls;
