Keep serving and end in time where standard error fails or blocks

What operators saw: after SIGUSR1 the process ended with status 101 if a write to standard error failed (EPIPE, ENOSPC); after SIGTERM it did not end while nobody read standard error.

Cause: the counters were printed by eprintln! on the main thread, which panics on a failed write and waits for good on a full pipe; that thread also takes the signals.

Change: the counters are written on a thread of their own, a line that can't be written is lost, and the end waits 0.1 s for it at most. The log's drains ignore failed writes in place of panicking. Threads that the system refuses (EAGAIN) are an error, no panic.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::membership;
 use crate::messages::{DispatcherMessage, MembershipMessage, UpgradeFn};
+use crate::threads;
 use juniperdock_control::{Frames, error_reply, frame, ok_reply};
 use may::sync::mpsc::Sender;
 use serde_json::{Value, json};
@@ -50,9 +51,12 @@
 }
 
 /// Serves the socket on threads of its own.
-pub fn serve(listener: UnixListener, control: Control, log: slog::Logger) {
+///
+/// # Errors
+/// If the first of them can't be started.
+pub fn serve(listener: UnixListener, control: Control, log: slog::Logger) -> Result<(), String> {
     let (control, open_connections) = (Arc::new(control), Arc::new(AtomicUsize::new(0)));
-    std::thread::spawn(move || {
+    threads::start("control", move || {
         for stream in listener.incoming().flatten() {
             if open_connections.fetch_add(1, Ordering::AcqRel) >= MAX_CONNECTIONS {
                 open_connections.fetch_sub(1, Ordering::AcqRel);
@@ -60,15 +64,20 @@
                     (&stream).write_all(&frame(&error_reply("too many connections to the control socket")));
                 continue;
             }
-            let (control, open_connections, log) = (control.clone(), open_connections.clone(), log.clone());
-            std::thread::spawn(move || {
+            let (control, its_open_connections, its_log) =
+                (control.clone(), open_connections.clone(), log.clone());
+            let started = threads::start("control connection", move || {
                 if let Err(why) = control.handle(stream) {
-                    slog::debug!(log, "control connection failed"; "why" => why);
+                    slog::debug!(its_log, "control connection failed"; "why" => why);
                 }
-                open_connections.fetch_sub(1, Ordering::AcqRel);
+                its_open_connections.fetch_sub(1, Ordering::AcqRel);
             });
+            if let Err(why) = started {
+                slog::warn!(log, "a control connection is closed"; "why" => why);
+                open_connections.fetch_sub(1, Ordering::AcqRel);
+            }
         }
-    });
+    })
 }
 
 impl Control {
--- a/crates/front/src/fleet_tasks.rs
+++ b/crates/front/src/fleet_tasks.rs
@@ -4,6 +4,7 @@
 use crate::counters::Counters;
 use crate::membership::MembershipIo;
 use crate::messages::{DispatcherMessage, UpgradeFn};
+use crate::threads;
 use juniperdock_fleet_tasks::{
     FrontReport, FrontView, UpgradeCoordinator, UpgradeState, UpgradeStep, decode_order, decode_step,
     encode_release, encode_step,
@@ -408,12 +409,17 @@
             self.last_upgrade = number;
             slog::info!(self.log, "this front is upgraded in a roll"; "number" => number);
             let (log, handle) = (self.log.clone(), io.handle());
-            std::thread::spawn(move || {
+            let failed = handle.clone();
+            let started = threads::start("roll", move || {
                 if let Err(why) = upgrade(program.as_deref()) {
                     slog::error!(log, "this front could not be upgraded"; "why" => why);
                     handle.send(crate::messages::MembershipMessage::UpgradeFailed(number));
                 }
             });
+            if let Err(why) = started {
+                slog::error!(self.log, "this front could not be upgraded"; "why" => why);
+                failed.send(crate::messages::MembershipMessage::UpgradeFailed(number));
+            }
         }
     }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,5 +23,7 @@
 pub mod settings;
 pub mod signals;
 pub mod snapshot_file;
+pub mod standard_error;
+pub mod threads;
 pub mod upgrade;
 pub mod worker_watchdog;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,7 +1,7 @@
 //! `juniperdock`: the front, and the commands with which operators control a running one.
 
 use clap::{CommandFactory, Parser, Subcommand};
-use juniperdock_front::{control, migrate, serve};
+use juniperdock_front::{control, migrate, serve, standard_error};
 use juniperdock_operator_config::{Fault, OperatorConfig};
 use serde_json::{Value, json};
 use std::path::{Path, PathBuf};
@@ -129,7 +129,7 @@
             if cli.json {
                 println!("{}", json!({ "ok": false, "why": why }));
             } else {
-                eprintln!("juniperdock: {why}");
+                standard_error::write_line(&format_args!("juniperdock: {why}"));
             }
             ExitCode::FAILURE
         }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -8,7 +8,7 @@
 use crate::request_log::RequestLog;
 use crate::settings::{Settings, TxnTypes};
 use crate::upgrade::{self, TransferTarget};
-use crate::{control, discovery_client, dispatcher, member, membership, signals, snapshot_file};
+use crate::{control, discovery_client, dispatcher, member, membership, signals, snapshot_file, threads};
 use juniperdock_connection::{Listener, spawn};
 use juniperdock_hot_restart::Timeouts;
 use juniperdock_operator_config as operator_config;
@@ -230,7 +230,7 @@
             clock.clone(),
             dispatcher_tx.clone(),
             log.clone(),
-        );
+        )?;
     }
     let upgrade = make_upgrade_fn(&clients, &listener, &config.upgrade, &log);
     let upgrade_for_roll = upgrade_for_roll(&upgrade, &config.upgrade);
@@ -246,7 +246,7 @@
             membership,
             fleet_tasks,
         };
-        control::serve(control::open(&socket.path)?, control, log.clone());
+        control::serve(control::open(&socket.path)?, control, log.clone())?;
     }
     // Has an effect only if a supervisor has set NOTIFY_SOCKET.
     let states = [NotifyState::MainPid(std::process::id()), NotifyState::Ready];
@@ -346,12 +346,16 @@
             return Err("an upgrade is under way".to_owned());
         }
         let (result_tx, result) = sync_channel(1);
-        let (clients, listener, log, running) =
+        let (clients, listener, log, its_running) =
             (clients.clone(), listener.clone(), log.clone(), running.clone());
-        std::thread::spawn(move || {
+        let started = threads::start("upgrade", move || {
             upgrade::run_upgrade(clients, listener, &program, timeouts, &result_tx, log);
-            running.store(false, Ordering::Release);
+            its_running.store(false, Ordering::Release);
         });
+        if let Err(why) = started {
+            running.store(false, Ordering::Release);
+            return Err(why);
+        }
         result.recv().unwrap_or_else(|_| Err("undone".to_owned()))
     })
 }
@@ -384,14 +388,15 @@
     level.or_else(|| config.level.name().parse().ok()).unwrap_or(slog::Level::Info)
 }
 
-/// Creates a logger that writes lines of text or JSON to standard error, on a thread of its own.
+/// Creates a logger that writes lines of text or JSON to standard error, on a thread of its own. Lines that can't be
+/// written are lost: a reader that is gone or a full disk must not end the process.
 fn logger(config: &Log, level: slog::Level) -> slog::Logger {
     // Line by line: during an upgrade two processes write to the same stream, and partial lines would mix.
     let lines = std::io::LineWriter::new(std::io::stderr());
     let drain = match config.form {
         LogFormat::Text => {
             let decorator = slog_term::PlainDecorator::new(lines);
-            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            let drain = slog_term::FullFormat::new(decorator).build().ignore_res();
             slog_async::Async::new(drain).chan_size(1024).build()
         }
         LogFormat::Json => {
@@ -400,9 +405,9 @@
                 .add_default_keys()
                 .add_key_value(slog::o!("monotonic_us" => monotonic_us))
                 .build();
-            slog_async::Async::new(Mutex::new(drain).fuse()).chan_size(1024).build()
+            slog_async::Async::new(Mutex::new(drain).ignore_res()).chan_size(1024).build()
         }
     };
-    let drain = slog::LevelFilter::new(drain.fuse(), level).fuse();
+    let drain = slog::LevelFilter::new(drain.ignore_res(), level).ignore_res();
     slog::Logger::root(drain, slog::o!())
 }
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -6,6 +6,7 @@
 use crate::counters::Counters;
 use crate::messages::{DiscoveryMessage, MembershipMessage};
 use crate::settings::Settings;
+use crate::standard_error::LinePrinter;
 use juniperdock_connection::{Listener, Waker};
 use may::sync::mpsc::Sender;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
@@ -31,6 +32,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Time for the last answers to be sent.
 const FINAL_ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for the counters to be written at the end.
+const FINAL_PRINT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Waits until the acceptor has stopped and all clients have disconnected, at most until `deadline`.
 fn await_clients(clients: &SharedClients, deadline: Duration) {
@@ -104,9 +107,10 @@
     max_request_time: Duration,
     log: &slog::Logger,
 ) {
+    let mut printer = LinePrinter::default();
     while let Some(signal) = next_signal(&mut signals) {
         match signal {
-            SIGUSR1 => eprintln!("counters: {counters}"),
+            SIGUSR1 => printer.print(format!("counters: {counters}")),
             SIGHUP => reload(settings, &clients.clock, discovery, reload_operator_config, counters, log),
             _ => break,
         }
@@ -123,5 +127,7 @@
     await_clients(clients, answer_deadline);
     clients.answer_all_now();
     await_clients(clients, clients.clock.now() + FINAL_ANSWER_TIMEOUT);
-    eprintln!("counters: {counters}");
+    printer.await_written(FINAL_PRINT_TIMEOUT);
+    printer.print(format!("counters: {counters}"));
+    printer.await_written(FINAL_PRINT_TIMEOUT);
 }
--- a/crates/front/src/snapshot_file.rs
+++ b/crates/front/src/snapshot_file.rs
@@ -3,6 +3,7 @@
 use crate::atomic_file;
 use crate::clock::Clock;
 use crate::messages::DispatcherMessage;
+use crate::threads;
 use juniperdock_operator_config::Snapshot;
 use juniperdock_snapshot::MachineTime;
 use may::sync::mpsc::Sender;
@@ -45,13 +46,16 @@
 
 /// Writes a snapshot at the configured interval for as long as the program runs. Of consecutive failures only the first
 /// is logged.
+///
+/// # Errors
+/// If no thread can be started for it.
 pub fn write_periodically(
     config: Snapshot,
     clock: Clock,
     dispatcher: Sender<DispatcherMessage>,
     log: slog::Logger,
-) {
-    std::thread::spawn(move || {
+) -> Result<(), String> {
+    threads::start("snapshots", move || {
         let mut failure_logged = false;
         loop {
             std::thread::sleep(Duration::from_secs(config.every_s));
@@ -67,5 +71,5 @@
             }
             failure_logged = written.is_err();
         }
-    });
+    })
 }
--- a/crates/front/src/upgrade.rs
+++ b/crates/front/src/upgrade.rs
@@ -5,6 +5,7 @@
 use crate::client::CONNECTION_STACK_BYTES;
 use crate::clients::{ClientTransfer, SharedClients, TransferResult};
 use crate::messages::{DispatcherMessage, MembershipMessage};
+use crate::threads;
 use juniperdock_connection::{Listener, spawn};
 use juniperdock_fd_passing::{PacketSocket, Received};
 use juniperdock_hot_restart::message::{self, MAX_MESSAGE_LEN, MessageHandler};
@@ -410,13 +411,12 @@
         self.admit_received(clients);
         let clients = clients.clone();
         clients.receiving_transfers.store(true, Ordering::Release);
-        std::thread::spawn(move || {
+        threads::start("received clients", move || {
             while self.receive_message(MESSAGE_TIMEOUT).is_ok() {
                 self.admit_received(&clients);
             }
             clients.receiving_transfers.store(false, Ordering::Release);
-        });
-        Ok(())
+        })
     }
 
     fn admit_received(&mut self, clients: &Arc<SharedClients>) {
