Refuse a client or an attempt when no stack can be had for its actor

What callers saw: where the system refused the memory of a coroutine's stack (mmap, ENOMEM), the acceptor ended by a panic of the coroutine library, and the front accepted nobody any more, for good.

Cause: generator's Stack::new panics where mmap fails, and spawn passed the panic on: to the acceptor, which has no catch, to a member's pool (the job was lost and its place among the connections kept), to the dispatcher (all open requests were answered 40003).

Change: spawn turns that panic into its error. The client is closed unread and the acceptor pauses, the attempt ends as Full. A member's actor that can't be started reports its first job instead of dropping it.

--- a/crates/connection/src/lib.rs
+++ b/crates/connection/src/lib.rs
@@ -18,6 +18,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, UdpSocket};
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
@@ -418,13 +419,24 @@
 }
 
 /// Starts a coroutine with a stack of `stack` bytes.
+///
+/// # Errors
+/// If the system gives no memory for the stack (`mmap(2)`, ENOMEM), for which the coroutine library panics. `body` is
+/// dropped then.
 pub fn spawn(name: &str, stack: usize, body: impl FnOnce() + Send + 'static) -> Result<(), String> {
+    let started = catch_unwind(AssertUnwindSafe(|| start_coroutine(name, stack, body)));
+    started
+        .unwrap_or_else(|_| Err("no stack could be allocated".to_owned()))
+        .map_err(|e| format!("starting {name}: {e}"))
+}
+
+fn start_coroutine(name: &str, stack: usize, body: impl FnOnce() + Send + 'static) -> Result<(), String> {
     let builder = Builder::new().name(name.to_owned()).stack_size(stack / size_of::<usize>());
     // SAFETY: `may` requires that a coroutine uses no thread-local across a wait and stays inside its stack. All
     // coroutines run on one worker thread, so a thread-local is the same before and after a wait, and no coroutine
     // holds a borrow of one across a wait. Stacks end in a guard page, and their sizes leave a margin.
     #[allow(unsafe_code)]
-    unsafe { builder.spawn(body) }.map(drop).map_err(|e| format!("starting {name}: {e}"))
+    unsafe { builder.spawn(body) }.map(drop).map_err(|e| e.to_string())
 }
 
 #[cfg(test)]
--- a/crates/front/src/acceptor.rs
+++ b/crates/front/src/acceptor.rs
@@ -13,8 +13,9 @@
 impl SharedClients {
     /// Starts a client's actor; the client counts as present from here on, however late the actor runs. For a client
     /// from another process: `unread` is what it has sent and is not used yet, `open` says whether its startup is
-    /// done, `skipping` whether messages are skipped up to Sync.
-    pub fn admit(self: Arc<Self>, stream: TcpStream, unread: &[u8], open: bool, skipping: bool) {
+    /// done, `skipping` whether messages are skipped up to Sync. Returns false if no actor could be started: the
+    /// connection is closed then.
+    pub fn admit(self: Arc<Self>, stream: TcpStream, unread: &[u8], open: bool, skipping: bool) -> bool {
         self.counters.clients.add();
         let link = match Link::new(stream, BUFFER_LIMITS) {
             Ok(mut link) => {
@@ -23,17 +24,19 @@
             }
             Err(why) => {
                 slog::debug!(self.log, "the connection to a new client failed"; "why" => %why);
-                return;
+                return false;
             }
         };
         let (slot, has_slot) = self.allocate_slot(link.waker());
         let shared = self.clone();
-        if let Err(why) = spawn("client", client::CONNECTION_STACK_BYTES, move || {
+        let started = spawn("client", client::CONNECTION_STACK_BYTES, move || {
             client::run(link, slot, has_slot, open, skipping, shared)
-        }) {
+        });
+        if let Err(why) = &started {
             slog::error!(self.log, "the actor of a client can't be started"; "why" => why);
             self.slots().taken.remove(&slot);
         }
+        started.is_ok()
     }
 
     /// Accepts clients until another process does (`stop_accepting`) or this process ends; at its end, clients that
@@ -46,7 +49,11 @@
                 self.pause_accepting();
             }
             match door.next() {
-                Ok(Some(stream)) => self.clone().admit(stream, &[], false, false),
+                Ok(Some(stream)) => {
+                    if !self.clone().admit(stream, &[], false, false) {
+                        self.pause_accepting();
+                    }
+                }
                 Ok(None) if self.closing.load(Ordering::Relaxed) => {
                     door.close();
                     break;
--- a/crates/front/src/dispatcher/host.rs
+++ b/crates/front/src/dispatcher/host.rs
@@ -3,13 +3,15 @@
 
 use crate::clock::{Clock, TimerHandle};
 use crate::counters::Counters;
-use crate::messages::{Answer, Arrival, DiscoveryMessage, DispatcherMessage, Job, MemberMessage, Submit};
+use crate::messages::{
+    Answer, Arrival, AttemptEnd, DiscoveryMessage, DispatcherMessage, Job, MemberMessage, Submit,
+};
 use crate::request_log::{RequestEvent, RequestLog};
 use juniperdock_deployment::{Indices, Origin, span};
 use juniperdock_fleet_tasks::{HealthObserver, Observation};
 use juniperdock_primary_tracker::{ChangeReason, Step};
 use juniperdock_request_guard::AttemptPermit;
-use juniperdock_router::host::{Change, Host, Report, Role};
+use juniperdock_router::host::{AttemptOutcome, Change, Host, Report, Role};
 use juniperdock_server_list::{ProbeQueue, ServerTable};
 use may::sync::mpsc::{Sender, channel};
 use std::collections::HashMap;
@@ -118,10 +120,30 @@
         let address = self.servers.get(member).map_or(unknown_address, |server| server.address);
         if let Err(why) = (self.spawn_member)(member, address, receiver, sender.clone()) {
             slog::error!(self.log, "the actor of a member can't be started"; "why" => why);
+            self.members[member] = None;
+            if let MemberMessage::Job(job) = first {
+                self.report_unsent(member, &job);
+            }
+            return;
         }
         let _ = sender.send(first);
     }
 
+    /// Reports a job that no actor could take, as if the member had no connection left.
+    fn report_unsent(&self, member: usize, job: &Job) {
+        let (outcome, report) = (AttemptOutcome::Full, Report::default());
+        let message = match job {
+            Job::Submit(submit) => DispatcherMessage::AttemptEnded(Box::new(AttemptEnd::unsent(
+                submit,
+                member,
+                outcome,
+                self.clock.now(),
+            ))),
+            Job::Probe { .. } => DispatcherMessage::Probed { member, outcome, report },
+        };
+        let _ = self.dispatcher.send(message);
+    }
+
     /// Removes a request: its timers are cancelled, and nothing is written for it any more.
     pub(super) fn remove_request(&mut self, txn: usize) -> Option<OpenRequest> {
         let request = self.txns[txn].take()?;
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -85,6 +85,24 @@
     pub row: Vec<u8>,
 }
 
+impl AttemptEnd {
+    /// The end of an attempt for which nothing was written.
+    pub fn unsent(submit: &Submit, member: usize, outcome: AttemptOutcome, at: Duration) -> AttemptEnd {
+        let (request_id, sent) = (submit.request_id, submit.at);
+        AttemptEnd {
+            request_id,
+            member,
+            outcome,
+            role: None,
+            position: None,
+            load: None,
+            sent,
+            at,
+            row: Vec::new(),
+        }
+    }
+}
+
 /// Messages to the dispatcher.
 pub enum DispatcherMessage {
     RequestArrived(Box<Arrival>),
