Send only the start of a long text in an error

What callers saw: an error that repeats the value it complains about was up to five times as long as the request (each control character is escaped), and was kept until it was read: 530 clients with classes of 130 KB brought a process to 854 MB.

Cause: the text of an ErrorResponse had no limit. Change: 400 bytes.

--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -6,6 +6,9 @@
 /// The longest message accepted from a client: a value of 64 KiB in hex digits, its statement and its comment.
 pub const MAX_MESSAGE_LEN: usize = 2 * 65_536 + 8_192;
 
+/// The longest text of an ErrorResponse, in bytes.
+const MAX_ERROR_TEXT: usize = 400;
+
 /// SQLSTATE protocol_violation.
 pub const PROTOCOL_VIOLATION: &str = "08P01";
 /// SQLSTATE feature_not_supported.
@@ -156,9 +159,10 @@
     put(out, b'C', &[tag.as_bytes(), &[0]]);
 }
 
-/// Appends an ErrorResponse; `detail` is field D.
+/// Appends an ErrorResponse; `detail` is field D. Of a long text only the start is sent.
 pub fn error(out: &mut Vec<u8>, fatal: bool, code: &str, text: &str, detail: Option<&str>) {
     let severity = if fatal { "FATAL" } else { "ERROR" };
+    let text = &text[..text.floor_char_boundary(MAX_ERROR_TEXT)];
     let mut fields = format!("S{severity}\0V{severity}\0C{code}\0M{}\0", text.replace('\0', " "));
     if let Some(detail) = detail {
         fields += &format!("D{detail}\0");
