Reject statements that can be read in more than one way

Cause: the comment's fields were looked up in a list: a name that stood twice was taken from its first place, any number of fields was kept (32 bytes each for three on the wire), an empty id passed, numbers could have a sign, a class with keys needed none, nothing had to follow the comment; and a zero byte inside a statement passed, so that two messages under one length were one statement, of which a server reads the first part.

Change: pg::Comment has each name once, at most 32 fields, digits in numbers, and a statement behind it; classes whose effect is a token need k; a statement holds no zero byte. Each gets 08P01 and the session goes on, also for a statement that is not UTF-8 (its connection ended before: framing is intact). The reason stands in the debug log. The request's parsing is a module of its own.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -2,6 +2,7 @@
 //! order of the statements.
 
 mod drain;
+mod request;
 
 use crate::clients::{
     ClientTransfer, IdleAction, SharedClients, TRANSFER_ACCEPTED, TRANSFER_PENDING, TransferResult,
@@ -10,13 +11,12 @@
 use crate::mailbox::Mailbox;
 use crate::messages::{Answer, Arrival, DispatcherMessage};
 use crate::request_log::{CloseReason, RequestEvent};
-use juniperdock_connection::{Failure, Link, PeerWatch};
+use juniperdock_connection::{Failure, Link};
 use juniperdock_pg as pg;
 use juniperdock_pipeline::{ArrivalTimes, Limits, Overdue, Pipeline, Reply, Request, Start};
-use juniperdock_request_guard::{ClientPresence, RequestGuard, Violation};
+use juniperdock_request_guard::{RequestGuard, Violation};
 use may::sync::mpsc::{Receiver, channel};
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, PoisonError};
@@ -46,15 +46,6 @@
 
 const TOO_MANY_AT_ONCE: &str = "too much sent ahead on this connection, trying again is harmless";
 
-/// Asks the operating system whether a client has left.
-struct Presence(PeerWatch);
-
-impl ClientPresence for Presence {
-    fn has_left(&self) -> bool {
-        self.0.has_left()
-    }
-}
-
 /// The actor's state.
 struct Client {
     shared: Arc<SharedClients>,
@@ -442,14 +433,17 @@
         };
         match kind {
             b'Q' => {
-                let text: Arc<str> = pg::statement(body)?.into();
+                let text = pg::statement(body).map(Arc::<str>::from);
                 let at = self
                     .arrival_times
                     .arrival_of_next(length)
                     .unwrap_or_else(|| self.shared.clock.arrival_time());
                 self.skipping = false;
                 let alone = self.link.inbound.len() == length;
-                self.statement(text, at, alone, out);
+                match text {
+                    Ok(text) => self.statement(text, at, alone, out),
+                    Err(why) => self.reject_unsound(&why, out),
+                }
             }
             b'X' => self.closing = Some(CloseReason::Terminated),
             b'S' => {
@@ -492,15 +486,20 @@
                     self.accept_request(arrival);
                     return;
                 }
-                Err(why) => {
-                    self.shared.counters.bad_messages.add();
-                    pg::error(out, false, pg::PROTOCOL_VIOLATION, &why, None);
-                }
+                Err(why) => return self.reject_unsound(&why, out),
             },
         }
         pg::ready(out);
     }
 
+    /// Answers a statement that is no sound request; the session goes on.
+    fn reject_unsound(&self, why: &str, out: &mut Vec<u8>) {
+        self.shared.counters.bad_messages.add();
+        self.shared.request_log.rejected(self.slot, why);
+        pg::error(out, false, pg::PROTOCOL_VIOLATION, why, None);
+        pg::ready(out);
+    }
+
     /// Adds a request to the pipeline, to start as soon as it may.
     fn accept_request(&mut self, arrival: Arrival) {
         self.no_txn_yet = false;
@@ -528,65 +527,6 @@
         self.has_slot |= self.shared.present() <= self.shared.max_clients;
         self.has_slot
     }
-
-    /// Reads a request from a statement's comment.
-    fn arrival(&self, statement: Arc<str>, at: Duration) -> Result<Arrival, String> {
-        let (fields, rest) = pg::comment(&statement)?;
-        let field = |name: &str| fields.iter().find(|field| field.0 == name).map(|field| field.1);
-        let need = |name: &str| field(name).ok_or_else(|| format!("expected {name} in the comment"));
-        let number = |name: &str, text: &str| {
-            text.parse::<u64>().map_err(|_| format!("expected a number in {name}, found {text:?}"))
-        };
-        need("id")?;
-        let class = need("c")?;
-        let txn_type = self
-            .shared
-            .txn_types
-            .known(class)
-            .ok_or_else(|| format!("expected a known class in c, found {class:?}"))?;
-        let left = need("d")?;
-        // No client waits for longer than an hour.
-        let ms = number("d", left)?.min(3_600_000);
-        let group = number("cluster", need("cluster")?)?;
-        let clock = &self.shared.clock;
-        let unix = clock.origin().start / 1000 + clock.now().as_millis() as i64;
-        let wrote_ago = match field("after") {
-            Some(after) => {
-                let ago = unix.saturating_sub_unsigned(number("after", after)?);
-                Some(Duration::from_millis(ago.max(1) as u64))
-            }
-            None => self.shared.client_session_marks.then_some(Duration::ZERO),
-        };
-        let session = pg::first_quoted(rest).map(|key| {
-            let mut hasher = DefaultHasher::new();
-            key.hash(&mut hasher);
-            hasher.finish()
-        });
-        let request_id = self.shared.next_request_id.fetch_add(1, Ordering::Relaxed);
-        let (retried, expiry) = (field("r") == Some("1"), at + Duration::from_millis(ms));
-        let is_waiting = expiry.saturating_sub(self.shared.clock.now());
-        let received =
-            RequestEvent::Received { id: field("id").unwrap_or_default(), class: txn_type, left: is_waiting };
-        self.shared.request_log.request(request_id, received);
-        let (left, client) = (pg::value_range(&statement, left), self.mailbox.clone());
-        let watch = self.link.peer_watch();
-        let invariants = self.shared.counters.invariants.clone();
-        let guard = RequestGuard::new(expiry, Box::new(Presence(watch)), invariants);
-        Ok(Arrival {
-            request_id,
-            at,
-            txn_type,
-            group,
-            expiry,
-            retried,
-            session,
-            wrote_ago,
-            statement,
-            left,
-            client,
-            guard,
-        })
-    }
 }
 
 /// An answer as it is sent to the client, and its counter.
--- /dev/null
+++ b/crates/front/src/client/request.rs
@@ -0,0 +1,93 @@
+//! Reads a request from a statement: the fields of its comment, and the guard of what may be done for it.
+
+use super::Client;
+use crate::messages::Arrival;
+use crate::request_log::RequestEvent;
+use juniperdock_connection::PeerWatch;
+use juniperdock_pg as pg;
+use juniperdock_request_guard::{ClientPresence, RequestGuard};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// No client waits for longer than an hour.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// Asks the operating system whether a client has left.
+struct Presence(PeerWatch);
+
+impl ClientPresence for Presence {
+    fn has_left(&self) -> bool {
+        self.0.has_left()
+    }
+}
+
+impl Client {
+    /// Reads the request whose last byte came in at this time.
+    ///
+    /// # Errors
+    /// If it is not sound, with what was expected.
+    pub(super) fn arrival(&self, statement: Arc<str>, at: Duration) -> Result<Arrival, String> {
+        let comment = pg::Comment::parse(&statement)?;
+        let id = comment.required("id")?;
+        let txn_type = self.txn_type(&comment)?;
+        let expiry = at + Duration::from_millis(comment.number("d")?.min(MAX_DEADLINE_MS));
+        let group = comment.number("cluster")?;
+        let wrote_ago = self.wrote_ago(&comment)?;
+        let session = pg::first_quoted(comment.rest()).map(session_hash);
+        let retried = comment.field("r") == Some("1");
+        let left = pg::value_range(&statement, comment.required("d")?);
+        let request_id = self.shared.next_request_id.fetch_add(1, Ordering::Relaxed);
+        let time_left = expiry.saturating_sub(self.shared.clock.now());
+        let received = RequestEvent::Received { id, class: txn_type, left: time_left };
+        self.shared.request_log.request(request_id, received);
+        let presence = Box::new(Presence(self.link.peer_watch()));
+        let guard = RequestGuard::new(expiry, presence, self.shared.counters.invariants.clone());
+        let client = self.mailbox.clone();
+        Ok(Arrival {
+            request_id,
+            at,
+            txn_type,
+            group,
+            expiry,
+            retried,
+            session,
+            wrote_ago,
+            statement,
+            left,
+            client,
+            guard,
+        })
+    }
+
+    /// The index of the request's txn type, whose requests have a key where the settings say so.
+    fn txn_type(&self, comment: &pg::Comment) -> Result<usize, String> {
+        let class = comment.required("c")?;
+        let known = self.shared.txn_types.known(class);
+        let txn_type =
+            known.ok_or_else(|| format!("expected a known class in c, found {}", pg::shown(class)))?;
+        if self.shared.keyed.get(txn_type).copied().unwrap_or(false) {
+            comment.required("k")?;
+        }
+        Ok(txn_type)
+    }
+
+    /// How long ago the request's session last wrote, as its client tells: zero if it has not written, `None` if clients
+    /// do not tell.
+    fn wrote_ago(&self, comment: &pg::Comment) -> Result<Option<Duration>, String> {
+        if comment.field("after").is_none() {
+            return Ok(self.shared.client_session_marks.then_some(Duration::ZERO));
+        }
+        let clock = &self.shared.clock;
+        let unix_ms = clock.origin().start / 1000 + clock.now().as_millis() as i64;
+        let ago_ms = unix_ms.saturating_sub_unsigned(comment.number("after")?);
+        Ok(Some(Duration::from_millis(ago_ms.max(1) as u64)))
+    }
+}
+
+fn session_hash(key: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -33,6 +33,8 @@
     pub txn_types: Indices<String>,
     /// Whether each txn type writes.
     pub writes: Vec<bool>,
+    /// Whether each request of a txn type has an idempotency key.
+    pub keyed: Vec<bool>,
     /// Whether clients report what their session has written.
     pub client_session_marks: bool,
     /// An answer must be out this long after the expiry.
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -131,6 +131,13 @@
         }
     }
 
+    /// A statement of a client that is no sound request.
+    pub fn rejected(&self, client: u64, why: &str) {
+        if self.enabled {
+            slog::debug!(self.log, "rejected"; "why" => why, "client" => client);
+        }
+    }
+
     /// A request that came on a client's connection.
     pub fn client_request(&self, client: u64, number: u64) {
         if self.enabled {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -111,7 +111,7 @@
     let (connect_timeout, idle_timeout) =
         (settings.millis("Bounds.ConnectTimeout")?, settings.millis("Bounds.ConnIdle")?);
     let grace = settings.millis("Guarantees.GraceToAnswer")?;
-    let TxnTypes { names: txn_types, writes, max_time_limit } = settings.txn_types()?;
+    let TxnTypes { names: txn_types, writes, keyed, max_time_limit } = settings.txn_types()?;
 
     let level = log_level(&config.log);
     let log = logger(&config.log, level);
@@ -198,6 +198,7 @@
         request_log: request_log.clone(),
         txn_types,
         writes,
+        keyed,
         client_session_marks: settings.get("Specifics.SessionMarks").as_deref() == Some("client"),
         grace: grace / 2,
         next_request_id: AtomicU64::new(0),
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -29,6 +29,8 @@
     pub names: Indices<String>,
     /// By index, whether the type writes.
     pub writes: Vec<bool>,
+    /// By index, whether its requests have an idempotency key.
+    pub keyed: Vec<bool>,
     /// The largest `HardLimit` of all types.
     pub max_time_limit: Duration,
 }
@@ -124,8 +126,10 @@
             names.index(name.ok_or_else(|| format!("settings: expected a name for txn type {i}"))?);
             max_time_limit = max_time_limit.max(self.millis(&format!("Services.{i}.HardLimit"))?);
         }
+        let is_keyed = |i: usize| self.get(&format!("Services.{i}.Effect")).as_deref() == Some("token");
+        let keyed = (0..levels.len()).map(is_keyed).collect();
         let writes = levels.into_iter().map(|level| level == Consistency::Write).collect();
-        Ok(TxnTypes { names, writes, max_time_limit })
+        Ok(TxnTypes { names, writes, keyed, max_time_limit })
     }
 
     /// Returns the names of the zones.
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -1,6 +1,10 @@
 //! PostgreSQL's wire protocol, version 3: parsing and building of messages, and the leading comment of a statement.
 //! Does no I/O.
 
+mod comment;
+
+pub use comment::{Comment, MAX_COMMENT_FIELDS, shown};
+
 use std::ops::Range;
 
 /// The longest message accepted from a client: a value of 64 KiB in hex digits, its statement and its comment.
@@ -205,11 +209,14 @@
 /// Returns the text of a Query.
 ///
 /// # Errors
-/// If it is not UTF-8 or does not end in a zero byte.
+/// If it is not UTF-8, or does not end in the only zero byte: a server would read up to the first one.
 pub fn statement(body: &[u8]) -> Result<&str, String> {
     let (&0, text) = body.split_last().ok_or("expected a statement that ends in a zero byte")? else {
         return Err("expected a statement that ends in a zero byte".to_owned());
     };
+    if text.contains(&0) {
+        return Err("expected one statement, found a zero byte in it".to_owned());
+    }
     std::str::from_utf8(text).map_err(|_| "expected a statement in UTF-8".to_owned())
 }
 
@@ -228,50 +235,26 @@
 pub fn verb(statement: &str) -> Verb {
     let text = statement.trim().trim_end_matches(';');
     let word = text.split_whitespace().next().unwrap_or("");
-    match word.to_ascii_uppercase().as_str() {
-        "" => Verb::Empty,
-        "SET" => Verb::Session("SET"),
-        "RESET" => Verb::Session("RESET"),
-        "DISCARD" => Verb::Session("DISCARD ALL"),
-        _ => Verb::Txn,
+    let is = |verb: &str| word.eq_ignore_ascii_case(verb);
+    if word.is_empty() {
+        Verb::Empty
+    } else if is("SET") {
+        Verb::Session("SET")
+    } else if is("RESET") {
+        Verb::Session("RESET")
+    } else if is("DISCARD") {
+        Verb::Session("DISCARD ALL")
+    } else {
+        Verb::Txn
     }
 }
 
-/// Name and value of one field of a comment.
-pub type Field<'a> = (&'a str, &'a str);
-
-/// Parses the leading comment of a statement; returns its fields and the text after it.
-///
-/// ```
-/// let (fields, rest) = juniperdock_pg::comment("/* id=9b,c=basket,d=480 */ SELECT 1").unwrap();
-/// assert_eq!(fields, [("id", "9b"), ("c", "basket"), ("d", "480")]);
-/// assert_eq!(rest, " SELECT 1");
-/// assert!(juniperdock_pg::comment("/* id=9b").is_err());
-/// ```
-pub fn comment(statement: &str) -> Result<(Vec<Field<'_>>, &str), String> {
-    let (inside, rest) = statement
-        .trim_start()
-        .strip_prefix("/*")
-        .ok_or("expected a statement that starts with a comment")?
-        .split_once("*/")
-        .ok_or("expected the end of the comment")?;
-    let fields = inside
-        .split(',')
-        .map(str::trim)
-        .filter(|part| !part.is_empty())
-        .map(|part| {
-            part.split_once('=').ok_or_else(|| format!("expected name=value in the comment, found {part:?}"))
-        })
-        .collect::<Result<_, _>>()?;
-    Ok((fields, rest))
-}
-
 /// Returns the byte range of `value` in `statement`, of which it must be a slice.
 ///
 /// ```
 /// let statement = "/* id=9b,d=480 */ SELECT 1";
-/// let (fields, _) = juniperdock_pg::comment(statement).unwrap();
-/// let left = juniperdock_pg::value_range(statement, fields[1].1);
+/// let comment = juniperdock_pg::Comment::parse(statement).unwrap();
+/// let left = juniperdock_pg::value_range(statement, comment.field("d").unwrap());
 /// assert_eq!(juniperdock_pg::with_time_left(statement, &left, 35), "/* id=9b,d=35 */ SELECT 1");
 /// ```
 pub fn value_range(statement: &str, value: &str) -> Range<usize> {
