Refuse a request whose id an earlier request has had

Cause: the front never looked at ids. It numbers requests itself, and the id was a field that has to be there.

Change: request-guard has RequestIds: the id of each request that was read and not refused at once is known while it is open and for the longest time limit and 7 s after its end (a client has 6 s to send), as hashes in two sets of 100,000 at most, fewer where limits.memory_mb is small. A second one gets 08P01, whatever became of the first: by the protocol each request and each retry has a new id. Requests over the limits of their connection are refused before they are read, so their ids stay free. duplicate_ids and over_limits are counted.

Not covered: another front's or an earlier process's ids, also across an upgrade.

Tests: txn of test-support gives each statement an id of its own, as the protocol wants; tests find statements by test_id.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -14,7 +14,7 @@
 use juniperdock_connection::{Failure, Link};
 use juniperdock_pg as pg;
 use juniperdock_pipeline::{ArrivalTimes, Limits, Overdue, Pipeline, Reply, Request, Start};
-use juniperdock_request_guard::{RequestGuard, Violation};
+use juniperdock_request_guard::{RequestGuard, RequestIdHash, Violation};
 use may::sync::mpsc::{Receiver, channel};
 use std::collections::HashMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -46,6 +46,12 @@
 
 const TOO_MANY_AT_ONCE: &str = "too much sent ahead on this connection, trying again is harmless";
 
+/// A request that is not answered.
+struct OpenRequest {
+    guard: RequestGuard,
+    id: RequestIdHash,
+}
+
 /// The actor's state.
 struct Client {
     shared: Arc<SharedClients>,
@@ -60,8 +66,8 @@
     /// Whether no txn has come from it.
     no_txn_yet: bool,
     pipeline: Pipeline<Box<Arrival>>,
-    /// Guards of the requests that are not answered.
-    guards: HashMap<u64, RequestGuard>,
+    /// The requests that are not answered.
+    open_requests: HashMap<u64, OpenRequest>,
     /// When the bytes in the inbound buffer came in.
     arrival_times: ArrivalTimes,
     /// After a failed extended query, messages are skipped up to Sync.
@@ -101,7 +107,7 @@
         open,
         no_txn_yet: true,
         pipeline: Pipeline::new(PIPELINE_LIMITS),
-        guards: HashMap::new(),
+        open_requests: HashMap::new(),
         arrival_times: ArrivalTimes::default(),
         skipping,
         closing: None,
@@ -363,8 +369,11 @@
         let name = answer.name();
         let (count, out) = encode(&self.shared.counters, answer);
         if self.pipeline.answer(self.shared.clock.now(), request_id, out) {
-            if !self.guards.remove(&request_id).is_none_or(|guard| guard.answer()) {
-                self.shared.counters.invariants.count(Violation::AnsweredTwice);
+            if let Some(OpenRequest { guard, id }) = self.open_requests.remove(&request_id) {
+                self.shared.end_request_id(id);
+                if !guard.answer() {
+                    self.shared.counters.invariants.count(Violation::AnsweredTwice);
+                }
             }
             self.shared.request_log.request(request_id, RequestEvent::Answered { answer: name });
             count.add();
@@ -478,13 +487,15 @@
                     return;
                 }
             }
-            pg::Verb::Txn => match self.arrival(text, at) {
-                Ok(arrival) => {
+            pg::Verb::Txn if !self.pipeline.has_room(text.len() + REQUEST_OVERHEAD) => {
+                return self.refuse_over_limits();
+            }
+            pg::Verb::Txn => match self.read_request(text, at) {
+                Ok((arrival, id)) => {
                     // The client may have left right after sending it, long ago if this front did not run: then it is
                     // not started.
                     self.link.ended |= self.pump().is_err() || self.client_gone();
-                    self.accept_request(arrival);
-                    return;
+                    return self.accept_request(arrival, id);
                 }
                 Err(why) => return self.reject_unsound(&why, out),
             },
@@ -492,6 +503,15 @@
         pg::ready(out);
     }
 
+    /// Refuses a request over the connection's limits when its turn comes; it is not looked at.
+    fn refuse_over_limits(&mut self) {
+        self.no_txn_yet = false;
+        self.shared.counters.txns.add();
+        self.shared.counters.over_limits.add();
+        self.shared.request_log.rejected(self.slot, TOO_MANY_AT_ONCE);
+        self.pipeline.refuse();
+    }
+
     /// Answers a statement that is no sound request; the session goes on.
     fn reject_unsound(&self, why: &str, out: &mut Vec<u8>) {
         self.shared.counters.bad_messages.add();
@@ -501,7 +521,7 @@
     }
 
     /// Adds a request to the pipeline, to start as soon as it may.
-    fn accept_request(&mut self, arrival: Arrival) {
+    fn accept_request(&mut self, arrival: Arrival, id: RequestIdHash) {
         self.no_txn_yet = false;
         self.shared.mark_busy(self.slot);
         self.shared.counters.txns.add();
@@ -513,12 +533,11 @@
             bytes: arrival.statement.len() + REQUEST_OVERHEAD,
         };
         self.shared.request_log.client_request(self.slot, request.id);
-        // A request over the limits is refused when its turn comes.
-        let (request_id, guard) = (request.id, arrival.guard.clone());
+        let open_request = OpenRequest { guard: arrival.guard.clone(), id };
         if self.pipeline.push(request, Box::new(arrival)).is_ok() {
-            self.guards.insert(request_id, guard);
+            self.open_requests.insert(request.id, open_request);
         } else {
-            self.shared.request_log.request(request.id, RequestEvent::OverLimits);
+            self.shared.end_request_id(id);
         }
     }
 
--- a/crates/front/src/client/drain.rs
+++ b/crates/front/src/client/drain.rs
@@ -1,7 +1,7 @@
 //! How a client's connection ends, whether this process ends or goes on: no request that was read is left without its
 //! answer, and no answer is cut off.
 
-use super::{Client, MAX_INBOUND};
+use super::{Client, MAX_INBOUND, OpenRequest};
 use crate::clients::MIN_IDLE;
 use crate::messages::{Answer, DispatcherMessage};
 use crate::request_log::{CloseReason, RequestEvent};
@@ -187,7 +187,8 @@
         self.shared.request_log.client_closed(self.slot, reason, outstanding);
         outstanding.record_violations(ended_by(reason), &self.shared.counters.invariants);
         (0..outstanding.unanswered).for_each(|_| self.shared.counters.left.add());
-        for guard in self.guards.values() {
+        for OpenRequest { guard, id } in self.open_requests.values() {
+            self.shared.end_request_id(*id);
             guard.abandon();
         }
         for request_id in self.pipeline.started() {
--- a/crates/front/src/client/request.rs
+++ b/crates/front/src/client/request.rs
@@ -5,7 +5,7 @@
 use crate::request_log::RequestEvent;
 use juniperdock_connection::PeerWatch;
 use juniperdock_pg as pg;
-use juniperdock_request_guard::{ClientPresence, RequestGuard};
+use juniperdock_request_guard::{ClientPresence, RequestGuard, RequestIdHash};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -24,11 +24,15 @@
 }
 
 impl Client {
-    /// Reads the request whose last byte came in at this time.
+    /// Reads the request whose last byte came in at this time, and takes its id.
     ///
     /// # Errors
     /// If it is not sound, with what was expected.
-    pub(super) fn arrival(&self, statement: Arc<str>, at: Duration) -> Result<Arrival, String> {
+    pub(super) fn read_request(
+        &self,
+        statement: Arc<str>,
+        at: Duration,
+    ) -> Result<(Arrival, RequestIdHash), String> {
         let comment = pg::Comment::parse(&statement)?;
         let id = comment.required("id")?;
         let txn_type = self.txn_type(&comment)?;
@@ -38,6 +42,11 @@
         let session = pg::first_quoted(comment.rest()).map(session_hash);
         let retried = comment.field("r") == Some("1");
         let left = pg::value_range(&statement, comment.required("d")?);
+        // The last of the checks: what is not sound in another way takes no id.
+        let id_hash = self.shared.open_request_id(id).map_err(|why| {
+            self.shared.counters.duplicate_ids.add();
+            why.to_string()
+        })?;
         let request_id = self.shared.next_request_id.fetch_add(1, Ordering::Relaxed);
         let time_left = expiry.saturating_sub(self.shared.clock.now());
         let received = RequestEvent::Received { id, class: txn_type, left: time_left };
@@ -45,7 +54,7 @@
         let presence = Box::new(Presence(self.link.peer_watch()));
         let guard = RequestGuard::new(expiry, presence, self.shared.counters.invariants.clone());
         let client = self.mailbox.clone();
-        Ok(Arrival {
+        let arrival = Arrival {
             request_id,
             at,
             txn_type,
@@ -58,7 +67,8 @@
             left,
             client,
             guard,
-        })
+        };
+        Ok((arrival, id_hash))
     }
 
     /// The index of the request's txn type, whose requests have a key where the settings say so.
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -8,6 +8,7 @@
 use crate::request_log::{CloseReason, RequestLog};
 use juniperdock_connection::Waker;
 use juniperdock_deployment::Indices;
+use juniperdock_request_guard::{DuplicateId, RequestIdHash, RequestIds};
 use may::sync::mpsc::Sender;
 use std::collections::HashMap;
 use std::os::fd::OwnedFd;
@@ -41,6 +42,8 @@
     pub grace: Duration,
     /// The number of the next request.
     pub next_request_id: AtomicU64,
+    /// The ids that clients have given their requests.
+    pub request_ids: Mutex<RequestIds>,
     /// Connections end once they are idle: this process ends.
     pub closing: AtomicBool,
     /// The process is about to exit: all open requests are answered now.
@@ -160,6 +163,21 @@
         self.slots.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes an id for a new request.
+    ///
+    /// # Errors
+    /// If an earlier request has had it.
+    pub(crate) fn open_request_id(&self, id: &str) -> Result<RequestIdHash, DuplicateId> {
+        let now = self.clock.now();
+        self.request_ids.lock().unwrap_or_else(PoisonError::into_inner).open(now, id)
+    }
+
+    /// Records that the request with this id has ended.
+    pub(crate) fn end_request_id(&self, id: RequestIdHash) {
+        let now = self.clock.now();
+        self.request_ids.lock().unwrap_or_else(PoisonError::into_inner).end(now, id);
+    }
+
     /// The number of connected clients.
     pub fn present(&self) -> usize {
         self.slots().taken.len()
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -62,8 +62,6 @@
         /// How long its client still waits.
         left: Duration,
     },
-    /// Over the limits of its connection: it is refused when its turn to be answered comes.
-    OverLimits,
     /// Handed to the dispatcher.
     Started,
     /// Given to a server's pool.
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -13,6 +13,7 @@
 use juniperdock_hot_restart::Timeouts;
 use juniperdock_operator_config as operator_config;
 use juniperdock_operator_config::{Fault, Log, LogFormat, OperatorConfig, Upgrade, WaitQueueConfig};
+use juniperdock_request_guard::RequestIds;
 use juniperdock_server_list::{ProbeLimits, ProbeQueue};
 use juniperdock_wait_queue::WaitLimits;
 use may::sync::mpsc::{Sender, channel};
@@ -31,6 +32,12 @@
 /// Free coroutine stacks kept for reuse. `may` allocates them at the start and reuses the one that has been free for
 /// longest, so its default of 1000 would gradually touch all of them and waste 20 MB of memory.
 const POOLED_STACKS: usize = 32;
+/// How long the id of a request is remembered at least after its end, beside the longest time limit: a client has 6 s
+/// for what it sends.
+const MIN_ID_RETENTION: Duration = Duration::from_secs(7);
+/// The most ids of ended requests that are remembered twice over, and the memory that has to be there for each.
+const MAX_ENDED_IDS: usize = 100_000;
+const BYTES_PER_ENDED_ID: usize = 1024;
 /// Stack size, in bytes, of the coroutines that make routing decisions or parse JSON.
 const LARGE_STACK_BYTES: usize = 1 << 20;
 
@@ -202,6 +209,10 @@
         client_session_marks: settings.get("Specifics.SessionMarks").as_deref() == Some("client"),
         grace: grace / 2,
         next_request_id: AtomicU64::new(0),
+        request_ids: Mutex::new(RequestIds::new(
+            max_time_limit + MIN_ID_RETENTION,
+            settings.memory().map_or(MAX_ENDED_IDS, |bytes| (bytes / BYTES_PER_ENDED_ID).min(MAX_ENDED_IDS)),
+        )),
         closing: AtomicBool::new(false),
         answer_all_now: AtomicBool::new(false),
         max_clients: descriptors.max_connections,
--- a/crates/lab/src/request_logs.rs
+++ b/crates/lab/src/request_logs.rs
@@ -77,7 +77,7 @@
             "Received" => {
                 ended.insert(request, false);
             }
-            "Answered" | "Abandoned" | "OverLimits" => {
+            "Answered" | "Abandoned" => {
                 ended.insert(request, true);
             }
             "Written" => self.written_after_end += usize::from(ended.get(&request) == Some(&true)),
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -142,15 +142,15 @@
         })
     }
 
-    /// Appends a request. One over the limits is refused, in its place in the order, and its payload is returned. A
-    /// single request is never over the limits, however long it is.
+    /// Whether a request of this size is within the limits. A single one always is, however long it is.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.requests == 0 || self.request_bytes + bytes <= self.limits.request_bytes
+    }
+
+    /// Appends a request. One over the limits is refused, in its place in the order, and its payload is returned.
     pub fn push(&mut self, request: Request, payload: T) -> Result<(), T> {
-        let fits = self.request_bytes + request.bytes <= self.limits.request_bytes;
-        if self.requests > 0 && !fits {
-            match self.entries.back_mut() {
-                Some(Entry::Refused(count)) => *count += 1,
-                _ => self.entries.push_back(Entry::Refused(1)),
-            }
+        if !self.has_room(request.bytes) {
+            self.refuse();
             return Err(payload);
         }
         self.requests += 1;
@@ -159,6 +159,14 @@
         Ok(())
     }
 
+    /// Appends a request that is refused when its turn comes.
+    pub fn refuse(&mut self) {
+        match self.entries.back_mut() {
+            Some(Entry::Refused(count)) => *count += 1,
+            _ => self.entries.push_back(Entry::Refused(1)),
+        }
+    }
+
     /// Appends a command that is already answered.
     pub fn push_answer(&mut self, answer: Vec<u8>) {
         self.answer_bytes += answer.len();
--- a/crates/request-guard/src/lib.rs
+++ b/crates/request-guard/src/lib.rs
@@ -5,9 +5,11 @@
 //! checked through [`ClientPresence`].
 
 mod connection;
+mod ids;
 mod invariants;
 mod request;
 
 pub use connection::{EndedBy, Outstanding};
+pub use ids::{DuplicateId, RequestIdHash, RequestIds};
 pub use invariants::{Invariants, Violation};
 pub use request::{AttemptPermit, ClientPresence, RequestGuard, Withheld};
--- a/crates/test-support/src/client.rs
+++ b/crates/test-support/src/client.rs
@@ -4,6 +4,7 @@
 use crate::wire::{message, read_message};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// The front's reply to one statement.
@@ -82,17 +83,20 @@
     }
 }
 
-/// The text of a txn of the given type that expires after `ms` milliseconds.
-pub fn txn(kind: &str, ms: u32, id: &str) -> String {
-    txn_of(kind, ms, id, "5c0f", 2)
+/// The text of a txn of the given type that expires after `ms` milliseconds. Each call gives it a new id, as the
+/// protocol wants it; `label` is in a field of the comment by which tests find it (`test_id=label,`).
+pub fn txn(kind: &str, ms: u32, label: &str) -> String {
+    txn_of(kind, ms, label, "5c0f", 2)
 }
 
 /// Like [`txn`], for a given group and with a given reference (`k`).
-pub fn txn_of(kind: &str, ms: u32, id: &str, mark: &str, cell: u64) -> String {
+pub fn txn_of(kind: &str, ms: u32, label: &str, mark: &str, cell: u64) -> String {
+    static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+    let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
     let query = if kind == "lookup" {
         "SELECT blob FROM rows WHERE handle = '7f3a'"
     } else {
         "INSERT INTO rows (handle, blob) VALUES ('7f3a', '\\x9f03') RETURNING blob"
     };
-    format!("/* id={id},c={kind},d={ms},k={mark},cluster={cell} */ {query}")
+    format!("/* id={id:016x},c={kind},d={ms},k={mark},cluster={cell},test_id={label}, */ {query}")
 }
