Keep short answers together while they wait, and refuse commands behind too many

Cause: an answer that waits for an earlier one was an entry of its own in the pipeline, 130 bytes and an allocation for 6 to 11 bytes of answer, and nothing more was read once 136 KiB of them waited.

Change: answers of up to 1 KiB are joined with those before them in blocks of 16 KiB; once 136 KiB wait, further commands are refused in their turn (53300), which is a count. The oldest request alone starts while the client leaves as much unread. A start looks at each entry once: it compared each waiting request with all before it.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -335,7 +335,9 @@
 
     /// Hands the requests that may start to the dispatcher.
     fn start_requests(&mut self) {
-        while let Some(Start { payload: mut arrival, write_answered }) = self.pipeline.start() {
+        while let Some(Start { payload: mut arrival, write_answered }) =
+            self.pipeline.start(self.link.unsent())
+        {
             if let Some(answered) = write_answered {
                 let ago = self.shared.clock.now().saturating_sub(answered).max(MIN_WRITE_AGE);
                 let reported = arrival.wrote_ago.filter(|reported| !reported.is_zero());
@@ -405,11 +407,22 @@
             }
         };
         if !out.is_empty() {
-            self.pipeline.push_answer(out);
+            self.push_answer(out);
         }
         progressed
     }
 
+    /// Adds the answer to a command that needs no server. While too much waits for earlier answers, the command is refused
+    /// instead, which takes no memory; the last answer of a connection is kept in any case.
+    fn push_answer(&mut self, answer: Vec<u8>) {
+        if self.pipeline.is_full() && self.closing.is_none() {
+            self.shared.counters.over_limits.add();
+            self.pipeline.refuse();
+        } else {
+            self.pipeline.push_answer(answer);
+        }
+    }
+
     /// Handles a startup, encryption or cancel request; returns its length, or 0 if it is incomplete.
     fn read_startup(&mut self, out: &mut Vec<u8>) -> Result<usize, String> {
         Ok(match pg::opening(self.link.inbound.make_contiguous())? {
@@ -461,6 +474,8 @@
             }
             b'H' => {}
             b'P' | b'B' | b'D' | b'E' | b'C' | b'F' if self.skipping => {}
+            // Its Sync is refused.
+            b'P' | b'B' | b'D' | b'E' | b'C' if self.pipeline.is_full() => self.skipping = true,
             b'P' | b'B' | b'D' | b'E' | b'C' | b'F' => {
                 self.skipping = kind != b'F';
                 pg::error(out, false, pg::NOT_SUPPORTED, "only simple queries are taken", None);
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -17,10 +17,16 @@
     /// Bytes of unanswered requests, including what is kept for each beside its statement. Requests beyond this are
     /// refused.
     pub request_bytes: usize,
-    /// While this many bytes of answers wait for earlier ones, only the oldest request may start.
+    /// While this many bytes of answers wait for earlier ones, only the oldest request may start, and commands are
+    /// refused instead of answered.
     pub answer_bytes: usize,
 }
 
+/// Answers up to this length are kept together, in blocks of up to [`MAX_BLOCK`]: kept one by one, short ones would take
+/// many times their length.
+const MAX_SHORT_ANSWER: usize = 1 << 10;
+const MAX_BLOCK: usize = 16 << 10;
+
 /// What the pipeline needs to know of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Request {
@@ -70,6 +76,7 @@
         write_answered: Option<Duration>,
     },
     Started(Request),
+    /// The answers of one command or of several in a row.
     Answered(Vec<u8>),
     /// This many requests in a row were over the limits. A client can send them faster than they can be answered in
     /// order, so they are counted rather than kept.
@@ -170,13 +177,24 @@
     /// Appends a command that is already answered.
     pub fn push_answer(&mut self, answer: Vec<u8>) {
         self.answer_bytes += answer.len();
+        if let Some(Entry::Answered(block)) = self.entries.back_mut()
+            && is_short(block, &answer)
+        {
+            block.extend_from_slice(&answer);
+            return;
+        }
         self.entries.push_back(Entry::Answered(answer));
     }
 
+    /// Whether so many bytes of answers wait that further commands are to be refused ([`Pipeline::refuse`]).
+    pub fn is_full(&self) -> bool {
+        self.answer_bytes >= self.limits.answer_bytes
+    }
+
     /// Starts the oldest request that may start: the limits allow it, and no earlier write of its session is
-    /// unanswered.
-    pub fn start(&mut self) -> Option<Start<T>> {
-        let at = (0..self.entries.len()).find(|&at| self.may_start(at))?;
+    /// unanswered. `unsent`: bytes of answers that were taken from here and that the client has not read.
+    pub fn start(&mut self, unsent: usize) -> Option<Start<T>> {
+        let at = self.next_start(unsent)?;
         let Entry::Waiting { request, .. } = &self.entries[at] else { return None };
         let started = Entry::Started(*request);
         let Entry::Waiting { payload, write_answered, .. } =
@@ -188,15 +206,25 @@
         Some(Start { payload, write_answered })
     }
 
-    fn may_start(&self, at: usize) -> bool {
-        let Entry::Waiting { request, .. } = &self.entries[at] else { return false };
+    /// The position of the oldest request that may start.
+    fn next_start(&self, unsent: usize) -> Option<usize> {
         let within_limits =
-            self.started < self.limits.started && self.answer_bytes < self.limits.answer_bytes;
-        if at > 0 && !within_limits {
-            return false;
+            self.started < self.limits.started && self.answer_bytes + unsent < self.limits.answer_bytes;
+        let candidates = if within_limits { self.entries.len() } else { 1 };
+        // Started writes only: one that waits is blocked itself, or is the one to start.
+        let mut unanswered_writes: Vec<&Request> = Vec::new();
+        for (at, entry) in self.entries.iter().take(candidates).enumerate() {
+            match entry {
+                Entry::Waiting { request, .. } => {
+                    if !unanswered_writes.iter().any(|earlier| blocks(earlier, request)) {
+                        return Some(at);
+                    }
+                }
+                Entry::Started(request) if request.writes => unanswered_writes.push(request),
+                Entry::Started(_) | Entry::Answered(_) | Entry::Refused(_) => {}
+            }
         }
-        let earlier = self.entries.range(..at).filter_map(Entry::request);
-        !earlier.into_iter().any(|earlier| blocks(earlier, request))
+        None
     }
 
     /// Records the answer of a request; returns false if it is not unanswered.
@@ -216,9 +244,29 @@
                 *write_answered = Some(now);
             }
         }
+        self.join_answers(at + 1);
+        self.join_answers(at);
         true
     }
 
+    /// Adds a short answer to the answers right before it.
+    fn join_answers(&mut self, at: usize) {
+        let Some(before) = at.checked_sub(1) else { return };
+        let (Some(Entry::Answered(block)), Some(Entry::Answered(answer))) =
+            (self.entries.get(before), self.entries.get(at))
+        else {
+            return;
+        };
+        if !is_short(block, answer) {
+            return;
+        }
+        if let Some(Entry::Answered(answer)) = self.entries.remove(at)
+            && let Some(Entry::Answered(block)) = self.entries.get_mut(before)
+        {
+            block.extend_from_slice(&answer);
+        }
+    }
+
     /// The next reply in the order of the commands, if it is known.
     pub fn next_reply(&mut self) -> Option<Reply> {
         match self.entries.front_mut()? {
@@ -260,6 +308,11 @@
     }
 }
 
+/// Whether an answer is so short that it is kept in one block with those before it.
+fn is_short(block: &[u8], answer: &[u8]) -> bool {
+    answer.len() <= MAX_SHORT_ANSWER && block.len() + answer.len() <= MAX_BLOCK
+}
+
 /// Whether a later request has to wait for an earlier one: reads of a session see its writes, and its writes keep their
 /// order.
 fn blocks(earlier: &Request, later: &Request) -> bool {
