Read all that a client sends, and start nothing for one whose end may be unread

Change: all that a client sends is read, 16 KiB or the message in hand at a time; what is over the limits is refused and counted. Bytes behind the end of a connection that closes are discarded, so that its end is seen too. withheld_unread is counted.

--- a/crates/connection/src/lib.rs
+++ b/crates/connection/src/lib.rs
@@ -126,6 +126,8 @@
     pub ended: bool,
     /// The last transfer of bytes met a shortage of memory or buffers.
     short: bool,
+    /// The last read took all that the kernel had received.
+    drained: bool,
 }
 
 impl Link {
@@ -141,7 +143,7 @@
         // On failure small messages may be delayed, which is no reason to close the connection.
         let _ = socket.0.set_nodelay(true);
         let (inbound, outbound) = (VecDeque::new(), VecDeque::new());
-        Link { io, socket, inbound, outbound, limits, ended: false, short: false }
+        Link { io, socket, inbound, outbound, limits, ended: false, short: false, drained: false }
     }
 
     /// Duplicates the descriptor for another process. Bytes that one of the two reads are lost to the other.
@@ -182,6 +184,12 @@
         self.short
     }
 
+    /// Whether the last read took all that the kernel had received by then. Only then is it known that the peer has not
+    /// ended its stream: its end may be behind bytes that wait on the peer's side for room here.
+    pub fn is_drained(&self) -> bool {
+        self.drained
+    }
+
     /// Stops reading while `inbound` holds this many bytes or more.
     pub fn set_read_limit(&mut self, bytes: usize) {
         self.limits.inbound = bytes;
@@ -242,11 +250,12 @@
     fn read(&mut self) -> Result<bool, Failure> {
         let mut moved = false;
         let mut piece = [0u8; READ_CHUNK];
+        self.drained = self.ended;
         while !self.ended && self.inbound.len() < self.limits.inbound {
             let space = piece.len().min(self.limits.inbound - self.inbound.len());
             match (&*self.socket.0).read(&mut piece[..space]) {
                 Ok(0) => {
-                    self.ended = true;
+                    (self.ended, self.drained) = (true, true);
                     moved = true;
                 }
                 Ok(n) => {
@@ -254,10 +263,14 @@
                     moved = true;
                     // The receive buffer is drained; bytes that arrive later end the next wait at once.
                     if n < space {
+                        self.drained = true;
                         break;
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.drained = true;
+                    break;
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if is_transient(&e) => {
                     self.short = true;
--- a/crates/front/src/acceptor.rs
+++ b/crates/front/src/acceptor.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::Ordering;
 
 /// Outbound bytes are answers, which the pipeline limits and members' answers bound.
-const BUFFER_LIMITS: BufferLimits = BufferLimits { inbound: client::MAX_INBOUND, outbound: usize::MAX };
+const BUFFER_LIMITS: BufferLimits = BufferLimits { inbound: client::READ_AHEAD, outbound: usize::MAX };
 
 impl SharedClients {
     /// Starts a client's actor; the client counts as present from here on, however late the actor runs. For a client
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -3,6 +3,7 @@
 
 mod drain;
 mod request;
+mod unread;
 
 use crate::clients::{
     ClientTransfer, IdleAction, SharedClients, TRANSFER_ACCEPTED, TRANSFER_PENDING, TransferResult,
@@ -21,19 +22,25 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
+use unread::UnreadSince;
 
 /// The stack of a connection's coroutine.
 pub const CONNECTION_STACK_BYTES: usize = 64 << 10;
 /// Messages that are read before other coroutines get a turn.
 const MAX_MESSAGES_PER_TURN: usize = 64;
 
-/// The most unread bytes that are buffered for a client.
-pub const MAX_INBOUND: usize = 2 * pg::MAX_MESSAGE_LEN;
+/// The bytes that are read ahead of the message in hand. All that a client sends is read as soon as possible: its end
+/// can't be seen while its bytes are unread.
+pub const READ_AHEAD: usize = 16 << 10;
 
 /// What a client may have sent and not been answered. What exceeds it is refused when its turn comes, but read all
-/// the same: the front could not notice that a client leaves while its bytes are unread.
+/// the same.
 const PIPELINE_LIMITS: Limits =
-    Limits { started: 64, request_bytes: MAX_INBOUND, answer_bytes: pg::MAX_MESSAGE_LEN };
+    Limits { started: 64, request_bytes: 2 * pg::MAX_MESSAGE_LEN, answer_bytes: pg::MAX_MESSAGE_LEN };
+
+/// Nothing more is started for a client of which bytes have been unread for this long: it may have left. Half of the time
+/// within which attempts have to stop after a client has left.
+const MAX_UNREAD_TIME: Duration = Duration::from_millis(50);
 
 /// Bytes that a request takes beside its text, rounded up.
 const REQUEST_OVERHEAD: usize = 512;
@@ -70,6 +77,8 @@
     open_requests: HashMap<u64, OpenRequest>,
     /// When the bytes in the inbound buffer came in.
     arrival_times: ArrivalTimes,
+    /// Since when not all that has come in was read.
+    unread_since: Arc<UnreadSince>,
     /// After a failed extended query, messages are skipped up to Sync.
     skipping: bool,
     /// Set when nothing more is read, with the reason: the connection ends once everything is written.
@@ -109,6 +118,7 @@
         pipeline: Pipeline::new(PIPELINE_LIMITS),
         open_requests: HashMap::new(),
         arrival_times: ArrivalTimes::default(),
+        unread_since: Arc::default(),
         skipping,
         closing: None,
         draining: None,
@@ -197,15 +207,19 @@
     /// many messages it read.
     fn process(&mut self) -> usize {
         let mut read = 0;
+        if self.closing.is_some() {
+            // Read and discarded until its requests are answered: its end would not be seen behind it.
+            self.link.inbound.clear();
+        }
         // No request is started for a client that has left after sending it.
-        while self.accepts_more()
+        while self.closing.is_none()
             && !self.client_gone()
             && read < MAX_MESSAGES_PER_TURN
             && self.next_message()
         {
             read += 1;
         }
-        if !self.client_gone() {
+        if !self.client_gone() && !self.unread_since.is_before(self.last_unread_allowed()) {
             self.start_requests();
         }
         self.send_replies();
@@ -240,23 +254,30 @@
     fn pump(&mut self) -> Result<bool, Failure> {
         let before = self.link.inbound.len();
         let moved = self.link.pump();
-        self.arrival_times.received(self.link.inbound.len() - before, self.shared.clock.arrival_time());
+        let arrived = self.shared.clock.arrival_time();
+        self.arrival_times.received(self.link.inbound.len() - before, arrived);
+        self.unread_since.update(self.link.is_drained(), arrived);
         if matches!(moved, Ok(true)) {
             self.last_progress = self.shared.clock.now();
         }
         moved
     }
 
-    /// Whether more requests are read: not while the client leaves much unread.
-    fn accepts_more(&self) -> bool {
-        self.closing.is_none() && self.link.unsent() + self.pipeline.answer_bytes() < pg::MAX_MESSAGE_LEN
+    /// How much is read before the messages that came in are handled: what is read ahead, or the message in hand.
+    fn read_limit(&mut self) -> usize {
+        let inbound = self.link.inbound.make_contiguous();
+        let message = if self.open { pg::message_length(inbound) } else { pg::opening_length(inbound) };
+        message.clamp(READ_AHEAD, pg::MAX_MESSAGE_LEN + 1)
     }
 
-    /// Whether it has ended its sending. If its end can't be read because nothing is read any more, the operating
-    /// system is asked.
+    /// Whether it has ended its sending. If there may be more to read before its end, the operating system is asked.
     fn client_gone(&self) -> bool {
-        let unread = self.draining.is_some() || self.link.inbound.len() >= MAX_INBOUND;
-        self.link.ended || unread && self.link.has_left()
+        self.link.ended || !self.link.is_drained() && self.link.has_left()
+    }
+
+    /// Bytes that were unread before this time may hide the client's end.
+    fn last_unread_allowed(&self) -> Duration {
+        self.shared.clock.now().saturating_sub(MAX_UNREAD_TIME)
     }
 
     /// Begins the transfer to another process if the client is idle. Returns whether it began.
@@ -300,7 +321,7 @@
     /// Ends the connection of a client that does not complete its startup or a message in time: it must not occupy a
     /// slot by sending nothing or a message without an end.
     fn enforce_message_time(&mut self) {
-        let is_waiting = self.accepts_more() && (!self.open || !self.link.inbound.is_empty());
+        let is_waiting = self.closing.is_none() && (!self.open || !self.link.inbound.is_empty());
         if !is_waiting {
             self.message_due = None;
             return;
--- a/crates/front/src/client/drain.rs
+++ b/crates/front/src/client/drain.rs
@@ -1,7 +1,7 @@
 //! How a client's connection ends, whether this process ends or goes on: no request that was read is left without its
 //! answer, and no answer is cut off.
 
-use super::{Client, MAX_INBOUND, OpenRequest};
+use super::{Client, OpenRequest};
 use crate::clients::MIN_IDLE;
 use crate::messages::{Answer, DispatcherMessage};
 use crate::request_log::{CloseReason, RequestEvent};
@@ -48,7 +48,7 @@
         if self.draining.is_some() && answer_all_now {
             self.answer_all();
         }
-        let limit = if self.draining.is_some() { self.drain_limit() } else { MAX_INBOUND };
+        let limit = if self.draining.is_some() { self.drain_limit() } else { self.read_limit() };
         self.link.set_read_limit(limit);
     }
 
@@ -56,10 +56,11 @@
     /// rest of a message that has begun. Everything else is unread when the connection ends, and its client sends it
     /// elsewhere.
     fn drain_limit(&mut self) -> usize {
-        let inbound = &mut self.link.inbound;
         if self.closing.is_some() || self.pipeline.requests() > 0 {
-            MAX_INBOUND
-        } else if inbound.is_empty() {
+            return self.read_limit();
+        }
+        let inbound = &mut self.link.inbound;
+        if inbound.is_empty() {
             0
         } else if self.open {
             pg::message_length(inbound.make_contiguous())
--- a/crates/front/src/client/request.rs
+++ b/crates/front/src/client/request.rs
@@ -1,6 +1,8 @@
 //! Reads a request from a statement: the fields of its comment, and the guard of what may be done for it.
 
-use super::Client;
+use super::unread::UnreadSince;
+use super::{Client, MAX_UNREAD_TIME};
+use crate::clock::Clock;
 use crate::messages::Arrival;
 use crate::request_log::RequestEvent;
 use juniperdock_connection::PeerWatch;
@@ -14,12 +16,20 @@
 /// No client waits for longer than an hour.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
 
-/// Asks the operating system whether a client has left.
-struct Presence(PeerWatch);
+/// Whether a client is still there: by the operating system, as far as all that it sent has been read.
+struct Presence {
+    watch: PeerWatch,
+    unread_since: Arc<UnreadSince>,
+    clock: Clock,
+}
 
 impl ClientPresence for Presence {
     fn has_left(&self) -> bool {
-        self.0.has_left()
+        self.watch.has_left()
+    }
+
+    fn may_have_left(&self) -> bool {
+        self.unread_since.is_before(self.clock.now().saturating_sub(MAX_UNREAD_TIME))
     }
 }
 
@@ -51,8 +61,13 @@
         let time_left = expiry.saturating_sub(self.shared.clock.now());
         let received = RequestEvent::Received { id, class: txn_type, left: time_left };
         self.shared.request_log.request(request_id, received);
-        let presence = Box::new(Presence(self.link.peer_watch()));
-        let guard = RequestGuard::new(expiry, presence, self.shared.counters.invariants.clone());
+        let presence = Presence {
+            watch: self.link.peer_watch(),
+            unread_since: self.unread_since.clone(),
+            clock: self.shared.clock.clone(),
+        };
+        let invariants = self.shared.counters.invariants.clone();
+        let guard = RequestGuard::new(expiry, Box::new(presence), invariants);
         let client = self.mailbox.clone();
         let arrival = Arrival {
             request_id,
--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -346,6 +346,13 @@
                     self.router.client_left(now, txn, &mut self.host);
                 }
             }
+            DispatcherMessage::ClientUnread(request_id) => {
+                if let Some(&txn) = self.host.by_request_id.get(&request_id) {
+                    self.host
+                        .answer(txn, Answer::Unknown("given up: its connection is sent more than is read"));
+                    self.router.client_left(now, txn, &mut self.host);
+                }
+            }
             DispatcherMessage::AttemptEnded(end) => self.attempt_ended(now, *end),
             DispatcherMessage::Probed { member, outcome, report } => {
                 if outcome != AttemptOutcome::Committed {
@@ -450,7 +457,7 @@
             Ok(()) => {}
             Err(Withheld::OutOfTime) => return a.client.post((a.request_id, Answer::Declined(None))),
             // The client has left or has its answer.
-            Err(Withheld::Ended | Withheld::ClientLeft) => return,
+            Err(Withheld::Ended | Withheld::ClientLeft | Withheld::ClientUnread) => return,
         }
         if self.host.groups.known(&a.group).is_none() && !self.host.groups.is_empty() {
             a.client.post((a.request_id, Answer::RolledBack("expected a cluster that the list names")));
--- a/crates/front/src/member/connection.rs
+++ b/crates/front/src/member/connection.rs
@@ -4,10 +4,11 @@
 use super::reply::{Reply, check_position, load_report, report_outcome};
 use crate::clock::SHORTAGE_PAUSE;
 use crate::connect::{ConnectFailure, ConnectRequest, connect};
-use crate::messages::{DispatcherMessage, Job, MemberMessage};
+use crate::messages::{DispatcherMessage, Job, MemberMessage, Submit};
 use crate::request_log::{RequestEvent, ServerCloseReason};
 use juniperdock_connection::{Failure, Link, Reached};
 use juniperdock_pg as pg;
+use juniperdock_request_guard::Withheld;
 use juniperdock_router::host::AttemptOutcome;
 use may::sync::mpsc::{Receiver, Sender, channel};
 use std::cell::{Cell, RefCell};
@@ -467,17 +468,25 @@
     /// The last check before the first byte is written. Probes belong to no request.
     fn permitted(&self, job: &Job, now: Duration) -> bool {
         let Job::Submit(submit) = job else { return true };
-        let withheld = submit.permit.consume(now).err();
-        if let Some(why) = withheld {
-            let event = RequestEvent::Withheld { server: self.member, why };
-            self.context.request_log.request(submit.request_id, event);
-        }
-        withheld.is_none()
+        self.is_granted(submit, submit.permit.consume(now))
     }
 
     fn may_continue(&self, job: &Job) -> bool {
         let Job::Submit(submit) = job else { return true };
-        submit.permit.may_continue(self.context.clock.now()).is_ok()
+        self.is_granted(submit, submit.permit.may_continue(self.context.clock.now()))
+    }
+
+    /// Whether an attempt may be written; logs why not.
+    fn is_granted(&self, submit: &Submit, permitted: Result<(), Withheld>) -> bool {
+        let Err(why) = permitted else { return true };
+        let event = RequestEvent::Withheld { server: self.member, why };
+        self.context.request_log.request(submit.request_id, event);
+        if why == Withheld::ClientUnread {
+            // The router would send it again at once, and could not know any more by then.
+            self.context.counters.withheld_unread.add();
+            let _ = self.context.dispatcher.send(DispatcherMessage::ClientUnread(submit.request_id));
+        }
+        false
     }
 
     /// Waits for an event, until that time at most. Only one timer is pending at a time, as most txns end long before
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -107,6 +107,8 @@
 pub enum DispatcherMessage {
     RequestArrived(Box<Arrival>),
     ClientLeft(u64),
+    /// The client of a request sends faster than it is read and may have left: nothing more is done for it.
+    ClientUnread(u64),
     AttemptEnded(Box<AttemptEnd>),
     Probed {
         member: usize,
--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -41,9 +41,13 @@
 }
 
 fn submit(until: Duration) -> Job {
+    submit_with(&guard(), until)
+}
+
+fn submit_with(guard: &RequestGuard, until: Duration) -> Job {
     let (statement, left, at) = ("".into(), 0..0, Duration::ZERO);
     let deadline = Duration::from_secs(3600);
-    let permit = guard().permit(until);
+    let permit = guard.permit(until);
     Job::Submit(crate::messages::Submit { request_id: 7, statement, left, deadline, permit, at })
 }
 
@@ -107,12 +111,16 @@
 
 /// Carries one job over a connection of its own, as its coroutine does; returns the messages to the dispatcher.
 fn carry(address: SocketAddr, messages: Receiver<ConnectionMessage>) -> Vec<DispatcherMessage> {
+    carry_job(submit(Duration::from_secs(3600)), address, messages)
+}
+
+fn carry_job(job: Job, address: SocketAddr, messages: Receiver<ConnectionMessage>) -> Vec<DispatcherMessage> {
     let ((pool, _pool), (dispatcher, reported)) = (channel(), channel());
     let (ended, end) = std::sync::mpsc::channel();
     let context = context(dispatcher);
     spawn("line", context.stack_bytes, move || {
         let connection = ServerConnection::new(1, 3, address, pool, context, messages);
-        connection.serve_jobs(&mut Some(submit(Duration::from_secs(3600))), None);
+        connection.serve_jobs(&mut Some(job), None);
         let _ = ended.send(());
     })
     .expect("a coroutine");
@@ -124,6 +132,43 @@
     matches!(message, DispatcherMessage::AttemptEnded(end) if end.request_id == 7 && end.outcome == AttemptOutcome::Moot)
 }
 
+/// A client of which so much is unread that it may have left.
+struct Unread;
+
+impl ClientPresence for Unread {
+    fn has_left(&self) -> bool {
+        false
+    }
+
+    fn may_have_left(&self) -> bool {
+        true
+    }
+}
+
+#[test]
+fn request_whose_clients_end_may_be_unread_is_not_written_and_given_up() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
+    let address = listener.local_addr().expect("an address");
+    let (sender, receiver) = channel();
+    let seen = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut all = vec![0; pg::startup("api", "ledger").len()];
+        std::io::Read::read_exact(&mut stream, &mut all).expect("an opening");
+        let mut welcome = Vec::new();
+        pg::startup_response(&mut welcome);
+        std::io::Write::write_all(&mut stream, &welcome).expect("it is open");
+        drop(sender);
+        let mut rest = Vec::new();
+        let _ = std::io::Read::read_to_end(&mut stream, &mut rest);
+        rest
+    });
+    let guard = RequestGuard::new(Duration::from_secs(3600), Box::new(Unread), Arc::default());
+    let reported = carry_job(submit_with(&guard, Duration::from_secs(3600)), address, receiver);
+    let given_up = |message: &DispatcherMessage| matches!(message, DispatcherMessage::ClientUnread(7));
+    assert!(reported.iter().any(given_up) && reported.iter().any(is_moot));
+    assert_eq!(seen.join().expect("no panic"), b"", "nothing but the startup was written");
+}
+
 #[test]
 fn request_cancelled_during_the_handshake_is_not_written() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
--- a/crates/request-guard/src/request.rs
+++ b/crates/request-guard/src/request.rs
@@ -11,6 +11,12 @@
 pub trait ClientPresence: Send + Sync {
     /// Whether the client has closed its connection.
     fn has_left(&self) -> bool;
+
+    /// Whether so much of what the client has sent is unread, and has been for so long, that it may have closed its
+    /// connection without being seen to.
+    fn may_have_left(&self) -> bool {
+        false
+    }
 }
 
 /// Why an attempt must not be written.
@@ -22,6 +28,8 @@
     OutOfTime,
     /// Its client has closed the connection.
     ClientLeft,
+    /// Its client sends faster than it is read, and may have closed the connection.
+    ClientUnread,
 }
 
 const OPEN: u8 = 0;
@@ -156,7 +164,13 @@
     }
 
     fn client_is_there(&self) -> Result<(), Withheld> {
-        if self.request.0.client.has_left() { Err(Withheld::ClientLeft) } else { Ok(()) }
+        if self.request.0.client.has_left() {
+            Err(Withheld::ClientLeft)
+        } else if self.request.0.client.may_have_left() {
+            Err(Withheld::ClientUnread)
+        } else {
+            Ok(())
+        }
     }
 }
 
--- a/crates/request-guard/tests/guard.rs
+++ b/crates/request-guard/tests/guard.rs
@@ -47,6 +47,26 @@
     assert_eq!(permit.may_continue(ms(1)), Err(Withheld::ClientLeft));
 }
 
+/// A client of which so much is unread that it may have left.
+struct Unread;
+
+impl ClientPresence for Unread {
+    fn has_left(&self) -> bool {
+        false
+    }
+
+    fn may_have_left(&self) -> bool {
+        true
+    }
+}
+
+#[test]
+fn attempt_for_a_client_whose_end_may_be_unread_is_withheld() {
+    let request = RequestGuard::new(ms(500), Box::new(Unread), Arc::default());
+    assert_eq!(request.permit(ms(500)).consume(ms(1)), Err(Withheld::ClientUnread));
+    assert_eq!(request.permit(ms(500)).may_continue(ms(1)), Err(Withheld::ClientUnread));
+}
+
 #[test]
 fn nothing_is_started_sent_or_answered_after_the_end() {
     for end in [RequestGuard::answer, RequestGuard::abandon] {
