Count the heap and the stacks, and take less of both for each connection

What a process holds was seen from outside only: heap_kib, heap_most_kib, coroutines and coroutines_most are in the counters now. The heap is counted by the allocator (cap, one atomic addition an allocation), so all that is kept counts, whoever keeps it. Freed blocks of 128 KiB and more go back to the system, and all threads share one arena: by default glibc keeps more the larger a block was freed. crates/memory-limit decides what a process may still take on with its limit; not asked yet.

An empty queue of the coroutine library reserves two blocks of 64 messages: 6.8 KB for the answers of a client, 12.9 KB for a server's pool. Answers, submissions and transfers are boxed in these queues. Reads go through one buffer for all coroutines in place of 4 KiB on each stack.

--- a/crates/connection/src/lib.rs
+++ b/crates/connection/src/lib.rs
@@ -13,18 +13,27 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
 use socket2::{Domain, SockRef, Socket, Type};
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fmt;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, UdpSocket};
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
-/// Bytes per read call, and the largest capacity that an empty buffer keeps during a wait.
-const READ_CHUNK: usize = 4096;
+/// The most bytes of one read call.
+const READ_CHUNK: usize = 16 << 10;
+/// The largest capacity that an empty buffer keeps during a wait.
+const MAX_IDLE_CAPACITY: usize = 4 << 10;
+
+thread_local! {
+    /// Where a read puts its bytes first. One for all coroutines of a thread, as none waits while it is in use; on their
+    /// stacks it would take memory for each.
+    static READ_BUFFER: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_CHUNK].into_boxed_slice());
+}
 
 /// How far an attempt got in sending its bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -248,8 +257,11 @@
     }
 
     fn read(&mut self) -> Result<bool, Failure> {
+        READ_BUFFER.with_borrow_mut(|buffer| self.read_through(buffer))
+    }
+
+    fn read_through(&mut self, piece: &mut [u8]) -> Result<bool, Failure> {
         let mut moved = false;
-        let mut piece = [0u8; READ_CHUNK];
         self.drained = self.ended;
         while !self.ended && self.inbound.len() < self.limits.inbound {
             let space = piece.len().min(self.limits.inbound - self.inbound.len());
@@ -286,7 +298,7 @@
     /// message does not increase the connection's memory for good.
     pub fn wait(&mut self) {
         for buffer in [&mut self.inbound, &mut self.outbound] {
-            if buffer.is_empty() && buffer.capacity() > READ_CHUNK {
+            if buffer.is_empty() && buffer.capacity() > MAX_IDLE_CAPACITY {
                 *buffer = VecDeque::new();
             }
         }
@@ -443,7 +455,36 @@
         .map_err(|e| format!("starting {name}: {e}"))
 }
 
+/// Coroutines that were started by [`spawn`] and have not ended.
+static LIVE_COROUTINES: AtomicUsize = AtomicUsize::new(0);
+
+/// The number of coroutines that were started by [`spawn`] and have not ended: each has a stack.
+pub fn live_coroutines() -> usize {
+    LIVE_COROUTINES.load(Ordering::Relaxed)
+}
+
+/// Counts a coroutine from its start until its body has ended or was dropped.
+struct CoroutineCount;
+
+impl CoroutineCount {
+    fn new() -> CoroutineCount {
+        LIVE_COROUTINES.fetch_add(1, Ordering::Relaxed);
+        CoroutineCount
+    }
+}
+
+impl Drop for CoroutineCount {
+    fn drop(&mut self) {
+        LIVE_COROUTINES.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 fn start_coroutine(name: &str, stack: usize, body: impl FnOnce() + Send + 'static) -> Result<(), String> {
+    let counted = CoroutineCount::new();
+    let body = move || {
+        let _counted = counted;
+        body();
+    };
     let builder = Builder::new().name(name.to_owned()).stack_size(stack / size_of::<usize>());
     // SAFETY: `may` requires that a coroutine uses no thread-local across a wait and stays inside its stack. All
     // coroutines run on one worker thread, so a thread-local is the same before and after a wait, and no coroutine
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -66,7 +66,7 @@
     /// Whether it has a slot; otherwise its first txn is declined and the connection ends.
     has_slot: bool,
     link: Link,
-    answers: Receiver<(u64, Answer)>,
+    answers: Receiver<Box<(u64, Answer)>>,
     mailbox: Mailbox<(u64, Answer)>,
     /// Whether its startup is done.
     open: bool,
@@ -196,7 +196,8 @@
             slog::debug!(self.shared.log, "the connection to a client failed"; "why" => %why);
         }
         let moved = moved?;
-        while let Ok((request_id, answer)) = self.answers.try_recv() {
+        while let Ok(message) = self.answers.try_recv() {
+            let (request_id, answer) = *message;
             self.answer(request_id, answer);
         }
         self.answer_overdue();
--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -6,8 +6,10 @@
 
 use crate::clock::{Clock, WATCHDOG_PERIOD};
 use crate::counters::Counters;
+use crate::memory;
 use crate::messages::{
     Answer, Arrival, AttemptEnd, DiscoveryMessage, DispatcherMessage, Job, MemberMessage, MembershipMessage,
+    TransferIdle,
 };
 use crate::request_log::{RequestEvent, RequestLog};
 use crate::worker_watchdog::WorkerWatchdog;
@@ -154,6 +156,7 @@
     fn watchdog_tick(&mut self, posted: Duration, watchdog: &mut WorkerWatchdog) {
         let RouterHost { clock, counters, request_log, .. } = &self.host;
         clock.note_tick();
+        memory::record_usage(counters);
         if let Some(stall) = clock.take_stall() {
             counters.worker_standstills.add();
             request_log.worker_stalled(stall);
@@ -418,8 +421,8 @@
             }
             DispatcherMessage::TransferIdle(to) => {
                 for member in 0..self.host.members.len() {
-                    let id = self.host.ids.id(member).clone();
-                    self.host.send_to_member(member, MemberMessage::TransferIdle(id, to.clone()));
+                    let transfer = TransferIdle { member: self.host.ids.id(member).clone(), to: to.clone() };
+                    self.host.send_to_member(member, MemberMessage::TransferIdle(Box::new(transfer)));
                 }
             }
             DispatcherMessage::AdoptConnection(id, stream) => {
--- a/crates/front/src/dispatcher/host.rs
+++ b/crates/front/src/dispatcher/host.rs
@@ -179,7 +179,7 @@
         let (statement, left) = (request.arrival.statement.clone(), request.arrival.left.clone());
         let submit = Submit { request_id, statement, left, deadline: expiry, permit, at };
         self.counters.submitted.add();
-        self.send_to_member(member, MemberMessage::Job(Job::Submit(submit)));
+        self.send_to_member(member, MemberMessage::Job(Job::Submit(Box::new(submit))));
     }
 
     fn cancel(&mut self, txn: usize, _submission: u32) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod mailbox;
 pub mod member;
 pub mod membership;
+pub mod memory;
 pub mod messages;
 pub mod migrate;
 pub mod request_log;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,7 +1,7 @@
 //! `juniperdock`: the front, and the commands with which operators control a running one.
 
 use clap::{CommandFactory, Parser, Subcommand};
-use juniperdock_front::{control, migrate, serve, standard_error};
+use juniperdock_front::{control, memory, migrate, serve, standard_error};
 use juniperdock_operator_config::{Fault, OperatorConfig};
 use serde_json::{Value, json};
 use std::path::{Path, PathBuf};
@@ -122,6 +122,7 @@
 }
 
 fn main() -> ExitCode {
+    memory::configure_allocator();
     let cli = Cli::parse();
     match run(&cli) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -125,7 +125,7 @@
                 self.removed |= matches!(message, MemberMessage::Removed);
                 std::mem::take(&mut self.idle).into_iter().for_each(|id| self.close(id));
             }
-            MemberMessage::TransferIdle(name, to) => {
+            MemberMessage::TransferIdle(transfer) => {
                 // Only the last used: if all were transferred, each upgrade would add those that its start has
                 // opened.
                 let idle = std::mem::take(&mut self.idle);
@@ -133,7 +133,7 @@
                 old.iter().for_each(|&id| self.close(id));
                 for id in transferred {
                     if let Some(c) = self.connections.get(id) {
-                        send(c, ConnectionMessage::Transfer(name.clone(), to.clone()));
+                        send(c, ConnectionMessage::Transfer(transfer.clone()));
                     }
                 }
             }
--- a/crates/front/src/member/connection.rs
+++ b/crates/front/src/member/connection.rs
@@ -4,7 +4,7 @@
 use super::reply::{Reply, check_position, load_report, report_outcome};
 use crate::clock::SHORTAGE_PAUSE;
 use crate::connect::{ConnectFailure, ConnectRequest, connect};
-use crate::messages::{DispatcherMessage, Job, MemberMessage, Submit};
+use crate::messages::{DispatcherMessage, Job, MemberMessage, Submit, TransferIdle};
 use crate::request_log::{RequestEvent, ServerCloseReason};
 use juniperdock_connection::{Failure, Link, Reached};
 use juniperdock_pg as pg;
@@ -14,7 +14,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
-use std::os::fd::OwnedFd;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::TryRecvError;
@@ -33,8 +32,8 @@
 pub enum ConnectionMessage {
     Job(Job),
     Cancel(u64),
-    /// Sends its descriptor to another process, with the member's id.
-    Transfer(String, std::sync::mpsc::Sender<(String, OwnedFd)>),
+    /// Sends its descriptor to another process.
+    Transfer(Box<TransferIdle>),
     Close,
 }
 
@@ -115,7 +114,7 @@
         while let Ok(message) = self.next_message().or_else(|_| self.messages.recv()) {
             match message {
                 ConnectionMessage::Job(job) => self.return_to_pool(job),
-                ConnectionMessage::Cancel(_) | ConnectionMessage::Transfer(..) => {}
+                ConnectionMessage::Cancel(_) | ConnectionMessage::Transfer(_) => {}
                 ConnectionMessage::Close => break,
             }
         }
@@ -213,10 +212,10 @@
                     return Ok(link);
                 }
                 Ok(ConnectionMessage::Cancel(_)) => {}
-                Ok(ConnectionMessage::Transfer(name, to)) => {
+                Ok(ConnectionMessage::Transfer(transfer)) => {
                     check_idle(&mut link)?;
                     if let Ok(descriptor) = link.descriptor() {
-                        let _ = to.send((name, descriptor));
+                        let _ = transfer.to.send((transfer.member, descriptor));
                     }
                     return Err(ServerCloseReason::Transferred);
                 }
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -248,10 +248,17 @@
 #[derive(Clone)]
 /// Work for one connection to a member.
 pub enum Job {
-    Submit(Submit),
+    Submit(Box<Submit>),
     Probe { at: Duration },
 }
 
+/// Where idle connections to a member are sent, with the member's id.
+#[derive(Clone)]
+pub struct TransferIdle {
+    pub member: String,
+    pub to: std::sync::mpsc::Sender<(String, OwnedFd)>,
+}
+
 /// Messages to the actor of a member.
 pub enum MemberMessage {
     Job(Job),
@@ -263,8 +270,8 @@
     Relisted,
     /// Closes idle connections: connections run short, or the member stopped responding.
     CloseIdle,
-    /// Sends idle connections to the next process, with the member's id.
-    TransferIdle(String, std::sync::mpsc::Sender<(String, OwnedFd)>),
+    /// Sends idle connections to the next process.
+    TransferIdle(Box<TransferIdle>),
     /// A connection that the previous process had.
     Adopt(TcpStream),
     /// From a connection: its waker.
--- a/crates/front/tests/dispatcher.rs
+++ b/crates/front/tests/dispatcher.rs
@@ -116,9 +116,9 @@
         outcome: AttemptOutcome::Committed,
         report: Report::default(),
     });
-    assert!(matches!(received.recv(), Ok((1, Answer::Unknown(_)))));
+    assert!(matches!(received.recv().as_deref(), Ok((1, Answer::Unknown(_)))));
     let _ = sender.send(arrival(2, 0));
-    assert!(matches!(received.recv(), Ok((2, Answer::Declined(_)))), "it goes on");
+    assert!(matches!(received.recv().as_deref(), Ok((2, Answer::Declined(_)))), "it goes on");
     assert_eq!(counters.panics.read(), 1);
 }
 
@@ -176,7 +176,7 @@
         outcome: AttemptOutcome::Committed,
         report: Report::default(),
     });
-    assert!(matches!(received.recv(), Ok((1, Answer::Unknown(_)))));
+    assert!(matches!(received.recv().as_deref(), Ok((1, Answer::Unknown(_)))));
     let (reply, done) = channel();
     let _ = sender.send(DispatcherMessage::Barrier(reply));
     let _ = done.recv();
--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -48,7 +48,7 @@
     let (statement, left, at) = ("".into(), 0..0, Duration::ZERO);
     let deadline = Duration::from_secs(3600);
     let permit = guard.permit(until);
-    Job::Submit(crate::messages::Submit { request_id: 7, statement, left, deadline, permit, at })
+    Job::Submit(Box::new(crate::messages::Submit { request_id: 7, statement, left, deadline, permit, at }))
 }
 
 #[test]
