Keep what clients and servers send within the memory limit of the process

Cause: each connection had its own bounds (272 KiB in, as much again in hand, 136 KiB of answers and those of 64 requests out; 2 x memory/64 and two copies for each server connection) and their sum had none.

Change: whoever is about to keep more asks memory-limit first. It compares the heap and the stacks with limits.memory_mb and gives the last of it to what was accepted: large messages and further requests of a connection up to 65%, a client's only request and a new connection to a server 85%, answers all. What is not admitted is refused with 53300 in its turn: a large message is read and discarded, so that its client's end is seen, and its session goes on. Answers of servers wait for memory, until their request's time is over. Refusals are written 4 KiB at a time while memory is short, and a client that reads nothing for 3 s is closed then. Buffers over 16 KiB grow by what they need; a row is kept once less; a welcome, a load report and an answer as a whole have bounds. Clients and connections to servers are fewer where there is no memory for as many as descriptors allow (32 MB: 473 and 128 at 1,024 descriptors). refused_for_memory and answers_await_memory are counted.

--- a/crates/connection/src/lib.rs
+++ b/crates/connection/src/lib.rs
@@ -212,6 +212,7 @@
         if bytes.len() > self.limits.outbound.saturating_sub(self.outbound.len()) {
             return Err(self.failure("outbound buffer is full: the peer does not read".to_owned()));
         }
+        reserve(&mut self.outbound, bytes.len());
         self.outbound.extend(bytes);
         Ok(())
     }
@@ -271,6 +272,7 @@
                     moved = true;
                 }
                 Ok(n) => {
+                    reserve(&mut self.inbound, n);
                     self.inbound.extend(&piece[..n]);
                     moved = true;
                     // The receive buffer is drained; bytes that arrive later end the next wait at once.
@@ -312,6 +314,14 @@
     }
 }
 
+/// Makes room for further bytes. A large buffer grows by what it needs: twice its size, as by default, would be as much
+/// again that nothing was admitted for.
+fn reserve(buffer: &mut VecDeque<u8>, bytes: usize) {
+    if buffer.len() + bytes > READ_CHUNK {
+        buffer.reserve_exact(bytes);
+    }
+}
+
 /// A TCP listener whose connections are accepted by one coroutine.
 pub struct Listener {
     listener: CoIo<std::net::TcpListener>,
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -1,6 +1,7 @@
 //! A client's actor: reads its statements as they come, hands each to the dispatcher, and writes the answers in the
 //! order of the statements.
 
+mod discard;
 mod drain;
 mod request;
 mod unread;
@@ -12,7 +13,9 @@
 use crate::mailbox::Mailbox;
 use crate::messages::{Answer, Arrival, DispatcherMessage};
 use crate::request_log::{CloseReason, RequestEvent};
+use discard::{Discarded, SMALL_MESSAGE};
 use juniperdock_connection::{Failure, Link};
+use juniperdock_memory_limit::Purpose;
 use juniperdock_pg as pg;
 use juniperdock_pipeline::{ArrivalTimes, Limits, Overdue, Pipeline, Reply, Request, Start};
 use juniperdock_request_guard::{RequestGuard, RequestIdHash, Violation};
@@ -51,7 +54,7 @@
 /// The least age of a write with a known commit: zero means that there was no write.
 const MIN_WRITE_AGE: Duration = Duration::from_micros(1);
 
-const TOO_MANY_AT_ONCE: &str = "too much sent ahead on this connection, trying again is harmless";
+const TOO_MANY_AT_ONCE: &str = "too much at once, trying again is harmless";
 
 /// A request that is not answered.
 struct OpenRequest {
@@ -77,6 +80,8 @@
     open_requests: HashMap<u64, OpenRequest>,
     /// When the bytes in the inbound buffer came in.
     arrival_times: ArrivalTimes,
+    /// The message that is being read and discarded, if there is one.
+    discarded: Option<Discarded>,
     /// Since when not all that has come in was read.
     unread_since: Arc<UnreadSince>,
     /// After a failed extended query, messages are skipped up to Sync.
@@ -118,6 +123,7 @@
         pipeline: Pipeline::new(PIPELINE_LIMITS),
         open_requests: HashMap::new(),
         arrival_times: ArrivalTimes::default(),
+        discarded: None,
         unread_since: Arc::default(),
         skipping,
         closing: None,
@@ -264,13 +270,6 @@
         moved
     }
 
-    /// How much is read before the messages that came in are handled: what is read ahead, or the message in hand.
-    fn read_limit(&mut self) -> usize {
-        let inbound = self.link.inbound.make_contiguous();
-        let message = if self.open { pg::message_length(inbound) } else { pg::opening_length(inbound) };
-        message.clamp(READ_AHEAD, pg::MAX_MESSAGE_LEN + 1)
-    }
-
     /// Whether it has ended its sending. If there may be more to read before its end, the operating system is asked.
     fn client_gone(&self) -> bool {
         self.link.ended || !self.link.is_drained() && self.link.has_left()
@@ -283,8 +282,8 @@
 
     /// Begins the transfer to another process if the client is idle. Returns whether it began.
     fn try_transfer(&mut self) -> bool {
-        let is_between_txns =
-            self.pipeline.is_empty() && self.link.is_flushed() && self.closing.is_none() && !self.link.ended;
+        let is_settled = self.pipeline.is_empty() && self.link.is_flushed() && self.discarded.is_none();
+        let is_between_txns = is_settled && self.closing.is_none() && !self.link.ended;
         let Some(descriptor) = Some(is_between_txns).filter(|b| *b).and_then(|_| self.link.descriptor().ok())
         else {
             return false;
@@ -322,7 +321,8 @@
     /// Ends the connection of a client that does not complete its startup or a message in time: it must not occupy a
     /// slot by sending nothing or a message without an end.
     fn enforce_message_time(&mut self) {
-        let is_waiting = self.closing.is_none() && (!self.open || !self.link.inbound.is_empty());
+        let is_half_read = !self.link.inbound.is_empty() || self.discarded.is_some();
+        let is_waiting = self.closing.is_none() && (!self.open || is_half_read);
         if !is_waiting {
             self.message_due = None;
             return;
@@ -357,9 +357,7 @@
 
     /// Hands the requests that may start to the dispatcher.
     fn start_requests(&mut self) {
-        while let Some(Start { payload: mut arrival, write_answered }) =
-            self.pipeline.start(self.link.unsent())
-        {
+        while let Some(Start { payload: mut arrival, write_answered }) = self.pipeline.start(self.unsent()) {
             if let Some(answered) = write_answered {
                 let ago = self.shared.clock.now().saturating_sub(answered).max(MIN_WRITE_AGE);
                 let reported = arrival.wrote_ago.filter(|reported| !reported.is_zero());
@@ -370,9 +368,16 @@
         }
     }
 
+    /// Bytes of answers that the client has not read. While memory is short they count as too many to start more than the
+    /// oldest request.
+    fn unsent(&self) -> usize {
+        let is_ample = self.shared.memory.admits(Purpose::Surplus, 0);
+        if is_ample { self.link.unsent() } else { PIPELINE_LIMITS.answer_bytes }
+    }
+
     /// Writes the answers whose turn it is.
     fn send_replies(&mut self) {
-        while self.link.unsent() < pg::MAX_MESSAGE_LEN
+        while self.may_queue()
             && let Some(reply) = self.pipeline.next_reply()
         {
             match reply {
@@ -388,6 +393,13 @@
         }
     }
 
+    /// Whether another answer is queued: little at once while memory is short, as refusals take none until then.
+    fn may_queue(&self) -> bool {
+        let unsent = self.link.unsent();
+        let is_ample = || self.shared.memory.admits(Purpose::Surplus, SMALL_MESSAGE);
+        unsent < SMALL_MESSAGE || unsent < pg::MAX_MESSAGE_LEN && is_ample()
+    }
+
     /// Records the answer to a request unless it has one already.
     fn answer(&mut self, request_id: u64, answer: Answer) {
         let name = answer.name();
@@ -413,12 +425,16 @@
     /// Handles one message if a complete one has come in; returns whether it did.
     fn next_message(&mut self) -> bool {
         let mut out = Vec::new();
-        let taken = if self.open { self.read_message(&mut out) } else { self.read_startup(&mut out) };
+        let taken = match self.discarded {
+            Some(discarded) => Ok(self.continue_discarding(discarded, &mut out)),
+            None if self.open => self.read_message(&mut out),
+            None => self.read_startup(&mut out),
+        };
         let progressed = match taken {
             Ok(length) => {
                 self.link.inbound.drain(..length);
                 self.arrival_times.consume(length);
-                self.message_due = self.message_due.filter(|_| length == 0);
+                self.message_due = self.message_due.filter(|_| length == 0 || self.discarded.is_some());
                 length > 0
             }
             Err(why) => {
@@ -437,7 +453,9 @@
     /// Adds the answer to a command that needs no server. While too much waits for earlier answers, the command is refused
     /// instead, which takes no memory; the last answer of a connection is kept in any case.
     fn push_answer(&mut self, answer: Vec<u8>) {
-        if self.pipeline.is_full() && self.closing.is_none() {
+        let is_short_of_memory =
+            !self.pipeline.is_empty() && !self.shared.memory.admits(Purpose::Surplus, answer.len());
+        if (self.pipeline.is_full() || is_short_of_memory) && self.closing.is_none() {
             self.shared.counters.over_limits.add();
             self.pipeline.refuse();
         } else {
@@ -473,6 +491,7 @@
         let Some((kind, body, length)) =
             pg::message(self.link.inbound.make_contiguous(), pg::MAX_MESSAGE_LEN)?
         else {
+            self.discard_unless_admitted();
             return Ok(0);
         };
         match kind {
@@ -495,21 +514,26 @@
                 pg::ready(out);
             }
             b'H' => {}
-            b'P' | b'B' | b'D' | b'E' | b'C' | b'F' if self.skipping => {}
-            // Its Sync is refused.
-            b'P' | b'B' | b'D' | b'E' | b'C' if self.pipeline.is_full() => self.skipping = true,
-            b'P' | b'B' | b'D' | b'E' | b'C' | b'F' => {
-                self.skipping = kind != b'F';
-                pg::error(out, false, pg::NOT_SUPPORTED, "only simple queries are taken", None);
-                if kind == b'F' {
-                    pg::ready(out);
-                }
-            }
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'F' => self.reject_unsupported(kind, out),
             other => return Err(format!("expected a query, found a message of type {:?}", other as char)),
         }
         Ok(length)
     }
 
+    /// Answers a message of the extended protocol, or a function call: what follows is skipped up to Sync.
+    fn reject_unsupported(&mut self, kind: u8, out: &mut Vec<u8>) {
+        let is_extended_query = kind != b'F';
+        // While too much waits, its Sync alone is answered.
+        let is_silent = self.skipping || is_extended_query && self.pipeline.is_full();
+        if !is_silent {
+            pg::error(out, false, pg::NOT_SUPPORTED, "only simple queries are taken", None);
+            if !is_extended_query {
+                pg::ready(out);
+            }
+        }
+        self.skipping |= is_extended_query;
+    }
+
     /// Handles a statement whose last byte came in at that time. `alone`: nothing has been read behind it.
     fn statement(&mut self, text: Arc<str>, at: Duration, alone: bool, out: &mut Vec<u8>) {
         match pg::verb(&text) {
@@ -525,7 +549,12 @@
                 }
             }
             pg::Verb::Txn if !self.pipeline.has_room(text.len() + REQUEST_OVERHEAD) => {
-                return self.refuse_over_limits();
+                self.shared.counters.over_limits.add();
+                return self.refuse_request();
+            }
+            pg::Verb::Txn if !self.memory_admits(text.len()) => {
+                self.shared.counters.refused_for_memory.add();
+                return self.refuse_request();
             }
             pg::Verb::Txn => match self.read_request(text, at) {
                 Ok((arrival, id)) => {
@@ -540,11 +569,17 @@
         pg::ready(out);
     }
 
-    /// Refuses a request over the connection's limits when its turn comes; it is not looked at.
-    fn refuse_over_limits(&mut self) {
+    /// Whether there is memory for a request of this length: for its statement, and for a copy on its way to a server.
+    fn memory_admits(&self, length: usize) -> bool {
+        let is_first = self.pipeline.requests() == 0 && length <= SMALL_MESSAGE;
+        let purpose = if is_first { Purpose::Request } else { Purpose::Surplus };
+        self.shared.memory.admits(purpose, 2 * length + REQUEST_OVERHEAD)
+    }
+
+    /// Refuses a request that is over a limit when its turn comes; it is not looked at.
+    fn refuse_request(&mut self) {
         self.no_txn_yet = false;
         self.shared.counters.txns.add();
-        self.shared.counters.over_limits.add();
         self.shared.request_log.rejected(self.slot, TOO_MANY_AT_ONCE);
         self.pipeline.refuse();
     }
--- a/crates/front/src/client/drain.rs
+++ b/crates/front/src/client/drain.rs
@@ -6,6 +6,7 @@
 use crate::messages::{Answer, DispatcherMessage};
 use crate::request_log::{CloseReason, RequestEvent};
 use juniperdock_connection::Failure;
+use juniperdock_memory_limit::Purpose;
 use juniperdock_pg as pg;
 use juniperdock_request_guard::{EndedBy, Outstanding};
 use std::sync::atomic::Ordering;
@@ -56,7 +57,7 @@
     /// rest of a message that has begun. Everything else is unread when the connection ends, and its client sends it
     /// elsewhere.
     fn drain_limit(&mut self) -> usize {
-        if self.closing.is_some() || self.pipeline.requests() > 0 {
+        if self.closing.is_some() || self.discarded.is_some() || self.pipeline.requests() > 0 {
             return self.read_limit();
         }
         let inbound = &mut self.link.inbound;
@@ -98,7 +99,8 @@
         }
         let done = self.pipeline.is_empty() && self.link.is_flushed();
         let ended = self.closing.filter(|_| done && (self.can_close_at_once() || self.linger()));
-        if ended.is_none() && self.draining.is_some() && self.does_not_read() {
+        let frees_resources = self.draining.is_some() || !self.shared.memory.admits(Purpose::Surplus, 0);
+        if ended.is_none() && frees_resources && self.does_not_read() {
             return Ok(Some(CloseReason::NotReading));
         }
         Ok(ended)
@@ -142,7 +144,7 @@
         for request_id in self.pipeline.waiting().collect::<Vec<_>>() {
             self.answer(request_id, Answer::Declined(None));
         }
-        if self.closing.is_none() && !self.link.inbound.is_empty() {
+        if self.outstanding().half_read > 0 {
             self.refuse_half_read();
         }
     }
@@ -154,6 +156,7 @@
         self.pipeline.push_answer(out);
         self.send_replies();
         self.link.inbound.clear();
+        self.discarded = None;
         self.closing = self.draining;
     }
 
@@ -174,7 +177,8 @@
 
     /// What the client is still due.
     fn outstanding(&self) -> Outstanding {
-        let half_read = if self.closing.is_some() { 0 } else { self.link.inbound.len() };
+        let begun = self.link.inbound.len() + usize::from(self.discarded.is_some());
+        let half_read = if self.closing.is_some() { 0 } else { begun };
         Outstanding {
             unanswered: self.pipeline.requests(),
             unsent: self.link.unsent() + self.pipeline.answer_bytes(),
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::membership;
+use crate::memory::Memory;
 use crate::messages::{DispatcherMessage, MembershipMessage};
 use crate::request_log::{CloseReason, RequestLog};
 use juniperdock_connection::Waker;
@@ -48,6 +49,8 @@
     pub closing: AtomicBool,
     /// The process is about to exit: all open requests are answered now.
     pub answer_all_now: AtomicBool,
+    /// What may still be kept with the memory that there is.
+    pub memory: Memory,
     /// How many clients there may be, and how many more may connect only to be refused.
     pub max_clients: usize,
     pub refusal_slots: usize,
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -60,6 +60,6 @@
     groups_vacant, groups_settling, groups_steady, groups_doubted, groups_handing_over, waiting,
     fellows_in, fellows_out, fellows_refused, fellows_late, fellow_ups, fellow_downs, standstills, worker_standstills, worker_idle_delays,
     duties_taken, duties_lost, effects_out, effects_refused, facts_in,
-    heap_kib, heap_most_kib, coroutines, coroutines_most,
+    refused_for_memory, answers_await_memory, heap_kib, heap_most_kib, coroutines, coroutines_most,
     held_up_most_us, connect_most_us, clock_advanced,
 }
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -5,10 +5,12 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::memory::Memory;
 use crate::messages::{DispatcherMessage, Job, MemberMessage};
 use crate::request_log::RequestLog;
 use connection::{ConnectionMessage, InitialWork, MIN_IDLE_BEFORE_REUSE, ServerConnection};
 use juniperdock_connection::{BufferLimits, Waker, spawn};
+use juniperdock_memory_limit::Purpose;
 use juniperdock_pg as pg;
 use juniperdock_router::host::AttemptOutcome;
 use may::sync::mpsc::{Receiver, Sender, channel};
@@ -36,10 +38,15 @@
     /// Open connections to all members, and the most that there may be.
     pub open_connections: Arc<AtomicUsize>,
     pub max_connections: usize,
+    /// What may still be kept with the memory that there is.
+    pub memory: Memory,
     /// The longest message that is accepted from a member.
     pub max_message_bytes: usize,
 }
 
+/// The heap that a connection takes, with a small statement and its answer.
+const CONNECTION_HEAP_BYTES: usize = 16 << 10;
+
 /// The most idle connections that are transferred to another process.
 const MAX_TRANSFERRED_IDLE: usize = 2;
 
@@ -209,7 +216,7 @@
             }
             return;
         }
-        if self.context.open_connections.load(Ordering::Relaxed) >= self.context.max_connections {
+        if !self.has_room_for_connection() {
             // As if the member had no connection left; closing idle ones to other members makes room for the next
             // job.
             let _ = self.context.dispatcher.send(DispatcherMessage::ConnectionsShort);
@@ -219,9 +226,16 @@
         self.open(InitialWork::Job(job), request_id);
     }
 
+    /// Whether another connection may be opened, by the number of those to all members and by the memory for it.
+    fn has_room_for_connection(&self) -> bool {
+        let within_limit =
+            self.context.open_connections.load(Ordering::Relaxed) < self.context.max_connections;
+        within_limit && self.context.memory.admits(Purpose::Request, CONNECTION_HEAP_BYTES)
+    }
+
     /// Starts a connection, for a job or for a socket of the previous process.
     fn open(&mut self, work: InitialWork, request_id: Option<u64>) {
-        if self.context.open_connections.load(Ordering::Relaxed) >= self.context.max_connections {
+        if !self.has_room_for_connection() {
             return;
         }
         let id = self.next_id;
--- a/crates/front/src/member/connection.rs
+++ b/crates/front/src/member/connection.rs
@@ -7,6 +7,7 @@
 use crate::messages::{DispatcherMessage, Job, MemberMessage, Submit, TransferIdle};
 use crate::request_log::{RequestEvent, ServerCloseReason};
 use juniperdock_connection::{Failure, Link, Reached};
+use juniperdock_memory_limit::Purpose;
 use juniperdock_pg as pg;
 use juniperdock_request_guard::Withheld;
 use juniperdock_router::host::AttemptOutcome;
@@ -24,6 +25,15 @@
 /// Behind the answer to a probe this is not needed ([`ServerConnection::probe_answer`]).
 pub const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(3);
 
+/// What is read ahead of the message in hand, whatever memory there is.
+const READ_AHEAD: usize = 16 << 10;
+/// The longest message of a member's welcome.
+const MAX_WELCOME_MESSAGE: usize = 8 << 10;
+/// The longest load report of which a second copy is recognised.
+const MAX_REMEMBERED_REPORT: usize = 1 << 10;
+/// How long a large answer waits for memory before it asks again.
+const MEMORY_RETRY_PAUSE: Duration = Duration::from_millis(5);
+
 /// How many times a connection waits for the dispatcher to handle its queue before it writes anything right after a
 /// stall. Once is not enough for clients whose actors are woken by a timer: those run only after the first wait.
 const BARRIERS_AFTER_STALL: u32 = 2;
@@ -172,7 +182,8 @@
             let reusable = result.usable.then_some(link);
             let is_load_report =
                 matches!((job, result.outcome), (Job::Probe { .. }, AttemptOutcome::Committed));
-            self.probe_answer.replace(is_load_report.then(|| result.reply.raw.clone()));
+            let is_remembered = is_load_report && result.reply.raw.len() <= MAX_REMEMBERED_REPORT;
+            self.probe_answer.replace(is_remembered.then(|| result.reply.raw.clone()));
             if let Some(job) = current.take() {
                 self.report_outcome(&job, result.outcome, result.reply);
             }
@@ -320,10 +331,11 @@
             }
         })?;
         link.queue(&pg::startup("api", "ledger")).map_err(|_| AttemptOutcome::Unreachable)?;
+        link.set_read_limit(READ_AHEAD);
         for busy in 1u32.. {
             let pumped = link.pump();
             while let Some((kind, body, length)) =
-                pg::message(link.inbound.make_contiguous(), self.context.max_message_bytes)
+                pg::message(link.inbound.make_contiguous(), MAX_WELCOME_MESSAGE)
                     .map_err(|_| AttemptOutcome::Unreachable)?
             {
                 match kind {
@@ -382,7 +394,8 @@
 
     /// Carries one job to its end, over a new connection or after [`ServerConnection::await_reuse`].
     fn run_job(&self, link: &mut Link, job: &Job) -> JobResult {
-        let (clock, deadline, mut reply) = (&self.context.clock, self.deadline(job), Reply::default());
+        let (clock, deadline) = (&self.context.clock, self.deadline(job));
+        let mut reply = Reply::to(job);
         let now = clock.now();
         let text = statement_text(job, now);
         if now >= deadline || self.cancelled(job) || !self.permitted(job, now) {
@@ -398,6 +411,7 @@
             if busy > 1 && !link.is_flushed() && !self.may_continue(job) {
                 return JobResult { outcome: AttemptOutcome::Moot, reply, usable: false };
             }
+            let awaits_memory = self.limit_reading(link);
             let pumped = link.pump();
             if let Err(why) = self.read(link, &mut reply, now) {
                 slog::warn!(self.context.log, "a member sent an invalid answer"; "member" => self.member, "why" => why);
@@ -410,7 +424,7 @@
             }
             if reply.ready && self.is_copy_of_probe_answer(job, &reply) {
                 // The answer is still to come.
-                (reply, had_copy) = (Reply::default(), true);
+                (reply, had_copy) = (Reply::to(job), true);
                 continue;
             }
             if reply.ready || (unsent && reply.described) {
@@ -446,7 +460,8 @@
                 return JobResult { outcome, reply, usable: false };
             }
             if matches!(pumped, Ok(false)) {
-                self.wait_until(link, deadline);
+                let retry_at = if awaits_memory { clock.now() + MEMORY_RETRY_PAUSE } else { deadline };
+                self.wait_until(link, retry_at.min(deadline));
             } else {
                 // An answer without an end must not starve the others.
                 clock.yield_if_busy(busy, link.lacks_memory());
@@ -455,6 +470,21 @@
         JobResult { outcome: AttemptOutcome::Spoilt, reply: Reply::default(), usable: false }
     }
 
+    /// Limits what is read ahead: small messages always, more of a large one only if there is memory for it. Returns
+    /// whether it waits for memory: nothing more is read then.
+    fn limit_reading(&self, link: &mut Link) -> bool {
+        let buffered = link.inbound.len();
+        let message = pg::message_length(link.inbound.make_contiguous());
+        let wanted = message.min(buffered + READ_AHEAD);
+        // A whole message is kept twice over: as it came in, and as the answer.
+        let is_admitted = wanted <= READ_AHEAD || self.context.memory.admits(Purpose::Answer, 2 * READ_AHEAD);
+        if !is_admitted {
+            self.context.counters.answers_await_memory.add();
+        }
+        link.set_read_limit(if is_admitted { wanted.max(READ_AHEAD) } else { buffered });
+        !is_admitted
+    }
+
     /// Records that all of a request's statement has been handed to the kernel; `began` is when its first byte was.
     fn record_written(&self, job: &Job, began: Duration) {
         let Job::Submit(submit) = job else { return };
@@ -527,6 +557,9 @@
                 self.judge(reply, asked)?;
             }
             if matches!(kind, b'T' | b'D' | b'C' | b'E') {
+                if reply.raw.len() + length > self.context.max_message_bytes + MAX_WELCOME_MESSAGE {
+                    return Err("expected a shorter answer".to_owned());
+                }
                 // Contiguous since the message was read.
                 reply.raw.extend_from_slice(&link.inbound.as_slices().0[..length]);
             }
--- a/crates/front/src/member/reply.rs
+++ b/crates/front/src/member/reply.rs
@@ -8,13 +8,19 @@
 use juniperdock_server_clock::{PositionSample, Verdict};
 use std::time::Duration;
 
+/// The longest load report that is read.
+const MAX_REPORT: usize = 1 << 10;
+
 /// What a member has answered so far to one query.
 #[derive(Default)]
 pub struct Reply {
     pub raw: Vec<u8>,
     pub described: bool,
+    pub has_row: bool,
     pub complete: bool,
-    pub value: Option<Vec<u8>>,
+    /// The value of the row, if it answers a probe; otherwise it is in `raw` only.
+    pub value: Vec<u8>,
+    keeps_value: bool,
     pub error: Option<String>,
     pub role: Option<Role>,
     /// In microseconds since 1970.
@@ -26,6 +32,11 @@
 }
 
 impl Reply {
+    /// A reply to this job of which nothing has come yet.
+    pub fn to(job: &Job) -> Reply {
+        Reply { keeps_value: matches!(job, Job::Probe { .. }), ..Reply::default() }
+    }
+
     /// The outcome of a complete answer, once the member is ready again; anything else is no answer.
     pub fn outcome(&self) -> Option<AttemptOutcome> {
         match self.error.as_deref() {
@@ -55,7 +66,9 @@
                 Some(("replay_position", ms)) => {
                     self.position_unix = ms.parse::<f64>().ok().and_then(deployment::micros);
                 }
-                Some(("server_load", text)) => self.load_text = Some(text.to_owned()),
+                Some(("server_load", text)) if text.len() <= MAX_REPORT => {
+                    self.load_text = Some(text.to_owned());
+                }
                 _ => {}
             },
             b'T' => {
@@ -63,12 +76,15 @@
                 self.described = true;
             }
             b'D' => {
-                require(self.described && self.value.is_none())?;
+                require(self.described && !self.has_row)?;
                 let value = pg::single_column(body).ok_or("expected a row of one column")?;
-                self.value = Some(value.to_vec());
+                self.has_row = true;
+                if self.keeps_value {
+                    self.value = value.to_vec();
+                }
             }
             b'C' => {
-                require(self.value.is_some() && !self.complete)?;
+                require(self.has_row && !self.complete)?;
                 self.complete = true;
             }
             b'E' => {
@@ -154,7 +170,7 @@
             }))
         }
         Job::Probe { .. } => {
-            let text = String::from_utf8(reply.value.unwrap_or_default());
+            let text = String::from_utf8(reply.value);
             let reported = text.map_err(|e| e.to_string()).and_then(|text| {
                 let asked = if let Job::Probe { at } = job { *at } else { Duration::ZERO };
                 load_report(context, member, &text, asked)
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -4,6 +4,7 @@
 use crate::clients::SharedClients;
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::memory::Memory;
 use crate::messages::{self, DiscoveryMessage, DispatcherMessage, MembershipMessage};
 use crate::request_log::RequestLog;
 use crate::settings::{Settings, TxnTypes};
@@ -114,7 +115,8 @@
         router.set_wait_queue_limits(wait_limits(&held));
         Ok(router)
     });
-    let descriptors = settings.descriptors()?;
+    let limits = settings.connection_limits()?;
+    let memory = Memory::new(settings.memory());
     let (connect_timeout, idle_timeout) =
         (settings.millis("Bounds.ConnectTimeout")?, settings.millis("Bounds.ConnIdle")?);
     let grace = settings.millis("Guarantees.GraceToAnswer")?;
@@ -151,7 +153,8 @@
         idle_timeout,
         stack_bytes: CONNECTION_STACK_BYTES,
         open_connections: Arc::new(AtomicUsize::new(0)),
-        max_connections: descriptors.max_connections,
+        max_connections: limits.max_server_connections,
+        memory,
         max_message_bytes: settings.largest_answer(),
     };
     let spawn_member: dispatcher::SpawnMember = Box::new(move |index, address, read, messages| {
@@ -166,7 +169,7 @@
         dispatcher_tx.clone(),
         discovery_tx.clone(),
         spawn_member,
-        ProbeQueue::new(settings.seed()?, ProbeLimits::for_connections(descriptors.max_connections)),
+        ProbeQueue::new(settings.seed()?, ProbeLimits::for_connections(limits.max_server_connections)),
         counters.clone(),
         log.clone(),
         request_log.clone(),
@@ -215,10 +218,11 @@
         )),
         closing: AtomicBool::new(false),
         answer_all_now: AtomicBool::new(false),
-        max_clients: descriptors.max_connections,
-        refusal_slots: descriptors.refusal_slots,
-        close_long_idle_above: descriptors.close_long_idle_above,
-        close_idle_above: descriptors.close_idle_above,
+        memory,
+        max_clients: limits.max_clients,
+        refusal_slots: limits.refusal_slots,
+        close_long_idle_above: limits.close_long_idle_above,
+        close_idle_above: limits.close_idle_above,
         slots: Mutex::default(),
         transfer_to: Mutex::default(),
         transfer_mode: AtomicU8::default(),
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -2,6 +2,7 @@
 //! Each accessor returns the few values that one part needs, or an error with what was expected and where.
 
 use crate::configuration::{read_with_list, read_without_list};
+use crate::memory::Memory;
 use juniperdock_deployment::{self as deployment, Indices};
 use juniperdock_router::host::Consistency;
 use juniperdock_router::routing::Router;
@@ -35,10 +36,12 @@
     pub max_time_limit: Duration,
 }
 
-/// How file descriptors are divided between clients and members.
-pub struct Descriptors {
-    /// Maximum number of connections to members, and also of clients.
-    pub max_connections: usize,
+/// How many connections the limits on file descriptors and memory allow.
+pub struct ConnectionLimits {
+    /// Maximum number of connections to members.
+    pub max_server_connections: usize,
+    /// Maximum number of clients.
+    pub max_clients: usize,
     /// Further clients that are accepted only to be refused with an error.
     pub refusal_slots: usize,
     /// Above this number of clients, those that have been idle for long are disconnected.
@@ -78,7 +81,7 @@
             }
         }
         self.routers().map(drop)?;
-        self.descriptors().map(drop)?;
+        self.connection_limits().map(drop)?;
         ["Bounds.ConnectTimeout", "Bounds.ConnIdle", "Guarantees.GraceToAnswer"]
             .iter()
             .try_for_each(|path| self.millis(path).map(drop))?;
@@ -137,8 +140,9 @@
         self.get("Zones").unwrap_or_default().split(',').map(str::to_owned).collect()
     }
 
-    /// Divides the file descriptors that `limits.sockets` allows.
-    pub fn descriptors(&self) -> Result<Descriptors, String> {
+    /// Divides the file descriptors that `limits.sockets` allows between clients and members, as far as
+    /// `limits.memory_mb` has the memory for them.
+    pub fn connection_limits(&self) -> Result<ConnectionLimits, String> {
         let sockets = self.json["limits"]["sockets"].as_u64();
         let sockets = sockets.ok_or("expected a number in limits.sockets of GW_CONFIG")?;
         let sockets = usize::try_from(sockets).map_err(|e| format!("limits.sockets: {e}"))?;
@@ -146,8 +150,11 @@
             .checked_sub(RESERVED_DESCRIPTORS)
             .ok_or_else(|| format!("limits.sockets: expected more than {RESERVED_DESCRIPTORS}"))?;
         let refusal_slots = available / 16;
-        Ok(Descriptors {
-            max_connections: (available - refusal_slots) / 2,
+        let half = (available - refusal_slots) / 2;
+        let memory = Memory::new(self.memory()).limit();
+        Ok(ConnectionLimits {
+            max_server_connections: half.min(memory.max_server_connections()),
+            max_clients: half.min(memory.max_clients()),
             refusal_slots,
             close_long_idle_above: sockets / 6,
             close_idle_above: sockets / 4,
--- a/crates/front/tests/misbehaving_clients.rs
+++ b/crates/front/tests/misbehaving_clients.rs
@@ -2,7 +2,7 @@
 //! answered in time.
 
 use cluster::{PROGRAM, TestCluster, wait_until};
-use juniperdock_test_support::{Client, Front, TEST_TIMEOUT, address, message, txn};
+use juniperdock_test_support::{Behaviour, Client, Front, TEST_TIMEOUT, address, message, row, txn};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -81,8 +81,21 @@
 /// Has hundreds of clients send these bytes at once, and go on for a while; asserts that the process stays within its
 /// memory limit and that another client's small request is answered meanwhile.
 fn assert_memory_holds(name: &str, memory_mb: u64, bytes: &dyn Fn(usize) -> Vec<u8>) {
+    assert_memory_holds_with(name, memory_mb, None, bytes);
+}
+
+/// Like [`assert_memory_holds`]; members answer in the given way meanwhile.
+fn assert_memory_holds_with(
+    name: &str,
+    memory_mb: u64,
+    behaviour: Option<Behaviour>,
+    bytes: &dyn Fn(usize) -> Vec<u8>,
+) {
     let cluster = TestCluster::new();
     let front = start_front(&cluster, memory_mb);
+    if let Some(behaviour) = behaviour {
+        cluster.members.iter().for_each(|member| member.set_behaviour(behaviour.clone()));
+    }
     let mut other = front.client();
     let mut senders: Vec<Sender> = (0..CLIENTS)
         .filter_map(|number| Sender::connect(&front, [&STARTUP[..], &bytes(number)].concat()))
@@ -106,6 +119,7 @@
     );
     assert!(answered > 0, "{name}: nobody else was answered");
     drop(senders);
+    cluster.members.iter().for_each(|member| member.set_behaviour(Behaviour::Serve));
     wait_until(|| front.client().query(&txn("order", 3000, "after")).value.is_some());
     front.signal("-TERM");
     let (well, text) = front.end();
@@ -161,6 +175,55 @@
     });
 }
 
+#[test]
+fn large_answers_to_clients_that_do_not_read_stay_within_the_memory_limit() {
+    let requests = |_| (0..64).flat_map(|_| query(&txn("lookup", 3000, "much"))).collect::<Vec<u8>>();
+    // A value of 64 KiB in hex digits is the longest that the protocol has; one that a server spoils may say that it is
+    // longer, and never end.
+    let whole = Behaviour::Send(row(&[b'9'; 128 << 10]));
+    let mut begun = row(&[b'9'; 400 << 10]);
+    begun.truncate(300 << 10);
+    for memory_mb in [LEAST_MEMORY_MB, USUAL_MEMORY_MB] {
+        assert_memory_holds_with("whole answers", memory_mb, Some(whole.clone()), &requests);
+        assert_memory_holds_with(
+            "endless answers",
+            memory_mb,
+            Some(Behaviour::Send(begun.clone())),
+            &requests,
+        );
+    }
+}
+
+#[test]
+fn large_request_for_which_there_is_no_memory_is_refused_and_its_session_goes_on() {
+    let cluster = TestCluster::new();
+    let front = start_front(&cluster, LEAST_MEMORY_MB);
+    let mut client = front.client();
+    // Clients that stay half way through large requests, each for 2 s at most, hold what there is for such.
+    let half = |number: usize| {
+        let mut bytes = large_order(&format!("half{number}"), 60_000);
+        bytes.truncate(100_000);
+        [&STARTUP[..], &bytes].concat()
+    };
+    let mut senders: Vec<Sender> =
+        (0..150).filter_map(|number| Sender::connect(&front, half(number))).collect();
+    let mut refused = 0;
+    wait_until(|| {
+        senders.retain_mut(Sender::push);
+        client.stream.write_all(&large_order("large", 60_000)).expect("it is read to its end");
+        let reply = client.reply();
+        assert!(reply.value.is_some() || reply.code.as_deref() == Some("53300"), "{:?}", reply.code);
+        refused += usize::from(reply.code.is_some());
+        assert_eq!(client.query("SET a = 1").last, b'Z', "the session goes on");
+        refused > 0
+    });
+    drop(senders);
+    wait_until(|| {
+        client.stream.write_all(&large_order("later", 60_000)).expect("it is read to its end");
+        client.reply().value.is_some()
+    });
+}
+
 /// Sends these bytes again and again over one connection, and reads all answers, until told to stop.
 fn flood(front: &Front, bytes: &[u8], stop: &AtomicBool) {
     while !stop.load(Ordering::Relaxed) {
--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -2,6 +2,7 @@
 
 use super::reply::parse_report;
 use super::*;
+use crate::memory::Memory;
 use crate::request_log::ServerCloseReason;
 use juniperdock_deployment::Origin;
 use juniperdock_request_guard::{ClientPresence, RequestGuard};
@@ -23,6 +24,7 @@
         stack_bytes: 64 << 10,
         open_connections: Arc::default(),
         max_connections: 0,
+        memory: Memory::new(None),
         max_message_bytes: pg::MAX_MESSAGE_LEN,
     }
 }
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -34,6 +34,9 @@
 /// SQLSTATE program_limit_exceeded.
 pub const LIMIT_EXCEEDED: &str = "54000";
 
+/// The length of a typed message's head: its type byte and its length.
+pub const HEADER_LEN: usize = 5;
+
 /// A message's type byte, its body, and its total length in bytes.
 pub type Message<'a> = (u8, &'a [u8], usize);
 
@@ -60,7 +63,7 @@
 /// The total length of the typed message at the start of `bytes`; if its length field is incomplete, the length of the
 /// header.
 pub fn message_length(bytes: &[u8]) -> usize {
-    bytes.get(1..).map_or(5, |rest| 1 + opening_length(rest))
+    bytes.get(1..).map_or(HEADER_LEN, |rest| 1 + opening_length(rest))
 }
 
 /// Like [`message_length`], for an opening message, which has no type byte.
