Let others have a turn after a quarter of a millisecond of one client's messages

Cause: a client's actor handled 64 messages and started as many requests in a turn, took eight turns before the sockets of others were looked at, and accepted clients in a row without a turn for anybody.

Change: a turn ends after 250 us and 8 started requests; after as much the actor waits until all others, and what is on the sockets, had theirs. The acceptor does so after 16 clients.

--- a/crates/front/src/acceptor.rs
+++ b/crates/front/src/acceptor.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+/// Clients that are accepted in a row before other coroutines get a turn.
+const ACCEPTED_PER_TURN: u32 = 16;
+
 /// Outbound bytes are answers, which the pipeline limits and members' answers bound.
 const BUFFER_LIMITS: BufferLimits = BufferLimits { inbound: client::READ_AHEAD, outbound: usize::MAX };
 
@@ -43,6 +46,7 @@
     /// are already connected are still accepted, then the listener is closed.
     pub fn accept_until_stopped(self: Arc<Self>, door: &Listener) {
         self.acceptor_running.store(true, Ordering::Release);
+        let mut in_a_row = 0;
         while !self.stop_accepting.load(Ordering::Acquire) {
             while self.present() >= self.max_clients + self.refusal_slots {
                 self.slots().ask_to_leave(self.clock.now(), MIN_IDLE);
@@ -50,15 +54,18 @@
             }
             match door.next() {
                 Ok(Some(stream)) => {
+                    in_a_row += 1;
                     if !self.clone().admit(stream, &[], false, false) {
                         self.pause_accepting();
+                    } else if in_a_row % ACCEPTED_PER_TURN == 0 {
+                        self.clock.yield_to_others();
                     }
                 }
                 Ok(None) if self.closing.load(Ordering::Relaxed) => {
                     door.close();
                     break;
                 }
-                Ok(None) => {}
+                Ok(None) => in_a_row = 0,
                 Err(why) => {
                     // Out of descriptors despite the budget: try again when some may be free.
                     slog::warn!(self.log, "a client can't be accepted"; "why" => %why);
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -9,6 +9,7 @@
 use crate::clients::{
     ClientTransfer, IdleAction, SharedClients, TRANSFER_ACCEPTED, TRANSFER_PENDING, TransferResult,
 };
+use crate::clock::{Clock, SHORTAGE_PAUSE};
 use crate::counters::{Counter, Counters};
 use crate::mailbox::Mailbox;
 use crate::messages::{Answer, Arrival, DispatcherMessage};
@@ -29,8 +30,12 @@
 
 /// The stack of a connection's coroutine.
 pub const CONNECTION_STACK_BYTES: usize = 64 << 10;
-/// Messages that are read before other coroutines get a turn.
-const MAX_MESSAGES_PER_TURN: usize = 64;
+/// How long messages are handled before other coroutines get a turn, and how many of them between two looks at the clock.
+const MAX_TURN: Duration = Duration::from_micros(250);
+const MESSAGES_PER_CLOCK_READ: usize = 8;
+/// Requests that are started before other coroutines get a turn: each is work for the dispatcher and a server's
+/// connection.
+const MAX_STARTS_PER_TURN: usize = 8;
 
 /// The bytes that are read ahead of the message in hand. All that a client sends is read as soon as possible: its end
 /// can't be seen while its bytes are unread.
@@ -103,6 +108,8 @@
     next_check: Duration,
     /// The time of the timer that was set last.
     timer_set_for: Duration,
+    /// When it was last resumed after others had a turn.
+    turn_started: Duration,
     /// The state of a transfer to another process, if one has begun: nothing is read here until its result is known.
     transfer: Option<Arc<AtomicU8>>,
 }
@@ -134,6 +141,7 @@
         message_due: None,
         next_check: Duration::ZERO,
         timer_set_for: Duration::ZERO,
+        turn_started: Duration::ZERO,
         transfer: None,
     };
     client.arrival_times.received(client.link.inbound.len(), client.shared.clock.arrival_time());
@@ -151,7 +159,6 @@
 impl Client {
     /// Serves until the connection ends; returns why it did.
     fn serve(&mut self) -> CloseReason {
-        let mut busy = 0;
         loop {
             self.shared.clock.note_running();
             match self.transfer_state() {
@@ -170,20 +177,21 @@
             if self.shared.should_transfer(self.slot) && self.try_transfer() {
                 continue;
             }
-            let read = self.process();
-            match self.close_if_settled(moved || read > 0) {
+            let is_active = self.process() || moved;
+            match self.close_if_settled(is_active) {
                 Ok(Some(reason)) => return reason,
                 Ok(None) => {}
                 Err(_) => return CloseReason::Broken,
             }
-            if moved || read > 0 {
-                busy += 1;
-                self.yield_turn(busy);
+            if is_active {
+                self.yield_turn();
                 continue;
             }
-            busy = 0;
             match self.prepare_to_wait() {
-                Ok(true) => self.wait_for_event(),
+                Ok(true) => {
+                    self.wait_for_event();
+                    self.turn_started = self.shared.clock.now();
+                }
                 Ok(false) => {}
                 Err(_) => return CloseReason::Broken,
             }
@@ -210,10 +218,14 @@
         Ok(moved)
     }
 
-    /// Reads complete messages, starts requests that may start, and queues the answers whose turn it is. Returns how
-    /// many messages it read.
-    fn process(&mut self) -> usize {
-        let mut read = 0;
+    /// Reads complete messages, starts requests that may start, and queues the answers whose turn it is; each for a short
+    /// while only. Returns whether there was anything to do.
+    fn process(&mut self) -> bool {
+        let until = self.turn_started + MAX_TURN;
+        let has_time = |read: usize, clock: &Clock| {
+            read == 0 || !read.is_multiple_of(MESSAGES_PER_CLOCK_READ) || clock.now() < until
+        };
+        let (mut read, mut started) = (0, 0);
         if self.closing.is_some() {
             // Read and discarded until its requests are answered: its end would not be seen behind it.
             self.link.inbound.clear();
@@ -221,17 +233,17 @@
         // No request is started for a client that has left after sending it.
         while self.closing.is_none()
             && !self.client_gone()
-            && read < MAX_MESSAGES_PER_TURN
+            && has_time(read, &self.shared.clock)
             && self.next_message()
         {
             read += 1;
         }
         if !self.client_gone() && !self.unread_since.is_before(self.last_unread_allowed()) {
-            self.start_requests();
+            started = self.start_requests();
         }
         self.send_replies();
         self.enforce_message_time();
-        read
+        read > 0 || started == MAX_STARTS_PER_TURN
     }
 
     /// Called when nothing was read and nothing was to be done. Returns whether to wait: false if there is something
@@ -252,9 +264,17 @@
     }
 
     /// Lets other coroutines run: a client that sends at full speed must not starve them.
-    fn yield_turn(&self, busy: u32) {
-        self.shared.clock.yield_if_busy(busy, self.link.lacks_memory());
-        may::coroutine::yield_now();
+    fn yield_turn(&mut self) {
+        let clock = &self.shared.clock;
+        if self.link.lacks_memory() {
+            clock.pause(SHORTAGE_PAUSE);
+        } else if clock.now() >= self.turn_started + MAX_TURN {
+            clock.yield_to_others();
+        } else {
+            may::coroutine::yield_now();
+            return;
+        }
+        self.turn_started = self.shared.clock.now();
     }
 
     /// Moves bytes both ways, and records when the inbound ones arrived.
@@ -355,9 +375,13 @@
         }
     }
 
-    /// Hands the requests that may start to the dispatcher.
-    fn start_requests(&mut self) {
-        while let Some(Start { payload: mut arrival, write_answered }) = self.pipeline.start(self.unsent()) {
+    /// Hands the requests that may start to the dispatcher, a few at a time; returns how many.
+    fn start_requests(&mut self) -> usize {
+        let mut started = 0;
+        while started < MAX_STARTS_PER_TURN
+            && let Some(Start { payload: mut arrival, write_answered }) = self.pipeline.start(self.unsent())
+        {
+            started += 1;
             if let Some(answered) = write_answered {
                 let ago = self.shared.clock.now().saturating_sub(answered).max(MIN_WRITE_AGE);
                 let reported = arrival.wrote_ago.filter(|reported| !reported.is_zero());
@@ -366,6 +390,7 @@
             self.shared.request_log.request(arrival.request_id, RequestEvent::Started);
             let _ = self.shared.dispatcher.send(DispatcherMessage::RequestArrived(arrival));
         }
+        started
     }
 
     /// Bytes of answers that the client has not read. While memory is short they count as too many to start more than the
--- a/crates/front/tests/misbehaving_clients.rs
+++ b/crates/front/tests/misbehaving_clients.rs
@@ -250,11 +250,16 @@
 const OTHERS_DEADLINE_MS: u32 = 500;
 
 fn assert_others_are_served_in_time(name: &str, bytes: &[u8]) {
+    assert_others_are_served_beside(1, name, bytes);
+}
+
+/// Has this many clients send these bytes again and again; asserts that all requests of another are served in time.
+fn assert_others_are_served_beside(clients: usize, name: &str, bytes: &[u8]) {
     let cluster = TestCluster::new();
     let front = start_front(&cluster, USUAL_MEMORY_MB);
     let stop = AtomicBool::new(false);
     std::thread::scope(|scope| {
-        scope.spawn(|| flood(&front, bytes, &stop));
+        (0..clients).for_each(|_| drop(scope.spawn(|| flood(&front, bytes, &stop))));
         let mut other = front.client();
         other.stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time");
         let started = Instant::now();
@@ -299,3 +304,15 @@
     );
     assert_others_are_served_in_time("no time", &requests(&|i| txn("order", 1, &id(i))));
 }
+
+#[test]
+fn many_clients_that_send_at_full_speed_do_not_delay_another() {
+    let unknown_group = txn("lookup", 2000, "group").replace("cluster=2", "cluster=99");
+    let requests = |text: &str| {
+        let with_id = |i: usize| query(&text.replacen("id=", &format!("id=u{i}x"), 1));
+        (0..3000).flat_map(with_id).collect::<Vec<_>>()
+    };
+    assert_others_are_served_beside(16, "unknown groups", &requests(&unknown_group));
+    assert_others_are_served_beside(16, "no comment", &query("SELECT 1").repeat(5000));
+    assert_others_are_served_beside(16, "no time", &requests(&txn("order", 0, "late")));
+}
