Bound the sessions that the router remembers by number

A period ends early after 50,000; sessions that are forgotten must see all that they may have seen, as before, so no read gets older data. flood_of_new_sessions_... fails without it.

--- a/crates/router/src/sessions.rs
+++ b/crates/router/src/sessions.rs
@@ -4,6 +4,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+/// The most sessions of one retention period; with more of them it ends early.
+const MAX_SESSIONS: usize = 50_000;
+
 /// The newest commit by session. An entry that is not renewed for a while is dropped, and from then on every session
 /// must see the commits of all dropped entries. So memory stays bounded, and no read gets data older than its session
 /// may have seen (rule 5), although most reads require slightly more than they need.
@@ -26,10 +29,11 @@
         Sessions { enabled, ..Sessions::default() }
     }
 
-    /// A commit was reported to a session. It is kept for at least `retention` and at most twice as long.
+    /// A commit was reported to a session. It is kept for at least `retention`, unless there are more than
+    /// [`MAX_SESSIONS`], and at most twice as long.
     pub fn learn(&mut self, now: Duration, session: Option<u64>, commit: Duration, retention: Duration) {
         let Some(session) = session.filter(|_| self.enabled) else { return };
-        if now >= self.rotated_at + retention {
+        if now >= self.rotated_at + retention || self.current.len() >= MAX_SESSIONS {
             let dropped = std::mem::replace(&mut self.previous, std::mem::take(&mut self.current));
             self.floor = self.floor.max(dropped.into_values().max());
             self.rotated_at = now;
@@ -73,4 +77,16 @@
         sessions.lost(s(700));
         assert_eq!(sessions.must_see(8), Some(s(700)));
     }
+
+    #[test]
+    fn flood_of_new_sessions_uses_bounded_memory_and_keeps_what_sessions_must_see() {
+        let (now, retention, mut sessions) =
+            (Duration::from_secs(1), Duration::from_secs(60), Sessions::new(true));
+        sessions.learn(now, Some(7), now, retention);
+        for session in 1000..1000 + 3 * MAX_SESSIONS as u64 {
+            sessions.learn(now, Some(session), now, retention);
+            assert!(sessions.current.len() + sessions.previous.len() <= 2 * MAX_SESSIONS);
+        }
+        assert_eq!(sessions.must_see(7), Some(now));
+    }
 }
