--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -35,6 +35,9 @@
 /// servers' uptimes again.
 const MIN_CLOCK_CHANGE: Duration = Duration::from_millis(500);
 
+/// While connections are short, idle ones are closed at this interval at most: it is a message to each member.
+const MIN_CLOSE_IDLE_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Starts the actor of a member: its index, its address, and both ends of its queue.
 pub type SpawnMember = Box<
     dyn Fn(usize, SocketAddr, Receiver<MemberMessage>, Sender<MemberMessage>) -> Result<(), String> + Send,
@@ -62,6 +65,8 @@
     /// Changes of primary that another front ordered of all fronts: the group, the id of the order, and the step last
     /// reported.
     fleet_changes: Vec<(u64, u64, fleet_tasks::HoldStep)>,
+    /// When idle connections were last closed because connections were short.
+    idle_closed_at: Option<Duration>,
     log: slog::Logger,
 }
 
@@ -123,6 +128,7 @@
             membership,
             clock_ahead_when_listed: Duration::ZERO,
             fleet_changes,
+            idle_closed_at: None,
             log,
         })
     }
@@ -336,10 +342,7 @@
         match message {
             DispatcherMessage::WatchdogTick { .. } => {}
             DispatcherMessage::Barrier(reply) => drop(reply.send(())),
-            DispatcherMessage::ConnectionsShort => {
-                (0..self.host.members.len())
-                    .for_each(|member| self.host.send_to_member(member, MemberMessage::CloseIdle));
-            }
+            DispatcherMessage::ConnectionsShort => self.close_idle_connections(now),
             DispatcherMessage::RequestArrived(arrival) => self.request_arrived(now, arrival),
             DispatcherMessage::ClientLeft(request_id) => {
                 if let Some(&txn) = self.host.by_request_id.get(&request_id) {
@@ -448,6 +451,16 @@
         }
     }
 
+    /// Closes idle connections to all members, unless that was done just now.
+    fn close_idle_connections(&mut self, now: Duration) {
+        if self.idle_closed_at.is_some_and(|at| now < at + MIN_CLOSE_IDLE_INTERVAL) {
+            return;
+        }
+        self.idle_closed_at = Some(now);
+        (0..self.host.members.len())
+            .for_each(|member| self.host.send_to_member(member, MemberMessage::CloseIdle));
+    }
+
     /// Records how long a new request lay in the queue, and starts it.
     fn request_arrived(&mut self, now: Duration, a: Box<Arrival>) {
         self.host.counters.held_up_most_us.record_max(now.saturating_sub(a.at).as_micros() as u64);
--- a/crates/front/tests/dispatcher.rs
+++ b/crates/front/tests/dispatcher.rs
@@ -182,3 +182,51 @@
     let _ = done.recv();
     assert!(submit.permit.consume(clock.now()).is_err(), "rule 1: nothing is sent after the answer");
 }
+
+#[test]
+fn shortage_of_connections_closes_idle_ones_of_all_members_once_in_a_while_only() {
+    let (clock, _run_timers) = Clock::start(Duration::ZERO).expect("a clock");
+    let ((sender, messages), (discovery, _discovery), (jobs, job)) = (channel(), channel(), channel());
+    let spawn_member: SpawnMember = Box::new(move |_, _, receiver, _| {
+        let jobs = jobs.clone();
+        std::thread::spawn(move || {
+            while let Ok(message) = receiver.recv() {
+                let _ = jobs.send(message);
+            }
+        });
+        Ok(())
+    });
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let dispatcher = Dispatcher::new(
+        Box::new(make_router),
+        vec!["order".to_owned()],
+        Vec::new(),
+        clock.clone(),
+        sender.clone(),
+        discovery,
+        spawn_member,
+        probes(),
+        Arc::new(Counters::default()),
+        log.clone(),
+        RequestLog::new(log, false),
+    );
+    let dispatcher = dispatcher.expect("a dispatcher");
+    std::thread::spawn(move || dispatcher.run(&messages));
+    let at = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    let _ = sender.send(DispatcherMessage::List(list(at)));
+    let _ = sender.send(DispatcherMessage::ProbeAll);
+    // The member has an actor once it is probed.
+    assert!(matches!(job.recv(), Ok(MemberMessage::Job(Job::Probe { .. }))));
+    let started = clock.now();
+    for _ in 0..1000 {
+        let _ = sender.send(DispatcherMessage::ConnectionsShort);
+    }
+    let (reply, done) = channel();
+    let _ = sender.send(DispatcherMessage::Barrier(reply));
+    let _ = done.recv();
+    let took = clock.now() - started;
+    std::thread::sleep(Duration::from_millis(50));
+    let closed = job.try_iter().filter(|message| matches!(message, MemberMessage::CloseIdle)).count();
+    let most = 1 + took.as_millis() as usize / 10;
+    assert!((1..=most).contains(&closed), "{closed} times in {took:?}");
+}
