--- a/crates/lab/src/fleet/ledger.rs
+++ b/crates/lab/src/fleet/ledger.rs
@@ -23,6 +23,10 @@
         self.0.note(at, "left", json!({ "front": front, "txn": txn }));
     }
 
+    fn sent_after_leaving(&mut self, at: Duration, front: usize, left: Duration) {
+        self.0.note(at, "sent for nobody", json!({ "front": front, "left": left.as_micros() as u64 }));
+    }
+
     fn answered(
         &mut self,
         at: Duration,
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod history;
 mod ledger;
 mod machine;
+mod misbehaving;
 pub mod owners;
 pub mod page;
 pub mod play;
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -5,6 +5,7 @@
 use super::history::History;
 use super::ledger::Clients;
 use super::machine::MachineFaults;
+use super::misbehaving::MisbehavingClients;
 use super::process::{POLL_INTERVAL, PROCESS_TIMEOUT, Process};
 use super::relay::Relay;
 use super::schedule::{FaultKind, InjectedFault, Schedule};
@@ -112,6 +113,9 @@
     /// The system-call faults of each front's process.
     machine_faults: Vec<MachineFaults>,
     crowds: Vec<Option<Crowd>>,
+    misbehaving: Vec<Option<MisbehavingClients>>,
+    /// The process of each front that was last seen over its memory limit.
+    over_memory: Vec<u32>,
 }
 
 /// Edits the configuration and the operators' file of a front before it starts; the argument is the front's number.
@@ -181,6 +185,8 @@
         rolled: false,
         machine_faults: Vec::new(),
         crowds: (0..n).map(|_| None).collect(),
+        misbehaving: (0..n).map(|_| None).collect(),
+        over_memory: vec![0; n],
     };
     cluster.leaving.lock().unwrap_or_else(PoisonError::into_inner).share = schedule.leaves;
     let preloads = schedule.mishaps.iter().any(InjectedFault::targets_machine_calls);
@@ -195,6 +201,7 @@
         config["peers"] = rig.relay.at[front].iter().map(ToString::to_string).collect::<Vec<_>>().into();
         config["settings"]["Bounds"]["Peers"] = true.into();
         config["limits"]["sockets"] = schedule.sockets.into();
+        config["limits"]["memory_mb"] = schedule.memory_mb.into();
         let dir = work_dir.join(format!("{front}"));
         std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
         let version = if schedule.older.contains(&front) { 1 } else { 2 };
@@ -300,6 +307,7 @@
     fn start(&mut self, front: usize) -> Result<(), String> {
         let environment = self.environments[front].clone();
         let at = self.cluster.now();
+        self.cluster.foreign().process_changes(at, front);
         self.processes[front].start(self.program, &environment)?;
         self.history.note(at, "start", json!({ "front": front, "pid": self.processes[front].pid }));
         Ok(())
@@ -330,6 +338,7 @@
                 }
             }
             self.cycle_slow_fronts();
+            self.check_memory();
             self.upgrades();
             self.moves();
             let cluster = self.cluster.clone();
@@ -462,8 +471,14 @@
         let front = m.front.unwrap_or(0);
         self.refresh_pids();
         match m.what {
-            FaultKind::FrontKilled => self.processes[front].kill(),
-            FaultKind::FrontEnded => self.terminate(front),
+            FaultKind::FrontKilled => {
+                self.check_running(front);
+                self.processes[front].kill();
+            }
+            FaultKind::FrontEnded => {
+                self.check_running(front);
+                self.terminate(front);
+            }
             FaultKind::FrontStopped => {
                 self.processes[front].signal("-STOP");
                 self.processes[front].stopped = true;
@@ -472,6 +487,7 @@
             FaultKind::Upgraded => {
                 let socket = self.processes[front].dir.join("control");
                 let (sender, receiver) = channel();
+                self.cluster.foreign().process_changes(self.cluster.now(), front);
                 self.upgrades.push((front, receiver));
                 std::thread::spawn(move || {
                     let answer = ask(&socket, &json!({ "do": "upgrade" }), PROCESS_TIMEOUT);
@@ -503,6 +519,12 @@
             FaultKind::Crowd => {
                 self.crowds[front] = Some(Crowd::start(self.listen[front], m.by.unwrap_or(0.0)));
             }
+            FaultKind::MisbehavingClients => {
+                let (cluster, history) = (self.cluster.clone(), self.history.clone());
+                let clients =
+                    MisbehavingClients::start(cluster, history, self.listen[front], front, m.number);
+                self.misbehaving[front] = Some(clients);
+            }
             _ if m.targets_members() => {}
             _ if m.targets_machine_calls() => self.set_machine_faults(m, true),
             _ => self.change_links(m, true),
@@ -541,6 +563,7 @@
                 }
             }
             FaultKind::Crowd => self.crowds[front] = None,
+            FaultKind::MisbehavingClients => self.misbehaving[front] = None,
             FaultKind::Upgraded | FaultKind::MoveOrdered | FaultKind::RollOrdered => {}
             _ if m.targets_members() => {}
             _ if m.targets_machine_calls() => self.set_machine_faults(m, false),
@@ -559,6 +582,25 @@
         around.iter().rev().for_each(|name| process.signal(name));
     }
 
+    /// Notes a process that has ended by itself.
+    fn check_running(&mut self, front: usize) {
+        if !self.processes[front].runs() {
+            self.history.note(self.cluster.now(), "crashed", json!({ "front": front }));
+        }
+    }
+
+    /// Notes processes that have passed their memory limit, each once.
+    fn check_memory(&mut self) {
+        for front in 0..self.processes.len() {
+            let (pid, peak) = (self.processes[front].pid, self.processes[front].peak_kb().unwrap_or(0));
+            if peak > self.schedule.memory_mb << 10 && self.over_memory[front] != pid {
+                self.over_memory[front] = pid;
+                let more = json!({ "front": front, "peak_kb": peak, "limit_mb": self.schedule.memory_mb });
+                self.history.note(self.cluster.now(), "over memory", more);
+            }
+        }
+    }
+
     /// Starts or stops a system-call fault at one front, or at all.
     fn set_machine_faults(&mut self, m: &InjectedFault, begins: bool) {
         for (front, machine) in self.machine_faults.iter_mut().enumerate() {
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -63,6 +63,13 @@
         Some((user + system) * 10)
     }
 
+    /// The peak of the current process's resident memory.
+    pub fn peak_kb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid)).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().trim_end_matches(" kB").parse().ok()
+    }
+
     pub fn kill(&mut self) {
         self.signal("-KILL");
         let begun = Instant::now();
--- a/crates/lab/src/fleet/schedule.rs
+++ b/crates/lab/src/fleet/schedule.rs
@@ -74,6 +74,8 @@
     DiskFails,
     /// `by` idle clients per second connect to `front` and stay.
     Crowd,
+    /// Clients of kind `number` send too much, too little or too fast to `front`, or copies of what others send.
+    MisbehavingClients,
     /// `front` is asked for a planned change of group `number`; once all fronts hold its writes, the primary hands
     /// over.
     MoveOrdered,
@@ -175,6 +177,9 @@
     /// The descriptor limit of each front.
     #[garde(range(min = 52, max = 1024))]
     pub sockets: u32,
+    /// The memory limit of each front.
+    #[garde(range(min = 16, max = 4096))]
+    pub memory_mb: u64,
     /// Terminating processes get further signals, and are killed at the end of the fault whether or not they have
     /// exited. Requests left without an answer then show in the history.
     #[garde(skip)]
@@ -209,6 +214,7 @@
             retries: 2,
             leaves: 0.0,
             sockets: 1024,
+            memory_mb: 192,
             kills_the_ending: false,
             expiry_ms: 1500,
             lost_ms: [1100.0, 2700.0],
@@ -257,6 +263,7 @@
                     | FaultKind::MoveOrdered
                     | FaultKind::RollOrdered
                     | FaultKind::Crowd
+                    | FaultKind::MisbehavingClients
             );
             if needs_front && m.front.is_none() {
                 wrong("what", "expected a front");
--- a/crates/lab/src/fleet/soak.rs
+++ b/crates/lab/src/fleet/soak.rs
@@ -3,6 +3,7 @@
 
 use super::audit::{self, Finding, HistoryView, front, txn};
 use super::history::Line;
+use super::misbehaving::MISBEHAVIOURS;
 use super::schedule::{FaultKind, InjectedFault, Schedule};
 use super::{Figures, figures};
 use juniperdock_emulator::Stream;
@@ -19,11 +20,19 @@
 const MAX_DEADLINE_S: f64 = 3.0;
 const KILL_MARGIN_S: f64 = 0.7;
 
+/// The memory limits of the operators' pages (`LATER.md`).
+const LEAST_MEMORY_MB: u64 = 32;
+const USUAL_MEMORY_MB: u64 = 192;
+
 /// Idle clients that connect to a front per second.
 const CROWD_PER_SECOND: f64 = 600.0;
 
 /// The fault kinds of a soak; each is drawn once before any is repeated.
-const FAULT_KINDS: [FaultKind; 16] = [
+const FAULT_KINDS: [FaultKind; 20] = [
+    FaultKind::MisbehavingClients,
+    FaultKind::MisbehavingClients,
+    FaultKind::MisbehavingClients,
+    FaultKind::MisbehavingClients,
     FaultKind::Crowd,
     FaultKind::FrontEnded,
     FaultKind::HeldUp,
@@ -52,7 +61,8 @@
             groups: 3,
             per_second: 12.0 * fronts as f64,
             expiry_ms: 600 + 100 * (seed % 8),
-            sockets: 240,
+            sockets: if seed.is_multiple_of(3) { 1024 } else { 240 },
+            memory_mb: if seed.is_multiple_of(2) { LEAST_MEMORY_MB } else { USUAL_MEMORY_MB },
             kills_the_ending: true,
             leaves: 0.03,
             fellows: false,
@@ -93,6 +103,7 @@
                 random.below(self.groups)
             }
             FaultKind::MemberDrained => random.below(self.groups * self.members),
+            FaultKind::MisbehavingClients => random.below(MISBEHAVIOURS),
             _ => 0,
         };
         let share = match what {
@@ -195,12 +206,15 @@
 
 type Check = fn(&HistoryView) -> Vec<(Duration, String)>;
 
-const INVARIANTS: [(&str, Check); 5] = [
+const INVARIANTS: [(&str, Check); 8] = [
     ("unanswered", check_unanswered),
     ("sent on and cut off", check_cut_off),
     ("sent after its client left", check_sent_after_leaving),
     ("counted by the front", check_front_counters),
     ("crashed", crashed),
+    ("over its memory limit", check_memory),
+    ("copy of another's request served", check_copies),
+    ("sent behind the end of its client", check_sent_for_nobody),
 ];
 
 /// Checks the history of a soak.
@@ -326,6 +340,36 @@
     found
 }
 
+/// No process passes its memory limit.
+fn check_memory(view: &HistoryView) -> Vec<(Duration, String)> {
+    let over = view.lines_of("over memory");
+    let what = |line: &Line| {
+        let (peak, limit) = (line.number("peak_kb"), line.number("limit_mb"));
+        format!("front {}: {} KB of {} MB", front(line), peak.unwrap_or(0), limit.unwrap_or(0))
+    };
+    over.map(|line| (line.at, what(line))).collect()
+}
+
+/// Rule 2: a request with the id of another's is not run.
+fn check_copies(view: &HistoryView) -> Vec<(Duration, String)> {
+    let served = view.lines_of("copy served");
+    served.map(|line| (line.at, format!("front {}: {}", front(line), line.text("text")))).collect()
+}
+
+/// Rule 1: nothing is sent for a client that has ended its sending with much of it unread.
+fn check_sent_for_nobody(view: &HistoryView) -> Vec<(Duration, String)> {
+    let late = |line: &Line| {
+        let left = Duration::from_micros(line.number("left").unwrap_or(0));
+        let allowed =
+            if view.excused(front(line), left, line.at) { DISTURBED_AFTER_LEAVING } else { AFTER_LEAVING };
+        (line.at > left + allowed).then(|| {
+            let what = format!("front {}: {} ms after", front(line), (line.at - left).as_millis());
+            (line.at, what)
+        })
+    };
+    view.lines_of("sent for nobody").filter_map(late).collect()
+}
+
 fn crashed(view: &HistoryView) -> Vec<(Duration, String)> {
     let gone = view.lines_of("crashed").chain(view.lines_of("does not end"));
     gone.map(|line| (line.at, format!("front {}: {}", front(line), line.what))).collect()
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod circle;
 pub mod experiment;
 pub mod fleet;
+mod foreign;
 pub mod fronts;
 pub mod load;
 pub mod measure;
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -2,6 +2,7 @@
 //! emulator on the machine's clock. Compared with simulated time, the run adds the program's own processing time,
 //! the machine's sockets, and real connections in addition to those that the emulator models.
 
+use crate::foreign::{FOREIGN_PREFIX, ForeignRequests};
 use crate::load::statement;
 use crate::measure::{Measure, Outcome, StateSample};
 use crate::scenario::{OfKind, Reads, Runs, Scenario};
@@ -67,6 +68,8 @@
     fn left(&mut self, _at: Duration, _front: usize, _txn: u32) {}
     /// A client could not connect.
     fn refused(&mut self, _front: usize) {}
+    /// A request of the rig's own was sent on at this time, after its client had left.
+    fn sent_after_leaving(&mut self, _at: Duration, _front: usize, _left: Duration) {}
 }
 
 /// State shared by the threads of a run.
@@ -136,6 +139,8 @@
     pub slack: Duration,
     /// Decides which clients disconnect early.
     pub leaving: Mutex<Leaving>,
+    /// Requests that no emulated client sent.
+    pub foreign: Mutex<ForeignRequests>,
     /// Addresses on which members accept connections.
     listening: Mutex<Vec<SocketAddr>>,
 }
@@ -162,7 +167,18 @@
         let leaving = Mutex::new(Leaving { share: 0.0, chance: Stream::of(1, "leaving", 0) });
         let (begun, monotonic_origin, origin) = (Instant::now(), monotonic(), unix_ms());
         let listening = Mutex::default();
-        Arc::new(TestCluster { state, asked, begun, origin, monotonic_origin, slack, leaving, listening })
+        let foreign = Mutex::default();
+        Arc::new(TestCluster {
+            state,
+            asked,
+            begun,
+            origin,
+            monotonic_origin,
+            slack,
+            leaving,
+            foreign,
+            listening,
+        })
     }
 
     /// Ends the run: client and member threads terminate.
@@ -205,6 +221,19 @@
         self.begun.elapsed()
     }
 
+    /// Locks the record of requests that no emulated client sent.
+    pub fn foreign(&self) -> MutexGuard<'_, ForeignRequests> {
+        self.foreign.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A server has received a request of the rig's own.
+    fn foreign_request_arrived(&self, front: usize, id: &str) {
+        let Some(left) = self.foreign().left_at(id) else { return };
+        let mut state = self.lock();
+        let now = self.now();
+        state.ledger.iter_mut().for_each(|ledger| ledger.sent_after_leaving(now, front, left));
+    }
+
     /// Locks the state and advances the emulator to the current time.
     pub fn present(&self) -> MutexGuard<'_, State> {
         let mut state = self.lock();
@@ -303,7 +332,13 @@
             continue;
         }
         let id = field(&text, "id").unwrap_or_default().to_owned();
+        if id.starts_with(FOREIGN_PREFIX) {
+            cluster.foreign_request_arrived(front, &id);
+            stream.write_all(&[error("08P01"), ready()].concat()).ok()?;
+            continue;
+        }
         let txn = u32::from_str_radix(&id, 16).ok()?;
+        cluster.foreign().sent_on(front, &text);
         let (sender, receiver) = sync_channel(1);
         let submission = {
             let mut state = cluster.present();
@@ -401,6 +436,7 @@
             let _ = open.stream.set_read_timeout(Some(ask.left + self.slack));
             reply = if open.try_send(&ask.text) {
                 reached = true;
+                self.foreign().sent(front, &ask.text);
                 let mut state = self.lock();
                 let now = self.now();
                 state.ledger.iter_mut().for_each(|ledger| ledger.asked(now, front, ask));
