--- a/crates/front/tests/dispatcher.rs
+++ b/crates/front/tests/dispatcher.rs
@@ -5,7 +5,7 @@
 use juniperdock_front::counters::Counters;
 use juniperdock_front::dispatcher::{Dispatcher, SpawnMember};
 use juniperdock_front::mailbox::Mailbox;
-use juniperdock_front::messages::{Answer, Arrival, DispatcherMessage, Job, MemberMessage};
+use juniperdock_front::messages::{Answer, Arrival, DiscoveryMessage, DispatcherMessage, Job, MemberMessage};
 use juniperdock_front::request_log::RequestLog;
 use juniperdock_request_guard::{ClientPresence, RequestGuard};
 use juniperdock_router::host::AttemptOutcome;
@@ -13,7 +13,7 @@
 use juniperdock_router::host::{ColdStart, Consistency, Effect, FrontInfo, Report, TxnType};
 use juniperdock_router::routing::Router;
 use juniperdock_server_list::{ProbeLimits, ProbeQueue, ServerList};
-use may::sync::mpsc::channel;
+use may::sync::mpsc::{Receiver, Sender, channel};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -76,19 +76,24 @@
     Link::new(stream, BufferLimits { inbound: 1, outbound: 1 }).expect("a link")
 }
 
-#[test]
-fn after_a_panic_the_dispatcher_answers_all_and_goes_on() {
+/// A dispatcher on a thread of its own.
+struct Started {
+    clock: Clock,
+    sender: Sender<DispatcherMessage>,
+    counters: Arc<Counters>,
+    _discovery: Receiver<DiscoveryMessage>,
+}
+
+fn start(spawn_member: SpawnMember) -> Started {
     let (clock, _run_timers) = Clock::start(Duration::ZERO).expect("a clock");
     let ((sender, messages), (discovery, _discovery)) = (channel(), channel());
-    let spawn_member: SpawnMember = Box::new(|_, _, _, _| Ok(()));
     let counters = Arc::new(Counters::default());
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let (make_router, zones, now) = (Box::new(make_router), Vec::new(), clock.now());
     let dispatcher = Dispatcher::new(
-        make_router,
+        Box::new(make_router),
         vec!["order".to_owned()],
-        zones,
-        clock,
+        Vec::new(),
+        clock.clone(),
         sender.clone(),
         discovery,
         spawn_member,
@@ -99,7 +104,28 @@
     );
     let dispatcher = dispatcher.expect("a dispatcher");
     std::thread::spawn(move || dispatcher.run(&messages));
+    Started { clock, sender, counters, _discovery }
+}
 
+/// Members' actors that hand all their messages to the test: jobs stay unwritten.
+fn recorded_members() -> (SpawnMember, Receiver<MemberMessage>) {
+    let (jobs, received) = channel();
+    let spawn_member: SpawnMember = Box::new(move |_, _, receiver, _| {
+        let jobs = jobs.clone();
+        std::thread::spawn(move || {
+            while let Ok(message) = receiver.recv() {
+                let _ = jobs.send(message);
+            }
+        });
+        Ok(())
+    });
+    (spawn_member, received)
+}
+
+#[test]
+fn after_a_panic_the_dispatcher_answers_all_and_goes_on() {
+    let Started { clock, sender, counters, _discovery } = start(Box::new(|_, _, _, _| Ok(())));
+    let now = clock.now();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
     let at = listener.local_addr().expect("an address");
     let link = link_to(at);
@@ -124,36 +150,8 @@
 
 #[test]
 fn after_a_panic_no_answered_request_is_written() {
-    let (clock, _run_timers) = Clock::start(Duration::ZERO).expect("a clock");
-    let ((sender, messages), (discovery, _discovery), (jobs, job)) = (channel(), channel(), channel());
-    // The test plays the member's actor: the job stays unwritten.
-    let spawn_member: SpawnMember = Box::new(move |_, _, receiver, _| {
-        let jobs = jobs.clone();
-        std::thread::spawn(move || {
-            while let Ok(message) = receiver.recv() {
-                let _ = jobs.send(message);
-            }
-        });
-        Ok(())
-    });
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    let txn_types = vec!["order".to_owned()];
-    let (counters, zones) = (Arc::new(Counters::default()), Vec::new());
-    let dispatcher = Dispatcher::new(
-        Box::new(make_router),
-        txn_types,
-        zones,
-        clock.clone(),
-        sender.clone(),
-        discovery,
-        spawn_member,
-        probes(),
-        counters,
-        log.clone(),
-        RequestLog::new(log, false),
-    );
-    let dispatcher = dispatcher.expect("a dispatcher");
-    std::thread::spawn(move || dispatcher.run(&messages));
+    let (spawn_member, job) = recorded_members();
+    let Started { clock, sender, .. } = &start(spawn_member);
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
     let at = listener.local_addr().expect("an address");
     let link = link_to(at);
@@ -185,33 +183,8 @@
 
 #[test]
 fn shortage_of_connections_closes_idle_ones_of_all_members_once_in_a_while_only() {
-    let (clock, _run_timers) = Clock::start(Duration::ZERO).expect("a clock");
-    let ((sender, messages), (discovery, _discovery), (jobs, job)) = (channel(), channel(), channel());
-    let spawn_member: SpawnMember = Box::new(move |_, _, receiver, _| {
-        let jobs = jobs.clone();
-        std::thread::spawn(move || {
-            while let Ok(message) = receiver.recv() {
-                let _ = jobs.send(message);
-            }
-        });
-        Ok(())
-    });
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    let dispatcher = Dispatcher::new(
-        Box::new(make_router),
-        vec!["order".to_owned()],
-        Vec::new(),
-        clock.clone(),
-        sender.clone(),
-        discovery,
-        spawn_member,
-        probes(),
-        Arc::new(Counters::default()),
-        log.clone(),
-        RequestLog::new(log, false),
-    );
-    let dispatcher = dispatcher.expect("a dispatcher");
-    std::thread::spawn(move || dispatcher.run(&messages));
+    let (spawn_member, job) = recorded_members();
+    let Started { clock, sender, .. } = &start(spawn_member);
     let at = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
     let _ = sender.send(DispatcherMessage::List(list(at)));
     let _ = sender.send(DispatcherMessage::ProbeAll);
