--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -18,6 +18,7 @@
         "window" => window(case),
         "term-in-upgrade" => term_in_upgrade(case),
         "hold-in-upgrade" => hold_in_upgrade(case),
+        "drain-lifted" => drain_lifted(case),
         "removed-in-upgrade" => removed_in_upgrade(case),
         "two-fronts" => two_fronts(case),
         "move-with-a-write-out" => move_with_a_write_out(case),
@@ -30,6 +31,13 @@
     format!("{:016x}", NEXT.fetch_add(1, Ordering::SeqCst))
 }
 
+fn read_of(cell: u64, class: &str, d: u32, handle: &str) -> String {
+    format!(
+        "/* id={},c={class},d={d},cluster={cell} */ SELECT blob FROM rows WHERE handle = '{handle}'",
+        new_id()
+    )
+}
+
 fn read_text(class: &str, d: u32, handle: &str) -> String {
     format!(
         "/* id={},c={class},d={d},cluster={CELL} */ SELECT blob FROM rows WHERE handle = '{handle}'",
@@ -54,7 +62,7 @@
     let servers: Vec<Server> = names.iter().enumerate().map(start).collect();
     let entries = servers
         .iter()
-        .map(|s| Entry { id: s.name.to_owned(), addr: s.at, cell: CELL, state: "up" })
+        .map(|s| Entry { id: s.name.to_owned(), addr: s.at, cell: CELL, state: "up", started_ms: 0 })
         .collect();
     (group, servers, entries)
 }
@@ -238,6 +246,7 @@
         addr: s.at,
         cell: CELL + 1,
         state: "up",
+        started_ms: 0,
     }));
     let agent = Agent::start(&case.record, "A", &entries);
     let config = config(&agent.known(), &[LOOSE, ONCE], 1, 0, "client", "");
@@ -549,3 +558,74 @@
         None => Ok(()),
     }
 }
+
+/// Servers that have started not long ago drain and are then removed, half of them in steps; they run on.
+fn drain_lifted(case: &Case) -> Result<(), String> {
+    const GRACE_MS: u64 = 100;
+    let started_ms = crate::unix_ms() as u64 - 5000;
+    let names = [["s-a", "s-b", "s-c", "s-d", "s-e", "s-f"], ["t-a", "t-b", "t-c", "t-d", "t-e", "t-f"]];
+    let (mut servers, mut entries) = (Vec::new(), Vec::new());
+    for (at, names) in names.iter().enumerate() {
+        let group = Group::new(2000);
+        for (index, name) in names.iter().enumerate() {
+            let server = Server::start(&case.record, &group, index, name, false);
+            let id = server.name.to_owned();
+            entries.push(Entry { id, addr: server.at, cell: CELL + at as u64, state: "up", started_ms });
+            servers.push(server);
+        }
+    }
+    let agent = Agent::start(&case.record, "A", &entries);
+    // As at the site: only draining binds, with a grace of 100 ms; warm within 16 s.
+    let config = config(&agent.known(), &[LOOSE, ONCE], 1, 0, "client", "")
+        .replace("\"StopSendingWithin\":1000.0", "\"StopSendingWithin\":100.0,\"GoneIsAdvice\":true")
+        .replace("\"WarmUp\":1000.0", "\"WarmUp\":16000.0");
+    let front = Front::start(case, "n1", free_address(), agent.at, &config, "{}");
+    let mut client = front.client();
+    warm_up(case, &mut client, || write_text("once", 5000, "h", None, "00"));
+    pause_ms(12_000);
+    let stop = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let readers: Vec<_> = (0..8u64)
+        .map(|number| {
+            let (mut client, stop) = (front.client(), stop.clone());
+            std::thread::spawn(move || {
+                while !stop.load(Ordering::SeqCst) {
+                    client.query(&read_of(CELL + number % 2, "any", 1500, "h"));
+                    pause_ms(20);
+                }
+            })
+        })
+        .collect();
+    pause_ms(1000);
+    let mut told: Vec<(usize, Instant)> = Vec::new();
+    for step in [[1, 7], [2, 8], [3, 9]] {
+        for at in step {
+            agent.change(Entry { state: "draining", ..entries[at].clone() });
+            told.push((at, Instant::now()));
+        }
+        pause_ms(2000);
+        if case.trouble {
+            step.iter().for_each(|&at| agent.change(Entry { state: "removed", ..entries[at].clone() }));
+        }
+        pause_ms(4000);
+    }
+    stop.store(true, Ordering::SeqCst);
+    readers.into_iter().for_each(|reader| reader.join().expect("a reader"));
+    let mut late = Vec::new();
+    for (at, told) in told {
+        // 50 ms as on all sockets, and 100 ms for the stand-in to write the change.
+        let binds = told + Duration::from_millis(GRACE_MS + 50 + 100);
+        let seen = servers[at].seen.lock().expect("seen");
+        let count = seen.iter().filter(|seen| seen.at > binds).count();
+        let last = seen.last().map_or(0, |seen| seen.at.saturating_duration_since(told).as_millis());
+        case.record.note(&format!(
+            "{}: {count} txns came after its drain had to be kept, the last {last} ms after it was told",
+            servers[at].name
+        ));
+        late.extend((count > 0).then(|| format!("{} {count}", servers[at].name)));
+    }
+    if late.is_empty() {
+        Ok(())
+    } else {
+        Err(format!("txns were sent to drained servers: {}", late.join(", ")))
+    }
+}
--- a/review/standins-2/discovery.rs
+++ b/review/standins-2/discovery.rs
@@ -12,6 +12,8 @@
     pub addr: SocketAddr,
     pub cell: u64,
     pub state: &'static str,
+    /// When it last started, as a Unix time in ms; 0 if that was long ago.
+    pub started_ms: u64,
 }
 
 #[derive(Default)]
@@ -35,9 +37,9 @@
 fn json(version: u64, full: bool, entries: &[Entry]) -> String {
     let entries: Vec<String> = entries
         .iter()
-        .map(|Entry { id, addr, cell, state }| {
+        .map(|Entry { id, addr, cell, state, started_ms }| {
             format!(
-                r#"{{"id":"{id}","addr":"{addr}","zone":"a","kind":"k","cell":{cell},"state":"{state}","weight":1.0,"started_ms":0}}"#
+                r#"{{"id":"{id}","addr":"{addr}","zone":"a","kind":"k","cell":{cell},"state":"{state}","weight":1.0,"started_ms":{started_ms}}}"#
             )
         })
         .collect();
