--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-2/standins ] && [ -x target/release/juniperdock ] || exit 2
-exec target/review-2/standins moved-discovery "$folder"
+exec target/review-2/standins drain-lifted "$folder"
--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
 use crate::discovery::{Agent, Entry};
-use crate::front::{Front, HUP, KILL, Kind, TERM, USR1, config, free_address, kill};
+use crate::front::{CONT, Front, HUP, KILL, Kind, STOP, TERM, USR1, config, free_address, kill};
 use crate::server::{Group, Server};
 use crate::wire::Client;
 use crate::{Case, cannot_run, pause_ms, wait_until};
@@ -14,10 +14,10 @@
 pub fn play(name: &str, case: &Case) -> Result<(), String> {
     match name {
         "moved-discovery" => moved_discovery(case),
-        "session-marks" => session_marks(case),
         "window" => window(case),
         "term-in-upgrade" => term_in_upgrade(case),
         "hold-in-upgrade" => hold_in_upgrade(case),
+        "hang-before-commit" => hang_before_commit(case),
         "drain-lifted" => drain_lifted(case),
         "removed-in-upgrade" => removed_in_upgrade(case),
         "two-fronts" => two_fronts(case),
@@ -165,45 +165,6 @@
     }
 }
 
-/// A session writes, the front is upgraded, the session reads on the same connection.
-fn session_marks(case: &Case) -> Result<(), String> {
-    const LAG_MS: u64 = 3000;
-    let own = Kind { name: "own", read_level: "own_writes", ..LOOSE };
-    let (_group, servers, entries) = group(case, 2000, 3, false);
-    let agent = Agent::start(&case.record, "A", &entries);
-    let config = config(&agent.known(), &[own, ONCE], 1, 0, "router", "");
-    let front =
-        Front::start(case, "n1", free_address(), agent.at, &config, &charter_with_control(case, "n1", ""));
-    // The replicas apply the log late, as the briefs tell.
-    for replica in &servers[1..] {
-        replica.script.lag_ms.store(LAG_MS, Ordering::SeqCst);
-    }
-    let mut client = front.client();
-    warm_up(case, &mut client, || write_text("once", 5000, "h", None, "00"));
-    pause_ms(LAG_MS + 1000);
-    let mut stale = Vec::new();
-    for round in 0..3 {
-        let written = warm_up(case, &mut client, || write_text("once", 5000, "h", None, "01"));
-        let written: u64 = written.trim_start_matches('v').parse().expect("a version");
-        if case.trouble {
-            let (succeeded, text) = front.command(&["upgrade"]);
-            assert!(succeeded, "the upgrade: {text}");
-        }
-        for _ in 0..3 {
-            let answer = ask(case, &mut client, &read_text("own", 1500, "h"));
-            let read = answer.value.and_then(|value| value.trim_start_matches('v').parse::<u64>().ok());
-            if let Some(read) = read.filter(|read| *read < written) {
-                stale.push(format!("round {round}: v{read} after its own v{written}"));
-            }
-        }
-        pause_ms(LAG_MS + 1000);
-    }
-    match stale.first() {
-        Some(first) => Err(format!("{} reads did not see their session's write: {first}", stale.len())),
-        None => Ok(()),
-    }
-}
-
 /// The answer of a referenced write is lost, and the server hangs in the middle of the repeat until the window is over.
 fn window(case: &Case) -> Result<(), String> {
     // As at a deployment of the pages: 1.2 s and 2 s.
@@ -563,7 +524,11 @@
 fn drain_lifted(case: &Case) -> Result<(), String> {
     const GRACE_MS: u64 = 100;
     let started_ms = crate::unix_ms() as u64 - 5000;
-    let names = [["s-a", "s-b", "s-c", "s-d", "s-e", "s-f"], ["t-a", "t-b", "t-c", "t-d", "t-e", "t-f"]];
+    let names = [
+        ["s-a", "s-b", "s-c", "s-d", "s-e", "s-f"],
+        ["t-a", "t-b", "t-c", "t-d", "t-e", "t-f"],
+        ["u-a", "u-b", "u-c", "u-d", "u-e", "u-f"],
+    ];
     let (mut servers, mut entries) = (Vec::new(), Vec::new());
     for (at, names) in names.iter().enumerate() {
         let group = Group::new(2000);
@@ -584,12 +549,12 @@
     warm_up(case, &mut client, || write_text("once", 5000, "h", None, "00"));
     pause_ms(12_000);
     let stop = Arc::new(std::sync::atomic::AtomicBool::new(false));
-    let readers: Vec<_> = (0..8u64)
+    let readers: Vec<_> = (0..9u64)
         .map(|number| {
             let (mut client, stop) = (front.client(), stop.clone());
             std::thread::spawn(move || {
                 while !stop.load(Ordering::SeqCst) {
-                    client.query(&read_of(CELL + number % 2, "any", 1500, "h"));
+                    client.query(&read_of(CELL + number % 3, "any", 1500, "h"));
                     pause_ms(20);
                 }
             })
@@ -597,7 +562,7 @@
         .collect();
     pause_ms(1000);
     let mut told: Vec<(usize, Instant)> = Vec::new();
-    for step in [[1, 7], [2, 8], [3, 9]] {
+    for step in [[1, 7, 13], [2, 8, 14], [3, 9, 15]] {
         for at in step {
             agent.change(Entry { state: "draining", ..entries[at].clone() });
             told.push((at, Instant::now()));
@@ -629,3 +594,106 @@
         Err(format!("txns were sent to drained servers: {}", late.join(", ")))
     }
 }
+
+/// The new process of an upgrade hangs before the commit, while some clients come anew.
+fn hang_before_commit(case: &Case) -> Result<(), String> {
+    const CLIENTS: u64 = 40;
+    const D_MS: u64 = 1500;
+    let (_group, _servers, entries) = group(case, 2000, 3, false);
+    let agent = Agent::start(&case.record, "A", &entries);
+    let config = config(&agent.known(), &[LOOSE, ONCE], 1, 0, "client", "");
+    let upgrade = "upgrade: { ready_ms: 10000, gather_ms: 15, taken_ms: 1000 }";
+    let front = Front::start(
+        case,
+        "n1",
+        free_address(),
+        agent.at,
+        &config,
+        &charter_with_control(case, "n1", upgrade),
+    );
+    let mut client = front.client();
+    warm_up(case, &mut client, || write_text("once", 5000, "h", None, "00"));
+    let stop = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    // By request: when it was sent, and how long its answer took.
+    let sent = Arc::new(std::sync::Mutex::new(std::collections::BTreeMap::<
+        String,
+        (Instant, Option<Duration>),
+    >::new()));
+    let start_client = {
+        let (stop, sent, at, record) = (stop.clone(), sent.clone(), front.at, case.record.clone());
+        move |number: u64| {
+            let (stop, sent, record) = (stop.clone(), sent.clone(), record.clone());
+            std::thread::spawn(move || {
+                let Some(mut client) = Client::open(at) else {
+                    return record.note(&format!("client {number} is not let in"));
+                };
+                let mut draw = number * 7919 + 13;
+                while !stop.load(Ordering::SeqCst) {
+                    draw = draw.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+                    pause_ms(600 + (draw >> 33) % 1400);
+                    let text = read_text("any", D_MS as u32, "h");
+                    let id = crate::wire::field(&text, "id").expect("an id");
+                    let at = Instant::now();
+                    sent.lock().expect("the requests").insert(id.clone(), (at, None));
+                    let answer = client.query(&text);
+                    let took = at.elapsed();
+                    if answer.ended {
+                        return record
+                            .note(&format!("client {number}: request {id} has no answer after {took:?}"));
+                    }
+                    sent.lock().expect("the requests").insert(id, (at, Some(took)));
+                }
+            });
+        }
+    };
+    (0..CLIENTS).for_each(&start_client);
+    pause_ms(3000);
+    let upgrade = front.start_command(&["upgrade"]);
+    let log = case.folder.join("n1.log");
+    let read_log = || std::fs::read_to_string(&log).unwrap_or_default();
+    assert!(wait_until(5000, || read_log().contains("upgrade started")), "the upgrade begins");
+    let pid: i32 = read_log()
+        .split("pid: ")
+        .nth(1)
+        .and_then(|rest| rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok())
+        .expect("its id");
+    let mut stopped = false;
+    if case.trouble {
+        let open = || std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |all| all.count());
+        let started = Instant::now();
+        while open() < 30 && started.elapsed() < Duration::from_secs(3) {}
+        stopped = kill(pid, STOP);
+        case.record
+            .note(&format!("signal {STOP} to the new process {pid}, which has {} descriptors open", open()));
+        pause_ms(200);
+        assert!(!read_log().contains("upgrade committed"), "it hangs before the commit");
+    }
+    // New clients come, two a second.
+    let began = Instant::now();
+    let mut number = CLIENTS;
+    while began.elapsed() < Duration::from_secs(25) {
+        start_client(number);
+        number += 1;
+        pause_ms(500);
+    }
+    let is_over = read_log().contains("upgrade aborted") || read_log().contains("upgrade committed");
+    case.record.note(&format!("25 s later the upgrade is over: {is_over}"));
+    if stopped {
+        kill(pid, CONT);
+    }
+    stop.store(true, Ordering::SeqCst);
+    let limit = Duration::from_millis(D_MS + 500 + 50);
+    let sent = sent.lock().expect("the requests");
+    let late = sent.values().filter(|(at, took)| took.unwrap_or(at.elapsed()) > limit).count();
+    let never = sent.values().filter(|(at, took)| took.is_none() && at.elapsed() > limit).count();
+    case.record
+        .note(&format!("{} requests, {late} not answered in time, {never} of them not at all", sent.len()));
+    drop(upgrade);
+    match late {
+        0 => Ok(()),
+        _ => Err(format!(
+            "{late} of {} requests were not answered in time, {never} of them not at all",
+            sent.len()
+        )),
+    }
+}
--- a/review/standins-2/front.rs
+++ b/review/standins-2/front.rs
@@ -26,6 +26,8 @@
 pub const KILL: i32 = 9;
 pub const USR1: i32 = 10;
 pub const TERM: i32 = 15;
+pub const CONT: i32 = 18;
+pub const STOP: i32 = 19;
 
 /// An address on loopback that is free now.
 pub fn free_address() -> SocketAddr {
