Withdraw statements that have not arrived when their permission ends

In the same way attempts began after their client had left, after their request was answered, after the process was killed, and reads at replicas whose proof was too old by then.

Cause: a write call's return was taken for arrival. The permit of an attempt was consumed at its first byte; each further piece was checked against the deadline and the client only, and what the kernel had taken was never looked at again. A connection was closed as usual, so the kernel went on delivering a whole statement, also after the process had ended.

Change: the permit binds until the attempt has arrived (WriteProgress, request-guard/src/permit.rs). member/transit.rs asks the kernel 50 ms after the hand-over, and again every 50 ms and when the permit expires, whether all has been acknowledged (SIOCOUTQ); if not and the permit no longer holds, the connection is reset. Router::valid_until takes how far the attempt has got: a drain binds only what has not begun. Connections to servers are reset when they end with a statement (SO_LINGER, 0 s). New: events InTransit and Withdrawn, counter withdrawn_in_transit, violation sent_after_permit.

The type of an attempt in flight has a name now in place of a tuple.

--- a/crates/attempt-outcome/src/lib.rs
+++ b/crates/attempt-outcome/src/lib.rs
@@ -82,6 +82,20 @@
     }
 }
 
+/// How far the bytes of a submission have got. A member begins with a submission once its last byte has arrived there,
+/// which may be long after the operating system took that byte.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum WriteProgress {
+    /// Nothing has been written.
+    NotBegun,
+    /// The first byte has been written; the last one has not been handed to the operating system.
+    Partial,
+    /// All of it has been handed to the operating system, which may still hold it.
+    HandedOver,
+    /// It has arrived, or it never will: nothing can be withheld any more.
+    Settled,
+}
+
 /// Where a submission goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Target {
--- a/crates/connection/src/link.rs
+++ b/crates/connection/src/link.rs
@@ -3,13 +3,15 @@
 use crate::{PeerWatch, SharedStream, Waker, is_hung_up};
 use may::io::{CoIo, WaitIo};
 use rustix::io::Errno;
+use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fmt;
 use std::io::{ErrorKind, Read, Write};
 use std::net::Shutdown;
-use std::os::fd::OwnedFd;
+use std::os::fd::{AsRawFd, OwnedFd};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// The most bytes of one read call.
 const READ_CHUNK: usize = 16 << 10;
@@ -246,6 +248,24 @@
         self.io.wait_io();
     }
 
+    /// Whether the peer's machine has acknowledged all that was handed to the kernel: the send queue holds nothing that
+    /// is unsent or not acknowledged (SIOCOUTQ, tcp(7)). True as well where the kernel can't tell.
+    pub fn is_acknowledged(&self) -> bool {
+        let mut unacknowledged: libc::c_int = 0;
+        // SAFETY: the descriptor is open, and the call writes one int to a place that outlives it.
+        #[allow(unsafe_code)]
+        let status =
+            unsafe { libc::ioctl(self.socket.0.as_raw_fd(), libc::TIOCOUTQ, &raw mut unacknowledged) };
+        status < 0 || unacknowledged == 0
+    }
+
+    /// Sets whether the end of this connection, in whatever way, resets it (SO_LINGER with 0 s, socket(7)). The kernel
+    /// then discards what it holds; otherwise it goes on delivering that, also after the process has ended.
+    pub fn set_reset_on_close(&self, resets: bool) {
+        // The call fails for no stream socket. If it did, the connection would end as by default.
+        let _ = SockRef::from(&*self.socket.0).set_linger(resets.then_some(Duration::ZERO));
+    }
+
     /// Shuts down the sending side; bytes already handed to the kernel are still sent.
     pub fn close(&self) {
         // An error means that the connection has already ended; either way nothing more is sent.
--- a/crates/connection/tests/connection.rs
+++ b/crates/connection/tests/connection.rs
@@ -103,3 +103,38 @@
     drop(link);
     assert_eq!(registrations(), 0, "the other descriptor keeps the socket open");
 }
+
+/// Opens a connection and writes more than the peer's window has room for; returns the link and the peer.
+fn open_with_bytes_in_the_kernel() -> (Link, std::net::TcpStream) {
+    const RECEIVE_BUFFER: usize = 4096;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
+    socket2::SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER).expect("a small buffer");
+    let mut link = open(listener.local_addr().expect("an address"), 1 << 20);
+    let (peer, _) = listener.accept().expect("a connection");
+    link.queue(&vec![b'x'; 16 * RECEIVE_BUFFER]).expect("space in the buffer");
+    assert!(link.pump().expect("bytes are written") && link.is_flushed() && !link.is_acknowledged());
+    (link, peer)
+}
+
+#[test]
+fn bytes_in_the_kernel_are_acknowledged_once_the_peer_has_read() {
+    use std::io::Read;
+    let (link, mut peer) = open_with_bytes_in_the_kernel();
+    peer.read_exact(&mut vec![0; 64 << 10]).expect("all bytes");
+    while !link.is_acknowledged() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Guards against the kernel delivering what it still holds after the connection was closed.
+#[test]
+fn reset_on_close_discards_what_the_kernel_holds() {
+    use std::io::Read;
+    for resets in [true, false] {
+        let (link, mut peer) = open_with_bytes_in_the_kernel();
+        link.set_reset_on_close(resets);
+        drop(link);
+        let received = peer.read_exact(&mut vec![0; 64 << 10]);
+        assert_eq!(received.is_err(), resets, "{received:?}");
+    }
+}
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -51,7 +51,7 @@
 }
 
 counters! {
-    clients, clients_refused, clients_unfinished, bad_messages, duplicate_ids, txns, over_limits, committed, declined, rolled_back, unknown, invalid, left, withheld_unread, guard_acts,
+    clients, clients_refused, clients_unfinished, bad_messages, duplicate_ids, txns, over_limits, committed, declined, rolled_back, unknown, invalid, left, withheld_unread, withdrawn_in_transit, guard_acts,
     submitted, ended_committed, ended_errored, ended_invalid, ended_spoilt, ended_full, ended_timed_out, ended_unreachable,
     ended_dropped, ended_cancelled, ended_moot, ended_misplaced,
     connections_opened, connections_reused, connections_reuse_awaited, connections_unexpected_bytes, connections_lost, connections_idle_closed,
--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -97,7 +97,7 @@
         let (ids, host_log) = (Indices::default(), log.clone());
         let host = RouterHost {
             txns,
-            unwritten: Vec::new(),
+            revocable: Vec::new(),
             by_request_id,
             free,
             ids,
@@ -312,13 +312,14 @@
         }
     }
 
-    /// Updates the permits of attempts that are not written yet by what has arrived since they were decided, and the
-    /// gauges of groups and waiting requests.
+    /// Updates the permits of attempts that are not written yet, or in transit, by what has arrived since they were
+    /// decided, and the gauges of groups and waiting requests.
     fn refresh_permits(&mut self) {
         let (txns, router) = (&self.host.txns, &self.router);
-        self.host.unwritten.retain(|&txn| match &txns[txn] {
-            Some(OpenRequest { in_flight: Some((_, permit)), .. }) if !permit.is_consumed() => {
-                permit.set_valid_until(router.valid_until(txn));
+        self.host.revocable.retain(|&txn| match &txns[txn] {
+            Some(OpenRequest { in_flight: Some(attempt), .. }) if attempt.is_revocable() => {
+                let progress = attempt.permit.progress();
+                attempt.permit.set_valid_until(router.valid_until(txn, progress));
                 true
             }
             _ => false,
@@ -352,6 +353,7 @@
                     self.router.client_left(now, txn, &mut self.host);
                 }
             }
+            DispatcherMessage::AttemptInTransit(request_id) => self.host.attempt_in_transit(request_id),
             DispatcherMessage::ClientUnread(request_id) => {
                 if let Some(&txn) = self.host.by_request_id.get(&request_id) {
                     self.host
--- a/crates/front/src/dispatcher/host.rs
+++ b/crates/front/src/dispatcher/host.rs
@@ -10,7 +10,7 @@
 use juniperdock_deployment::{Indices, Origin, span};
 use juniperdock_fleet_tasks::{HealthObserver, Observation};
 use juniperdock_primary_tracker::{ChangeReason, Step};
-use juniperdock_request_guard::AttemptPermit;
+use juniperdock_request_guard::{AttemptPermit, WriteProgress};
 use juniperdock_router::host::{AttemptOutcome, Change, Host, Report, Role};
 use juniperdock_server_list::{ProbeQueue, ServerTable};
 use may::sync::mpsc::{Sender, channel};
@@ -21,12 +21,31 @@
 
 use super::SpawnMember;
 
+/// An attempt in flight.
+pub(super) struct Attempt {
+    pub(super) member: usize,
+    /// Says whether it may still be written, or arrive.
+    pub(super) permit: AttemptPermit,
+    /// Its connection has reported that not all of it has arrived some time after it was begun.
+    pub(super) in_transit: bool,
+}
+
+impl Attempt {
+    /// Whether what arrives here may still change until when its permit is valid.
+    pub(super) fn is_revocable(&self) -> bool {
+        match self.permit.progress() {
+            WriteProgress::NotBegun => true,
+            WriteProgress::Partial | WriteProgress::HandedOver => self.in_transit,
+            WriteProgress::Settled => false,
+        }
+    }
+}
+
 /// A request that the router has and that is not released yet.
 pub(super) struct OpenRequest {
     pub(super) arrival: Box<Arrival>,
     pub(super) answered: bool,
-    /// The attempt in flight: its member, and the permit that says whether it may still be written.
-    pub(super) in_flight: Option<(usize, AttemptPermit)>,
+    pub(super) in_flight: Option<Attempt>,
     /// Whether any attempt was ever made.
     pub(super) attempted: bool,
     /// Timers of this request that have not fired.
@@ -36,8 +55,8 @@
 /// The router's view of the rest of the process.
 pub(super) struct RouterHost {
     pub(super) txns: Vec<Option<OpenRequest>>,
-    /// Txns whose attempt may not have been written yet.
-    pub(super) unwritten: Vec<usize>,
+    /// Txns whose attempt may not have been written yet, or is in transit.
+    pub(super) revocable: Vec<usize>,
     /// Indices into `txns`.
     pub(super) by_request_id: HashMap<u64, usize>,
     /// Free indices in `txns`.
@@ -148,7 +167,7 @@
     pub(super) fn remove_request(&mut self, txn: usize) -> Option<OpenRequest> {
         let request = self.txns[txn].take()?;
         // After a panic of the router, nothing may be written for a request that has its answer.
-        request.in_flight.iter().for_each(|(_, permit)| permit.set_valid_until(Duration::ZERO));
+        request.in_flight.iter().for_each(|attempt| attempt.permit.set_valid_until(Duration::ZERO));
         request.timers.iter().for_each(|timer| self.clock.cancel(timer));
         self.by_request_id.remove(&request.arrival.request_id);
         self.free.push(txn);
@@ -165,6 +184,17 @@
     }
 }
 
+impl RouterHost {
+    /// The attempt of a request has not arrived some time after it was begun: its permit follows what arrives here.
+    pub(super) fn attempt_in_transit(&mut self, request_id: u64) {
+        let Some(&txn) = self.by_request_id.get(&request_id) else { return };
+        let Some(OpenRequest { in_flight: Some(attempt), .. }) = &mut self.txns[txn] else { return };
+        if !std::mem::replace(&mut attempt.in_transit, true) {
+            self.revocable.push(txn);
+        }
+    }
+}
+
 impl Host for RouterHost {
     fn send(&mut self, txn: usize, member: usize, until: Duration) {
         let at = self.clock.now();
@@ -172,8 +202,8 @@
         let event = RequestEvent::Assigned { server: member, valid_until: until };
         self.request_log.request(request.arrival.request_id, event);
         let permit = request.arrival.guard.permit(until);
-        self.unwritten.push(txn);
-        request.in_flight = Some((member, permit.clone()));
+        self.revocable.push(txn);
+        request.in_flight = Some(Attempt { member, permit: permit.clone(), in_transit: false });
         request.attempted = true;
         let Arrival { request_id, expiry, .. } = *request.arrival;
         let (statement, left) = (request.arrival.statement.clone(), request.arrival.left.clone());
@@ -184,8 +214,8 @@
 
     fn cancel(&mut self, txn: usize, _submission: u32) {
         // A txn has one attempt in flight at a time, the last one sent.
-        if let Some(OpenRequest { arrival, in_flight: Some((member, _)), .. }) = &self.txns[txn] {
-            let (member, request_id) = (*member, arrival.request_id);
+        if let Some(OpenRequest { arrival, in_flight: Some(attempt), .. }) = &self.txns[txn] {
+            let (member, request_id) = (attempt.member, arrival.request_id);
             self.send_to_member(member, MemberMessage::Cancel(request_id));
         }
     }
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod reply;
+mod transit;
 
 use crate::clock::Clock;
 use crate::counters::Counters;
--- a/crates/front/src/member/connection.rs
+++ b/crates/front/src/member/connection.rs
@@ -2,6 +2,7 @@
 
 use super::PoolContext;
 use super::reply::{Reply, check_position, load_report, report_outcome};
+use super::transit::TransitChecks;
 use crate::clock::SHORTAGE_PAUSE;
 use crate::connect::{ConnectFailure, ConnectRequest, connect};
 use crate::messages::{DispatcherMessage, Job, MemberMessage, Submit, TransferIdle};
@@ -62,11 +63,11 @@
 
 /// One connection to a member.
 pub struct ServerConnection {
-    id: u64,
-    member: usize,
+    pub(super) id: u64,
+    pub(super) member: usize,
     address: SocketAddr,
     pool: Sender<MemberMessage>,
-    context: PoolContext,
+    pub(super) context: PoolContext,
     messages: Receiver<ConnectionMessage>,
     /// Messages that came while a job was in hand and do not concern it.
     deferred: RefCell<VecDeque<ConnectionMessage>>,
@@ -163,6 +164,7 @@
             (None, Some(stream)) => Link::new(stream, self.context.buffers())
                 .map_err(|_| ServerCloseReason::NotOpened)
                 .and_then(|link| {
+                    link.set_reset_on_close(true);
                     let _ = self.pool.send(MemberMessage::WakerReady(self.id, link.waker()));
                     self.wait_for_job(link, current)
                 }),
@@ -231,6 +233,8 @@
                     return Err(ServerCloseReason::Transferred);
                 }
                 Ok(ConnectionMessage::Close) => {
+                    // It is idle: nothing of a request can be held back.
+                    link.set_reset_on_close(false);
                     let _ = link.queue(&pg::terminate()).and_then(|()| link.pump());
                     return Err(ServerCloseReason::ClosedByPool);
                 }
@@ -330,6 +334,9 @@
                 ConnectFailure::TimedOut | ConnectFailure::Failed(_) => late(clock.now()),
             }
         })?;
+        // Whatever ends this connection while it carries a statement, even the end of this process: what has not arrived
+        // by then must not arrive later.
+        link.set_reset_on_close(true);
         link.queue(&pg::startup("api", "ledger")).map_err(|_| AttemptOutcome::Unreachable)?;
         link.set_read_limit(READ_AHEAD);
         for busy in 1u32.. {
@@ -405,6 +412,7 @@
             return result_of_failure(&failure, reply);
         }
         let (mut written, mut had_copy) = (false, false);
+        let mut transit_checks = TransitChecks::begin(now);
         for busy in 1u32.. {
             // The statement takes effect only with its last byte: if it was not written at once, check again before
             // each further write.
@@ -421,6 +429,7 @@
             let unsent = !link.is_flushed();
             if !unsent && !std::mem::replace(&mut written, true) {
                 self.record_written(job, now);
+                transit_checks.handed_over(clock.now());
             }
             if reply.ready && self.is_copy_of_probe_answer(job, &reply) {
                 // The answer is still to come.
@@ -452,8 +461,10 @@
             }
             let stop = if self.cancelled(job) {
                 Some(AttemptOutcome::Cancelled)
+            } else if clock.now() >= deadline {
+                Some(AttemptOutcome::TimedOut)
             } else {
-                (clock.now() >= deadline).then_some(AttemptOutcome::TimedOut)
+                self.check_transit(link, job, &mut transit_checks)
             };
             if let Some(outcome) = stop {
                 let outcome = if unsent { AttemptOutcome::Moot } else { outcome };
@@ -461,7 +472,7 @@
             }
             if matches!(pumped, Ok(false)) {
                 let retry_at = if awaits_memory { clock.now() + MEMORY_RETRY_PAUSE } else { deadline };
-                self.wait_until(link, retry_at.min(deadline));
+                self.wait_until(link, retry_at.min(deadline).min(transit_checks.due(job)));
             } else {
                 // An answer without an end must not starve the others.
                 clock.yield_if_busy(busy, link.lacks_memory());
@@ -510,12 +521,16 @@
         let Err(why) = permitted else { return true };
         let event = RequestEvent::Withheld { server: self.member, why };
         self.context.request_log.request(submit.request_id, event);
+        self.report_unread_client(submit, why);
+        false
+    }
+
+    /// The router would send the request of such a client again at once, and could not know any more by then.
+    pub(super) fn report_unread_client(&self, submit: &Submit, why: Withheld) {
         if why == Withheld::ClientUnread {
-            // The router would send it again at once, and could not know any more by then.
             self.context.counters.withheld_unread.add();
             let _ = self.context.dispatcher.send(DispatcherMessage::ClientUnread(submit.request_id));
         }
-        false
     }
 
     /// Waits for an event, until that time at most. Only one timer is pending at a time, as most txns end long before
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -109,6 +109,8 @@
     ClientLeft(u64),
     /// The client of a request sends faster than it is read and may have left: nothing more is done for it.
     ClientUnread(u64),
+    /// The attempt of a request was begun some time ago, and not all of it has arrived at its member.
+    AttemptInTransit(u64),
     AttemptEnded(Box<AttemptEnd>),
     Probed {
         member: usize,
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -81,6 +81,18 @@
         /// How long the connection had been idle before; `None` if it is new.
         idle_for: Option<Duration>,
     },
+    /// Some time after it was begun, not all of it has arrived at the server's machine.
+    InTransit {
+        server: usize,
+        connection: u64,
+        valid_until: Duration,
+    },
+    /// Its connection is reset so that the rest of it, which the operating system may still hold, never arrives.
+    Withdrawn {
+        server: usize,
+        connection: u64,
+        why: Withheld,
+    },
     /// An attempt has ended.
     AttemptEnded {
         server: usize,
--- a/crates/request-guard/src/invariants.rs
+++ b/crates/request-guard/src/invariants.rs
@@ -11,6 +11,9 @@
     SentAfterEnd,
     /// The last byte of an attempt was written after its deadline.
     SentAfterDeadline,
+    /// The last byte of an attempt was written after its permit had expired: after the end of its window, or of the
+    /// proof for which its server was chosen.
+    SentAfterPermit,
     /// A request got a second final answer.
     AnsweredTwice,
     /// This process ended a connection with an unanswered request.
@@ -22,9 +25,10 @@
 }
 
 impl Violation {
-    pub const ALL: [Violation; 6] = [
+    pub const ALL: [Violation; 7] = [
         Violation::SentAfterEnd,
         Violation::SentAfterDeadline,
+        Violation::SentAfterPermit,
         Violation::AnsweredTwice,
         Violation::EndedUnanswered,
         Violation::EndedUnsent,
@@ -36,6 +40,7 @@
         match self {
             Violation::SentAfterEnd => "sent_after_end",
             Violation::SentAfterDeadline => "sent_after_deadline",
+            Violation::SentAfterPermit => "sent_after_permit",
             Violation::AnsweredTwice => "answered_twice",
             Violation::EndedUnanswered => "ended_unanswered",
             Violation::EndedUnsent => "ended_unsent",
--- a/crates/request-guard/src/lib.rs
+++ b/crates/request-guard/src/lib.rs
@@ -7,9 +7,12 @@
 mod connection;
 mod ids;
 mod invariants;
+mod permit;
 mod request;
 
 pub use connection::{EndedBy, Outstanding};
 pub use ids::{DuplicateId, RequestIdHash, RequestIds};
 pub use invariants::{Invariants, Violation};
-pub use request::{AttemptPermit, ClientPresence, RequestGuard, Withheld};
+pub use juniperdock_attempt_outcome::WriteProgress;
+pub use permit::AttemptPermit;
+pub use request::{ClientPresence, RequestGuard, Withheld};
--- a/crates/request-guard/src/request.rs
+++ b/crates/request-guard/src/request.rs
@@ -1,10 +1,11 @@
 //! The lifetime of one request: open until it is answered or its client has left, whichever comes first. All that work
-//! for a request share its guard; the permit of an attempt is checked right before its bytes are written.
+//! for a request share its guard.
 
 use crate::invariants::{Invariants, Violation};
+use crate::permit::AttemptPermit;
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 /// Checks with the operating system, at the time of the call, whether a client is still connected.
@@ -96,87 +97,25 @@
 
     /// A permit for one attempt, valid until this time unless that is changed.
     pub fn permit(&self, valid_until: Duration) -> AttemptPermit {
-        AttemptPermit { request: self.clone(), valid_until: Arc::new(AtomicU64::new(micros(valid_until))) }
-    }
-}
-
-/// `valid_until` of a permit that was consumed: the attempt was written, or never will be.
-const CONSUMED: u64 = u64::MAX;
-
-/// Whether one attempt may still be written; clones share their state.
-#[derive(Clone)]
-pub struct AttemptPermit {
-    request: RequestGuard,
-    /// In microseconds.
-    valid_until: Arc<AtomicU64>,
-}
-
-impl AttemptPermit {
-    /// Changes until when the permit is valid. Must not be called once it is consumed.
-    pub fn set_valid_until(&self, at: Duration) {
-        self.valid_until.store(micros(at), Ordering::Relaxed);
-    }
-
-    /// Whether the attempt was written, or never will be.
-    pub fn is_consumed(&self) -> bool {
-        self.valid_until.load(Ordering::Relaxed) == CONSUMED
-    }
-
-    /// Whether the attempt could be written now, as far as this process knows. Does not consume the permit, and does
-    /// not check with the operating system whether the client is still connected.
-    pub fn check(&self, now: Duration) -> Result<(), Withheld> {
-        self.check_validity(now, self.valid_until.load(Ordering::Relaxed))
-    }
-
-    /// Called once, right before the first byte is written: consumes the permit, whether or not it is granted.
-    pub fn consume(&self, now: Duration) -> Result<(), Withheld> {
-        let valid_until = self.valid_until.swap(CONSUMED, Ordering::Relaxed);
-        self.check_validity(now, valid_until)?;
-        self.client_is_there()
-    }
-
-    /// Checked before each further piece of an attempt that the kernel did not take at once: the server begins to
-    /// execute it with its last byte only.
-    pub fn may_continue(&self, now: Duration) -> Result<(), Withheld> {
-        self.request.may_start(now)?;
-        self.client_is_there()
+        AttemptPermit::new(self.clone(), valid_until)
     }
 
-    /// Counts violations; called with a fresh reading of the clock once the last byte was handed over.
-    pub fn record_written(&self, now: Duration) {
-        let invariants = &self.request.0.invariants;
-        if !self.request.is_open() {
-            invariants.count(Violation::SentAfterEnd);
-        }
-        if now >= self.request.0.deadline + MAX_CLOCK_TO_WRITE {
-            invariants.count(Violation::SentAfterDeadline);
-        }
-    }
-
-    fn check_validity(&self, now: Duration, valid_until: u64) -> Result<(), Withheld> {
-        if !self.request.is_open() {
-            Err(Withheld::Ended)
-        } else if micros(now) >= valid_until {
-            Err(Withheld::OutOfTime)
-        } else {
-            Ok(())
-        }
-    }
-
-    fn client_is_there(&self) -> Result<(), Withheld> {
-        if self.request.0.client.has_left() {
+    /// Checks with the operating system that the client is still connected.
+    pub(crate) fn client_is_there(&self) -> Result<(), Withheld> {
+        if self.0.client.has_left() {
             Err(Withheld::ClientLeft)
-        } else if self.request.0.client.may_have_left() {
+        } else if self.0.client.may_have_left() {
             Err(Withheld::ClientUnread)
         } else {
             Ok(())
         }
     }
-}
 
-/// How long a process may stall between reading its clock and writing (`STANDING.md`).
-const MAX_CLOCK_TO_WRITE: Duration = Duration::from_millis(150);
+    pub(crate) fn deadline(&self) -> Duration {
+        self.0.deadline
+    }
 
-fn micros(at: Duration) -> u64 {
-    u64::try_from(at.as_micros()).unwrap_or(CONSUMED - 1).min(CONSUMED - 1)
+    pub(crate) fn count(&self, violation: Violation) {
+        self.0.invariants.count(violation);
+    }
 }
--- a/crates/request-guard/tests/guard.rs
+++ b/crates/request-guard/tests/guard.rs
@@ -1,7 +1,7 @@
 //! What the guard permits, and what it counts.
 
 use juniperdock_request_guard::{
-    ClientPresence, EndedBy, Invariants, Outstanding, RequestGuard, Violation, Withheld,
+    ClientPresence, EndedBy, Invariants, Outstanding, RequestGuard, Violation, Withheld, WriteProgress,
 };
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -33,10 +33,29 @@
     assert_eq!(permit.check(ms(300)), Err(Withheld::OutOfTime));
     permit.set_valid_until(ms(200));
     assert_eq!(permit.consume(ms(200)), Err(Withheld::OutOfTime));
-    assert!(permit.is_consumed());
+    assert_eq!(permit.progress(), WriteProgress::Settled, "it will not be written");
     assert_eq!(request.permit(ms(300)).consume(ms(299)), Ok(()));
 }
 
+/// Guards against writing the rest of a repeat after the end of its window.
+#[test]
+fn permit_binds_until_the_attempt_has_arrived() {
+    let (request, _client, invariants) = request(ms(2000));
+    let permit = request.permit(ms(300));
+    assert_eq!((permit.consume(ms(10)), permit.progress()), (Ok(()), WriteProgress::Partial));
+    assert_eq!(permit.may_continue(ms(299)), Ok(()));
+    assert_eq!(permit.may_continue(ms(300)), Err(Withheld::OutOfTime));
+    // What is found out meanwhile counts as well.
+    permit.set_valid_until(ms(100));
+    assert_eq!((permit.may_continue(ms(100)), permit.valid_until()), (Err(Withheld::OutOfTime), ms(100)));
+    permit.record_written(ms(110));
+    assert_eq!((permit.progress(), invariants.total()), (WriteProgress::HandedOver, 0));
+    permit.record_written(ms(250));
+    assert_eq!(invariants.to_string(), "violations=1 sent_after_permit=1");
+    permit.settle();
+    assert_eq!(permit.progress(), WriteProgress::Settled);
+}
+
 #[test]
 fn a_client_that_just_left_is_noticed_right_before_writing() {
     let (request, client, _) = request(ms(500));
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -3,14 +3,15 @@
 //! A host maps its own ids to small indices: members, groups, zones and txn types are counted from 0, and a txn keeps
 //! its index until the router releases it. All times are measured from the start of the instance.
 
-pub use juniperdock_attempt_outcome::{AttemptOutcome, Effect, Scope};
+pub use juniperdock_attempt_outcome::{AttemptOutcome, Effect, Scope, WriteProgress};
 pub use juniperdock_primary_tracker::{Change, Phase, Plan, Role};
 use std::time::Duration;
 
 /// The actions that the router requests. A host carries them out in the order of the calls.
 pub trait Host {
     /// Submits the txn to a member and waits for the answer until the txn expires. Nothing may be written after
-    /// `until`, nor after a later `Router::valid_until`; the submission is then reported as never sent.
+    /// `until`, nor after a later `Router::valid_until`; the submission is then reported as never sent. What was written
+    /// before may not arrive after that time either: the connection is reset unless all of it is known to have arrived.
     fn send(&mut self, txn: usize, member: usize, until: Duration);
     /// Cancels one submission of a txn; its end is still reported.
     fn cancel(&mut self, txn: usize, submission: u32);
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -5,7 +5,7 @@
 use crate::host::AttemptOutcome::*;
 use crate::host::{
     AttemptOutcome, ColdStart, Consistency, Effect, FrontInfo, Host, ListedState, Phase, Plan, Report, Role,
-    TxnType,
+    TxnType, WriteProgress,
 };
 use crate::sliding_sum::SlidingSum;
 pub use crate::state::Router;
@@ -1097,13 +1097,15 @@
         let m = &mut self.members[member];
         m.in_flight.push(txn);
         m.work_sent.add(now, work);
-        host.send(txn, member, self.valid_until(txn));
+        host.send(txn, member, self.valid_until(txn, WriteProgress::NotBegun));
         true
     }
 
-    /// Until when a submission that waits for a connection may be written, by rules 1, 2, 3 and 5. A write whose
-    /// primary is no longer the recorded one, or is handing over, is not written: it waits for the next primary.
-    pub fn valid_until(&self, txn: usize) -> Duration {
+    /// Until when the submission in flight may be written, or may still arrive once it has been written, by rules 1, 2, 3
+    /// and 5. A write whose primary is no longer the recorded one, or is handing over, is not completed: it waits for the
+    /// next primary. Once all of it has been handed over, only the member can tell whether it is still primary. A drain
+    /// binds only what has not begun, as the time of a send counts from its first byte for it (`PROTOCOL.md`).
+    pub fn valid_until(&self, txn: usize, progress: WriteProgress) -> Duration {
         let Some(Some(t)) = self.txns.get(txn) else { return Duration::ZERO };
         let Some(out) = t.attempts.in_flight().filter(|_| !t.finished) else { return Duration::ZERO };
         let (member, m) = (out.target.member, &self.members[out.target.member]);
@@ -1111,14 +1113,18 @@
         let proof_not_needed = self.members_check_reads || self.primary_tracker.trusted(member);
         let was_primary =
             self.primary_tracker.held_term(member) > 0 && !self.searches_by_trial(m.group, t.kind);
+        let has_begun = progress != WriteProgress::NotBegun;
+        let is_handed_over = matches!(progress, WriteProgress::HandedOver | WriteProgress::Settled);
         match self.types[t.kind].consistency {
-            _ if m.excluded => Duration::ZERO,
+            _ if m.excluded && !has_begun => Duration::ZERO,
             _ if !proof_not_needed
                 && t.must_see.is_some_and(|need| self.proven_position(member) < Some(need)) =>
             {
                 Duration::ZERO
             }
-            Consistency::Write if was_primary && self.primary_tracker.writer(m.group) != Some(member) => {
+            Consistency::Write
+                if was_primary && !is_handed_over && self.primary_tracker.writer(m.group) != Some(member) =>
+            {
                 Duration::ZERO
             }
             Consistency::Bounded(b) if !proof_not_needed => {
--- a/crates/router/tests/primary.rs
+++ b/crates/router/tests/primary.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use harness::{Action, BOUNDED, LOOSE, ONCE_ONLY, REFERENCED, Scenario, ms};
-use juniperdock_router::host::{AttemptOutcome, ListedState, Phase, Role};
+use juniperdock_router::host::{AttemptOutcome, ListedState, Phase, Role, WriteProgress};
 use juniperdock_wait_queue::WaitLimits;
 
 /// Member 0 has answered as primary; the others are replicas.
@@ -50,7 +50,7 @@
     s.end(referenced, 0, AttemptOutcome::Cancelled, 1500);
     assert_eq!((s.sent_to(referenced), s.sent_to(once_only)), (vec![0, 1], vec![0]));
     assert!(
-        s.router.valid_until(referenced) <= ms(1005 + 2000),
+        s.router.valid_until(referenced, WriteProgress::NotBegun) <= ms(1005 + 2000),
         "not written after its window, even if it still waits"
     );
     s.now += ms(20);
@@ -94,9 +94,9 @@
     let mut s = with_confirmed_primary();
     let (waits, other, third) =
         (s.arrive(ONCE_ONLY, 4000), s.arrive(ONCE_ONLY, 4000), s.arrive(ONCE_ONLY, 4000));
-    assert!(s.router.valid_until(waits) > s.now);
+    assert!(s.router.valid_until(waits, WriteProgress::NotBegun) > s.now);
     s.end(other, 0, AttemptOutcome::Unreachable, 5);
-    assert!(s.router.valid_until(waits).is_zero(), "nothing more is written there");
+    assert!(s.router.valid_until(waits, WriteProgress::NotBegun).is_zero(), "nothing more is written there");
     s.end(waits, 0, AttemptOutcome::Moot, 5);
     s.end(third, 0, AttemptOutcome::Dropped, 5);
     s.now += ms(800);
--- a/crates/router/tests/scenarios.rs
+++ b/crates/router/tests/scenarios.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use harness::{Action, BOUNDED, FRESH, LOOSE, ONCE_ONLY, REFERENCED, SESSION, Scenario, ms};
-use juniperdock_router::host::{AttemptOutcome, FrontInfo, ListedState, Role};
+use juniperdock_router::host::{AttemptOutcome, FrontInfo, ListedState, Role, WriteProgress};
 
 #[test]
 fn writes_wait_until_a_primary_is_known() {
@@ -939,16 +939,47 @@
     let (read, write) = (s.arrive(BOUNDED, 1000), s.arrive(ONCE_ONLY, 2000));
     assert!(!s.sent_to(read).is_empty() && s.sent_to(write) == [0]);
     assert_eq!(
-        s.router.valid_until(read),
+        s.router.valid_until(read, WriteProgress::NotBegun),
         s.now + ms(300),
         "as long as the proof of its data's age is valid"
     );
-    assert_eq!(s.router.valid_until(write), s.now + ms(2000), "until its expiry");
+    assert_eq!(s.router.valid_until(write, WriteProgress::NotBegun), s.now + ms(2000), "until its expiry");
     s.list(0, ListedState::Draining, None);
-    assert_eq!(s.router.valid_until(write), ms(0), "not after a drain has begun");
+    assert_eq!(s.router.valid_until(write, WriteProgress::NotBegun), ms(0), "not after a drain has begun");
     s.end(read, 1, AttemptOutcome::Moot, 0);
     s.router.client_left(s.now, read, &mut s.host);
-    assert_eq!(s.router.valid_until(read), ms(0));
+    assert_eq!(s.router.valid_until(read, WriteProgress::NotBegun), ms(0));
+}
+
+/// Guards against completing a submission whose conditions ended after its first byte was written, and against cutting off
+/// one that only a drain has overtaken.
+#[test]
+fn submission_that_was_begun_is_bound_by_all_conditions_but_a_drain() {
+    let mut s = Scenario::with_primary();
+    let (read, write) = (s.arrive(BOUNDED, 1000), s.arrive(ONCE_ONLY, 2000));
+    let expiry = s.now + ms(2000);
+    for progress in [WriteProgress::Partial, WriteProgress::HandedOver] {
+        assert_eq!(s.router.valid_until(read, progress), s.now + ms(300));
+        assert_eq!(s.router.valid_until(write, progress), expiry);
+    }
+    // The primary steps down: what it has not got whole goes to the next one.
+    s.now += ms(10);
+    s.report(0, Role::Replica, s.now);
+    assert!(s.router.valid_until(write, WriteProgress::Partial).is_zero());
+    assert_eq!(
+        s.router.valid_until(write, WriteProgress::HandedOver),
+        expiry,
+        "it refuses what it may not do"
+    );
+    s.now += ms(10);
+    s.report(0, Role::Primary, s.now);
+    s.list(0, ListedState::Draining, None);
+    assert!(s.router.valid_until(write, WriteProgress::NotBegun).is_zero());
+    assert_eq!(
+        s.router.valid_until(write, WriteProgress::HandedOver),
+        expiry,
+        "its first byte came before the drain"
+    );
 }
 
 #[test]
@@ -957,11 +988,14 @@
     s.now += ms(50);
     let read = s.arrive(FRESH, 2000);
     assert_eq!(s.sent_to(read), [0]);
-    assert_eq!(s.router.valid_until(read), s.now + ms(2000), "until its expiry");
+    assert_eq!(s.router.valid_until(read, WriteProgress::NotBegun), s.now + ms(2000), "until its expiry");
     // Its connection is still being opened when the member reports that it is no longer primary.
     s.now += ms(10);
     s.report(0, Role::Replica, s.now - ms(30));
-    assert!(s.router.valid_until(read).is_zero(), "it may lack what was committed before the read came");
+    assert!(
+        s.router.valid_until(read, WriteProgress::NotBegun).is_zero(),
+        "it may lack what was committed before the read came"
+    );
     s.end(read, 0, AttemptOutcome::Moot, 20);
     s.now += ms(20);
     s.report(1, Role::Primary, s.now - ms(1));
@@ -1231,5 +1265,8 @@
     }
     s.advance(250, write);
     let (to, now) = (last_sent_to(&s, write).expect("another attempt"), s.now);
-    assert!(s.router.valid_until(write) > now, "it may be written, even at {to}, the former primary");
+    assert!(
+        s.router.valid_until(write, WriteProgress::NotBegun) > now,
+        "it may be written, even at {to}, the former primary"
+    );
 }
