Compare servers' starts as told: a drain ended when a start was converted anew

Cause: a drain was kept while the end of the warm-up did not become later. That is a time of this process: now + warm-up - (clock - start as told), reckoned anew at each list. The time since the start was cut to whole microseconds while now counts nanoseconds, so the same start came out up to a microsecond later or earlier; after a correction of the clock it comes out half a second or more later, for all servers at once. Related, same cause: restore_member compared two processes' conversions; a list with an older start made a cold member seem warm.

The router's two new tests need the new interface.

Change: the router gets the start as told beside the time since then (ListedStart), and compares told starts of one member with each other only. Earlier ones change nothing.

--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -19,7 +19,7 @@
 use juniperdock_fleet_tasks::HealthObserver;
 use juniperdock_primary_tracker::Step;
 use juniperdock_request_guard::Withheld;
-use juniperdock_router::host::{AttemptOutcome, Host, ListedState, Phase, Report};
+use juniperdock_router::host::{AttemptOutcome, Host, ListedStart, ListedState, Phase, Report};
 use juniperdock_router::routing::Router;
 use juniperdock_server_list::{KnownServer, ProbeQueue, ServerEntry, ServerList, ServerState, ServerTable};
 use juniperdock_wait_queue::WaitLimits;
@@ -642,8 +642,10 @@
             ServerState::Draining => ListedState::Draining,
             ServerState::Removed => ListedState::Removed,
         };
-        let up_for = server.started_ms.map(|at| span(unix - at.saturating_mul(1000)));
-        self.router.member_listed(now, member, server.group, server.zone, state, server.leader, up_for);
+        let start = server
+            .started_ms
+            .map(|told| ListedStart { told, up_for: span(unix.saturating_sub(told.saturating_mul(1000))) });
+        self.router.member_listed(now, member, server.group, server.zone, state, server.leader, start);
     }
 
     /// Starts the probes that the rate limit allows, first those that requests wait for.
--- a/crates/front/src/dispatcher/snapshot.rs
+++ b/crates/front/src/dispatcher/snapshot.rs
@@ -21,6 +21,7 @@
             Some(MemberRecord {
                 id: host.ids.id(at).clone(),
                 drains: state.draining,
+                start: state.start,
                 warm_at: (!state.warm_at.is_zero()).then(|| unix(state.warm_at)),
                 position: state.position.map(unix),
                 sent: state.work_sent,
@@ -92,6 +93,7 @@
             let claims = ClaimsSnapshot { term: member.term, last_served, stepped_down, last_observed };
             let state = MemberSnapshot {
                 draining: member.drains,
+                start: member.start,
                 warm_at: member.warm_at.map(since).unwrap_or_default(),
                 position: member.position.and_then(proven),
                 work_sent: member.sent,
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -5,7 +5,7 @@
 use crate::scenario::Scenario;
 use juniperdock_emulator::{Entry, FinalAnswer, Out, Stream, World};
 use juniperdock_membership::{Keys, Membership, NEWEST_VERSION, Timing, incarnation_at};
-use juniperdock_router::host::{Consistency, Effect, FrontInfo, Host, ListedState, TxnType};
+use juniperdock_router::host::{Consistency, Effect, FrontInfo, Host, ListedStart, ListedState, TxnType};
 use juniperdock_router::routing::Router;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -356,20 +356,31 @@
         };
         let RouterFront { router, ids, defect, stopped, cold, counter, .. } = self;
         let mut host = RouterHost { ids, world, defect: *defect, stopped, cold: *cold, counter };
-        let up_for = |entry: &Entry, now: Duration| {
-            entry.started.map(|started| (started_at + now).saturating_sub(started))
+        let start_of = |entry: &Entry, now: Duration| {
+            entry.started.map(|started| ListedStart {
+                told: started.as_micros() as i64,
+                up_for: (started_at + now).saturating_sub(started),
+            })
         };
         match (out, known) {
             (Out::Born { known, .. }, _) => {
                 let mut listed = Vec::with_capacity(known.len());
                 for e in known {
-                    router.member_listed(now, e.member, e.group, e.zone, e.state, e.primary, up_for(e, now));
+                    router.member_listed(
+                        now,
+                        e.member,
+                        e.group,
+                        e.zone,
+                        e.state,
+                        e.primary,
+                        start_of(e, now),
+                    );
                     listed.push(e.member);
                 }
                 router.list_completed(now, Some(&listed), &mut host);
             }
             (Out::Listed { entry: e, .. }, _) => {
-                router.member_listed(now, e.member, e.group, e.zone, e.state, e.primary, up_for(e, now));
+                router.member_listed(now, e.member, e.group, e.zone, e.state, e.primary, start_of(e, now));
                 router.list_completed(now, None, &mut host);
             }
             (&Out::Arrived { kind, group, left, retried, .. }, Some(index)) => {
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -90,6 +90,16 @@
     Removed,
 }
 
+/// When a member last started, as a server list tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListedStart {
+    /// As told, in the unit of the list. It is compared with other told starts of the same member only: converted by a
+    /// clock, the same start gives another time at each list.
+    pub told: i64,
+    /// How long ago that was, by this process's clock and its corrections.
+    pub up_for: Duration,
+}
+
 /// What a member reports about itself; fields that it did not send are `None`.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -4,8 +4,8 @@
 
 use crate::host::AttemptOutcome::*;
 use crate::host::{
-    AttemptOutcome, ColdStart, Consistency, Effect, FrontInfo, Host, ListedState, Phase, Plan, Report, Role,
-    TxnType, WriteProgress,
+    AttemptOutcome, ColdStart, Consistency, Effect, FrontInfo, Host, ListedStart, ListedState, Phase, Plan,
+    Report, Role, TxnType, WriteProgress,
 };
 use crate::sliding_sum::SlidingSum;
 pub use crate::state::Router;
@@ -115,7 +115,7 @@
         host.set_timer(now + BACKOFF_MIN.mul_f64(self.rng.rand_float()), LIST_REQUEST_TIMER);
     }
 
-    /// Records one entry of a server list. `up_for` is the time since the member's start, if the list contains it.
+    /// Records one entry of a server list. `start` is the member's last start, if the list contains it.
     pub fn member_listed(
         &mut self,
         now: Duration,
@@ -124,7 +124,7 @@
         zone: usize,
         state: ListedState,
         primary: bool,
-        up_for: Option<Duration>,
+        start: Option<ListedStart>,
     ) {
         self.ensure_indices(group, 0);
         while self.members.len() <= member {
@@ -140,12 +140,11 @@
             self.known_members += 1;
         }
         let m = &mut self.members[member];
-        let warm_at = up_for.map_or(m.warm_at, |up| (now + self.cold.warm_up).saturating_sub(up));
+        let has_restarted = m.record_start(now, start, self.cold.warm_up);
         // Only a later start ends a drain: a list may be wrong, or an old list may arrive again.
-        m.draining = state == ListedState::Draining || m.draining && warm_at <= m.warm_at;
+        m.draining = state == ListedState::Draining || m.draining && !has_restarted;
         m.removed_at = m.removed_at.or(Some(now)).filter(|_| state == ListedState::Removed);
         m.excluded = m.draining || state == ListedState::Removed && !self.removal_is_advisory;
-        m.warm_at = warm_at;
         m.listed_as_primary = primary && !m.excluded;
         self.removed_members.extend(m.removed_at.map(|_| member));
         self.primary_tracker.set_availability(now, member, m.excluded, m.draining);
--- a/crates/router/src/snapshot.rs
+++ b/crates/router/src/snapshot.rs
@@ -2,14 +2,19 @@
 
 use crate::routing::Router;
 use juniperdock_primary_tracker::{ClaimsSnapshot, GroupSnapshot};
-use juniperdock_snapshot::Decay;
+use juniperdock_snapshot::{Decay, StartRecord};
 use std::time::Duration;
 
+/// By how much the end of a warm-up may differ between two processes that were told the same start.
+const MAX_CONVERSION_ERROR: Duration = Duration::from_secs(1);
+
 /// The state of one member that is worth keeping.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MemberSnapshot {
     /// The server list has marked it as draining.
     pub draining: bool,
+    /// Its latest start that a server list had told.
+    pub start: StartRecord,
     /// End of its warm-up.
     pub warm_at: Duration,
     /// Proven log position.
@@ -32,6 +37,7 @@
         let m = self.members.get_mut(member).filter(|m| m.listed)?;
         Some(MemberSnapshot {
             draining: m.draining,
+            start: m.started.map_or(StartRecord::LongAgo, StartRecord::Told),
             warm_at: m.warm_at,
             position: m.position,
             work_sent: m.work_sent.sum(now),
@@ -58,8 +64,15 @@
         let window = self.cold.window;
         let Some(m) = self.members.get_mut(member).filter(|m| m.listed) else { return };
         m.position = m.position.max(snapshot.position);
-        if snapshot.draining && m.warm_at <= snapshot.warm_at {
-            (m.draining, m.excluded) = (true, true);
+        if snapshot.draining {
+            match snapshot.start {
+                StartRecord::LongAgo => m.keep_drain(None),
+                StartRecord::Told(started) => m.keep_drain(Some(started)),
+                StartRecord::Unknown if m.warm_at <= snapshot.warm_at + MAX_CONVERSION_ERROR => {
+                    m.keep_drain(m.started)
+                }
+                StartRecord::Unknown => {}
+            }
         }
         let spent = decay.budget_spent(snapshot.work_sent, window);
         if spent > 0.0 {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,6 +1,6 @@
 //! The router's state and its settings. No routing decision is made here.
 
-use crate::host::{ColdStart, Consistency, FrontInfo, Host, Plan, TxnType};
+use crate::host::{ColdStart, Consistency, FrontInfo, Host, ListedStart, Plan, TxnType};
 use crate::sessions::Sessions;
 use crate::sliding_sum::SlidingSum;
 use juniperdock_attempt_outcome::{SubmissionHistory, Target};
@@ -29,6 +29,8 @@
     pub excluded: bool,
     /// The server list has marked it as draining.
     pub draining: bool,
+    /// Its latest start that a server list has told, as told; `None` if that was long ago.
+    pub started: Option<i64>,
     /// End of its warm-up according to the server list.
     pub warm_at: Duration,
     /// It refuses connections at once, so it has no running process.
@@ -87,6 +89,7 @@
             listed: false,
             excluded: true,
             draining: false,
+            started: None,
             warm_at: Duration::ZERO,
             process_down: false,
             cold_until: Duration::ZERO,
@@ -120,6 +123,26 @@
 }
 
 impl Member {
+    /// Records the start that an entry of a server list tells; true if it is later than all that were told before. An
+    /// earlier one comes from an old list and changes nothing.
+    pub fn record_start(&mut self, now: Duration, start: Option<ListedStart>, warm_up: Duration) -> bool {
+        let told = start.map(|start| start.told);
+        let is_later = told > self.started;
+        if let Some(start) = start.filter(|_| told >= self.started) {
+            self.warm_at = (now + warm_up).saturating_sub(start.up_for);
+        }
+        self.started = self.started.max(told);
+        is_later
+    }
+
+    /// Keeps a drain that was recorded elsewhere, unless the member has started again since. `started` is its latest
+    /// start as of then.
+    pub fn keep_drain(&mut self, started: Option<i64>) {
+        if self.started <= started {
+            (self.started, self.draining, self.excluded) = (started, true, true);
+        }
+    }
+
     /// The member has answered. If its process was down before, it has just restarted and is cold.
     pub fn mark_alive(&mut self, now: Duration, warm_up: Duration) {
         if std::mem::take(&mut self.process_down) {
--- a/crates/router/tests/harness/mod.rs
+++ b/crates/router/tests/harness/mod.rs
@@ -109,7 +109,13 @@
     }
 
     pub fn list(&mut self, member: usize, state: ListedState, up_for: Option<Duration>) {
-        self.router.member_listed(self.now, member, 0, 0, state, false, up_for);
+        let told = |up_for: Duration| self.now.as_micros() as i64 - up_for.as_micros() as i64;
+        let start = up_for.map(|up_for| ListedStart { told: told(up_for), up_for });
+        self.list_started(member, state, start);
+    }
+
+    pub fn list_started(&mut self, member: usize, state: ListedState, start: Option<ListedStart>) {
+        self.router.member_listed(self.now, member, 0, 0, state, false, start);
         self.router.list_completed(self.now, None, &mut self.host);
     }
 
--- a/crates/router/tests/scenarios.rs
+++ b/crates/router/tests/scenarios.rs
@@ -3,7 +3,8 @@
 mod harness;
 
 use harness::{Action, BOUNDED, FRESH, LOOSE, ONCE_ONLY, REFERENCED, SESSION, Scenario, ms};
-use juniperdock_router::host::{AttemptOutcome, FrontInfo, ListedState, Role, WriteProgress};
+use juniperdock_router::host::{AttemptOutcome, FrontInfo, ListedStart, ListedState, Role, WriteProgress};
+use std::time::Duration;
 
 #[test]
 fn writes_wait_until_a_primary_is_known() {
@@ -233,6 +234,56 @@
     assert_eq!(read(&mut s), 1, "it has restarted since");
 }
 
+/// Guards against a drain that ends as its member's start is converted anew: whatever the clock and its corrections make
+/// of the same start, and whatever older one an old list tells, the drain binds.
+#[test]
+fn drain_ends_with_a_start_that_is_told_as_later_and_with_nothing_else() {
+    const STARTED: i64 = 1_767_225_600_123;
+    let mut s = Scenario::with_primary();
+    s.router.treat_removal_as_advisory();
+    let is_read = |s: &mut Scenario| {
+        s.now += ms(20);
+        s.report_all(0);
+        // Several at once, so that all that may be used are.
+        let reads: Vec<usize> = (0..4).map(|_| s.arrive(BOUNDED, 1000)).collect();
+        let members: Vec<usize> = reads.iter().map(|&read| s.sent_to(read)[0]).collect();
+        for (&read, &member) in reads.iter().zip(&members) {
+            s.end(read, member, AttemptOutcome::Committed, 5);
+        }
+        members.contains(&1)
+    };
+    let start = |told: i64, up_for: Duration| Some(ListedStart { told, up_for });
+    s.list_started(1, ListedState::Up, start(STARTED, ms(5000)));
+    s.now += ms(20_000);
+    assert!(is_read(&mut s));
+    s.list_started(1, ListedState::Draining, start(STARTED, ms(25_020)));
+    // The start is converted by a microsecond, a second and an hour later; or it is of an older list, or is not told.
+    let hour = Duration::from_secs(3600);
+    for up_for in [ms(25_020) - Duration::from_micros(1), ms(24_000), Duration::ZERO, hour] {
+        for state in [ListedState::Removed, ListedState::Up] {
+            s.list_started(1, state, start(STARTED, up_for));
+            assert!(!is_read(&mut s), "{state:?}, {up_for:?}");
+            s.list_started(1, state, start(STARTED - 1, up_for));
+            assert!(!is_read(&mut s), "{state:?}, {up_for:?}, an older start");
+            s.list_started(1, state, None);
+            assert!(!is_read(&mut s), "{state:?}, no start");
+        }
+    }
+    s.list_started(1, ListedState::Up, start(STARTED + 1, ms(1)));
+    s.now += ms(20_000);
+    assert!(is_read(&mut s), "it has started again");
+}
+
+/// Guards against a cold member that seems warm as an old list names its start before the last.
+#[test]
+fn older_start_does_not_make_a_cold_member_warm() {
+    let mut s = Scenario::with_primary();
+    s.list_started(1, ListedState::Up, Some(ListedStart { told: 2_000, up_for: ms(0) }));
+    let cold = s.router.snapshot_member(s.now, 1).expect("listed").warm_at;
+    s.list_started(1, ListedState::Up, Some(ListedStart { told: 1_000, up_for: ms(60_000) }));
+    assert_eq!(s.router.snapshot_member(s.now, 1).expect("listed").warm_at, cold);
+}
+
 /// Submits and answers a number of reads, `apart` milliseconds after each other.
 fn serve(s: &mut Scenario, reads: usize, apart: u64) {
     for i in 0..reads as u64 {
--- a/crates/sim-adapter/src/adapter.rs
+++ b/crates/sim-adapter/src/adapter.rs
@@ -4,7 +4,7 @@
 use crate::message::Message;
 use juniperdock_deployment::{self as deployment, Indices, Origin};
 use juniperdock_membership::Membership;
-use juniperdock_router::host::{AttemptOutcome, Host, ListedState, Report, Role};
+use juniperdock_router::host::{AttemptOutcome, Host, ListedStart, ListedState, Report, Role};
 use juniperdock_router::routing::Router;
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -270,8 +270,11 @@
             for entry in &entries {
                 let (member, group) =
                     (host.ids.stores.index(entry.store.clone()), host.ids.cells.index(entry.cell));
-                let up_for = entry.started_at.map(|at| deployment::span(clock - at));
-                router.member_listed(now, member, group, entry.zone, entry.state, entry.primary, up_for);
+                let start = entry.started_at.map(|told| {
+                    let up_for = deployment::span(clock.saturating_sub(told));
+                    ListedStart { told, up_for }
+                });
+                router.member_listed(now, member, group, entry.zone, entry.state, entry.primary, start);
                 named.push(member);
             }
             router.list_completed(now, complete.then_some(&named), host);
--- a/crates/snapshot/src/lib.rs
+++ b/crates/snapshot/src/lib.rs
@@ -11,19 +11,19 @@
 
 mod decay;
 mod machine_time;
+mod older;
 
 pub use decay::Decay;
 pub use machine_time::MachineTime;
 
 use schemars::JsonSchema;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 const MAGIC: [u8; 4] = *b"JDSN";
 /// The version that [`encode`] writes.
-pub const VERSION: u16 = 2;
-/// An older version that [`decode`] accepts too; it lacks the machine time.
-const VERSION_WITHOUT_MACHINE_TIME: u16 = 1;
+pub const VERSION: u16 = 3;
 const HEADER_LEN: usize = 14;
 /// Maximum size of a snapshot in bytes: several hundred for each of 100,000 members.
 pub const MAX_SNAPSHOT_BYTES: usize = 64 << 20;
@@ -52,6 +52,8 @@
     pub id: String,
     /// The member was seen draining; this holds until it starts again.
     pub drains: bool,
+    /// The member's latest start.
+    pub start: StartRecord,
     /// The time from which the member counts as warm; may lie in the future.
     pub warm_at: Option<i64>,
     /// The member has every commit up to this position.
@@ -74,6 +76,19 @@
     pub heard: Option<i64>,
 }
 
+/// When a member last started, exactly as the server list told it. No clock is applied to it: it is only compared with
+/// what later lists tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub enum StartRecord {
+    /// The snapshot is of an older version, which lacks it.
+    Unknown,
+    /// The list told no start: it was long ago.
+    #[default]
+    LongAgo,
+    /// In Unix milliseconds.
+    Told(i64),
+}
+
 /// What is saved about one group, by its number in the server list.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[schemars(rename = "OfGroup")]
@@ -128,7 +143,7 @@
         return Err("snapshot: magic bytes missing, this is not a snapshot file".to_owned());
     }
     let version = u16::from_be_bytes([header[4], header[5]]);
-    if ![VERSION, VERSION_WITHOUT_MACHINE_TIME].contains(&version) {
+    if ![VERSION, older::VERSION_WITHOUT_STARTS, older::VERSION_WITHOUT_MACHINE_TIME].contains(&version) {
         return Err(format!("snapshot: expected version {VERSION}, found {version}"));
     }
     let field = |at: usize| u32::from_be_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]]);
@@ -142,16 +157,16 @@
     if crc32fast::hash(body) != field(10) {
         return Err("snapshot: corrupted, checksum mismatch".to_owned());
     }
-    let absent_machine_time: &[u8] = if version == VERSION_WITHOUT_MACHINE_TIME { &[0] } else { &[] };
-    let body = [body, absent_machine_time].concat();
-    let (snapshot, rest) =
-        postcard::take_from_bytes::<Snapshot>(&body).map_err(|e| format!("snapshot: {e}"))?;
-    if !rest.is_empty() {
-        return Err("snapshot: unexpected bytes after its end".to_owned());
-    }
+    let snapshot = if version == VERSION { parse(body)? } else { older::parse_older(version, body)? };
     snapshot.check().map(|()| snapshot)
 }
 
+/// Parses all of a body.
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, String> {
+    let (parsed, rest) = postcard::take_from_bytes(body).map_err(|e| format!("snapshot: {e}"))?;
+    if rest.is_empty() { Ok(parsed) } else { Err("snapshot: unexpected bytes after its end".to_owned()) }
+}
+
 impl Snapshot {
     /// Checks that all numbers are finite and not negative, and that no name is empty.
     fn check(&self) -> Result<(), String> {
--- a/crates/snapshot/tests/codec.rs
+++ b/crates/snapshot/tests/codec.rs
@@ -1,7 +1,8 @@
 //! The snapshot format against valid, corrupted and arbitrary input.
 
 use juniperdock_snapshot::{
-    GroupRecord, MAX_AGE, MachineTime, MemberRecord, Snapshot, TxnTypeRecord, decode, encode, schema,
+    GroupRecord, MAX_AGE, MachineTime, MemberRecord, Snapshot, StartRecord, TxnTypeRecord, decode, encode,
+    schema,
 };
 use proptest::prelude::*;
 use std::time::Duration;
@@ -71,7 +72,7 @@
     fn arbitrary_bytes_are_rejected_without_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         prop_assert!(decode(&bytes).is_err());
         // The same bytes behind a valid header.
-        for version in [1, 2] {
+        for version in [1, 2, 3] {
         let body = [&b"JDSN\0"[..], &[version], &(bytes.len() as u32).to_be_bytes()].concat();
         let all = [&body[..], &crc32fast::hash(&bytes).to_be_bytes(), &bytes].concat();
         if let Ok(snapshot) = decode(&all) {
@@ -121,7 +122,9 @@
 
 #[test]
 fn rebase_shifts_all_times_by_the_same_offset() {
-    let member = MemberRecord { id: "a".into(), position: Some(90), heard: None, ..MemberRecord::default() };
+    let start = StartRecord::Told(30);
+    let member =
+        MemberRecord { id: "a".into(), start, position: Some(90), heard: None, ..MemberRecord::default() };
     let group = GroupRecord { began: Some(40), ..GroupRecord::default() };
     let mut snapshot =
         Snapshot { taken: 100, members: vec![member], groups: vec![group], ..Snapshot::default() };
@@ -131,6 +134,39 @@
         (4_000, Some(3_990), None)
     );
     assert_eq!(snapshot.groups[0].began, Some(3_940));
+    assert_eq!(snapshot.members[0].start, start, "what a list told is no time of this clock");
+}
+
+/// Guards against losing a drain in an upgrade from a version that saved no starts.
+#[test]
+fn version_2_without_starts_is_still_read() {
+    let time = |at: i64| Some(at);
+    let member =
+        ("a", true, time(70), time(60), 0.5, 4.0, 1.5, time(80), 3u32, time(50), None::<i64>, time(40));
+    let group = GroupRecord { group: 7, term: 3, ..GroupRecord::default() };
+    let older = (77i64, vec![member], vec![&group], Vec::<TxnTypeRecord>::new(), Some(at(9)));
+    let body = postcard::to_stdvec(&older).expect("a body");
+    let head = [&b"JDSN"[..], &2u16.to_be_bytes(), &(body.len() as u32).to_be_bytes()].concat();
+    let all = [&head[..], &crc32fast::hash(&body).to_be_bytes(), &body].concat();
+    let expected = MemberRecord {
+        id: "a".to_owned(),
+        drains: true,
+        start: StartRecord::Unknown,
+        warm_at: Some(70),
+        position: Some(60),
+        sent: 0.5,
+        room: 4.0,
+        slow: 1.5,
+        shunned: Some(80),
+        term: 3,
+        served: Some(50),
+        stepped: None,
+        heard: Some(40),
+    };
+    let machine_time = Some(at(9));
+    let types = Vec::new();
+    let snapshot = Snapshot { taken: 77, members: vec![expected], groups: vec![group], types, machine_time };
+    assert_eq!(decode(&all), Ok(snapshot));
 }
 
 #[test]
