Keep drains when a clock correction or a panic replaces the router

What callers saw: a server that had drained, and that the list named as up or (where only a drain binds) as removed since, with the start that it had, was probed and read again after a correction of the clock or a panic.

Cause: the router that takes over is made from the list alone, and the list does not tell that a drain came before. Found by reading, looking for what else ends a drain without a later start.

Change: drains, each with the latest start told by then, go over to the next router (Router::drains, Router::keep_drain).

Measured: drain_binds_after_a_clock_correction_and_after_a_panic (tests/dispatcher.rs) failed on the text before ("the new router uses it") and passes.

--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -276,11 +276,14 @@
             self.host.answer(txn, Answer::Unknown("what was known is given up; it may have run"));
             self.host.release_txn(txn);
         }
+        let drains = self.router.drains();
         self.router = (self.make_router)()?;
         self.router.session_marks_lost(self.host.clock.now());
         self.apply_wait_limits();
         let now = self.host.clock.now();
         let named = self.relist_servers(now);
+        // The list may have named a drained server as removed or up since.
+        drains.into_iter().for_each(|drain| self.router.keep_drain(now, drain));
         self.router.list_completed(now, Some(&named), &mut self.host);
         Ok(())
     }
--- a/crates/front/tests/dispatcher.rs
+++ b/crates/front/tests/dispatcher.rs
@@ -24,6 +24,19 @@
     ServerList::parse(text.as_bytes()).expect("a list")
 }
 
+/// A list of one server that has this state and start.
+fn list_started(state: &str, started_ms: i64) -> ServerList {
+    let entry =
+        format!(r#"{{"id":"m","addr":"127.0.0.1:1","cell":3,"state":"{state}","started_ms":{started_ms}}}"#);
+    let text = format!(r#"{{"version":{started_ms},"full":true,"servers":[{entry}]}}"#);
+    ServerList::parse(text.as_bytes()).expect("a list")
+}
+
+/// An input with which any router panics.
+fn panicking_input() -> DispatcherMessage {
+    DispatcherMessage::Probed { member: 99, outcome: AttemptOutcome::Committed, report: Report::default() }
+}
+
 /// A client that does not leave.
 struct Stays;
 
@@ -136,12 +149,7 @@
     };
     let _ = sender.send(DispatcherMessage::List(list(at)));
     let _ = sender.send(arrival(1, 9000));
-    // An input with which any router panics.
-    let _ = sender.send(DispatcherMessage::Probed {
-        member: 99,
-        outcome: AttemptOutcome::Committed,
-        report: Report::default(),
-    });
+    let _ = sender.send(panicking_input());
     assert!(matches!(received.recv().as_deref(), Ok((1, Answer::Unknown(_)))));
     let _ = sender.send(arrival(2, 0));
     assert!(matches!(received.recv().as_deref(), Ok((2, Answer::Declined(_)))), "it goes on");
@@ -168,12 +176,8 @@
         }
     };
     assert_eq!(submit.permit.check(clock.now()), Ok(()));
-    // An input with which any router panics: the txn is answered while its connection is still being opened.
-    let _ = sender.send(DispatcherMessage::Probed {
-        member: 99,
-        outcome: AttemptOutcome::Committed,
-        report: Report::default(),
-    });
+    // The txn is answered while its connection is still being opened.
+    let _ = sender.send(panicking_input());
     assert!(matches!(received.recv().as_deref(), Ok((1, Answer::Unknown(_)))));
     let (reply, done) = channel();
     let _ = sender.send(DispatcherMessage::Barrier(reply));
@@ -181,6 +185,34 @@
     assert!(submit.permit.consume(clock.now()).is_err(), "rule 1: nothing is sent after the answer");
 }
 
+/// Guards against a drain that is forgotten as the router is replaced, if the list has named its server as up since.
+#[test]
+fn drain_binds_after_a_clock_correction_and_after_a_panic() {
+    let replacements: [fn() -> DispatcherMessage; 2] =
+        [|| DispatcherMessage::ClockAdvanced(Duration::from_secs(3)), panicking_input];
+    for replacement in replacements {
+        let (spawn_member, job) = recorded_members();
+        let Started { sender, .. } = &start(spawn_member);
+        let probed = || {
+            let _ = sender.send(DispatcherMessage::ProbeAll);
+            let (reply, done) = channel();
+            let _ = sender.send(DispatcherMessage::Barrier(reply));
+            let _ = done.recv();
+            // The member's actor is a thread.
+            std::thread::sleep(Duration::from_millis(50));
+            job.try_iter().any(|message| matches!(message, MemberMessage::Job(Job::Probe { .. })))
+        };
+        for state in ["draining", "up"] {
+            let _ = sender.send(DispatcherMessage::List(list_started(state, 1000)));
+            assert!(!probed(), "{state}");
+        }
+        let _ = sender.send(replacement());
+        assert!(!probed(), "the new router uses it");
+        let _ = sender.send(DispatcherMessage::List(list_started("up", 1001)));
+        assert!(probed(), "it has started again");
+    }
+}
+
 #[test]
 fn shortage_of_connections_closes_idle_ones_of_all_members_once_in_a_while_only() {
     let (spawn_member, job) = recorded_members();
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -8,7 +8,7 @@
     Report, Role, TxnType, WriteProgress,
 };
 use crate::sliding_sum::SlidingSum;
-pub use crate::state::Router;
+pub use crate::state::{Drain, Router};
 use crate::state::{Member, OutcomeCounts, Txn, ranks_of};
 use juniperdock_attempt_outcome::{FinalAnswer, SubmissionHistory};
 use juniperdock_primary_tracker::Claim;
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -173,6 +173,13 @@
     }
 }
 
+/// A drain, and the latest start of its member that had been told by then: only a later one ends it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Drain {
+    pub member: usize,
+    pub started: Option<i64>,
+}
+
 /// What the router knows of one group.
 #[derive(Debug)]
 pub(crate) struct Group {
@@ -442,6 +449,22 @@
         self.removal_is_advisory = true;
     }
 
+    /// The drains in force, for a router that takes the place of this one.
+    pub fn drains(&self) -> Vec<Drain> {
+        let drain = |(member, m): (usize, &Member)| {
+            (m.listed && m.draining).then_some(Drain { member, started: m.started })
+        };
+        self.members.iter().enumerate().filter_map(drain).collect()
+    }
+
+    /// Keeps a drain of a router that this one replaces; to be called once the member is listed.
+    pub fn keep_drain(&mut self, now: Duration, drain: Drain) {
+        let Some(m) = self.members.get_mut(drain.member).filter(|m| m.listed) else { return };
+        m.keep_drain(drain.started);
+        let (excluded, draining) = (m.excluded, m.draining);
+        self.primary_tracker.set_availability(now, drain.member, excluded, draining);
+    }
+
     /// Creates the entries for the given group and txn.
     pub(crate) fn ensure_indices(&mut self, group: usize, txn: usize) {
         let (empty, kinds) = (&self.empty_counts, self.types.len());
--- a/crates/router/tests/scenarios.rs
+++ b/crates/router/tests/scenarios.rs
@@ -269,9 +269,18 @@
             assert!(!is_read(&mut s), "{state:?}, no start");
         }
     }
-    s.list_started(1, ListedState::Up, start(STARTED + 1, ms(1)));
-    s.now += ms(20_000);
-    assert!(is_read(&mut s), "it has started again");
+    // A router that takes the place of this one keeps it.
+    let [drain] = s.router.drains()[..] else { panic!("one drain") };
+    let mut next = Scenario::with_primary();
+    next.router.treat_removal_as_advisory();
+    next.list_started(1, ListedState::Removed, start(STARTED, ms(60_000)));
+    next.router.keep_drain(next.now, drain);
+    assert!(!is_read(&mut next), "as its predecessor was told of it");
+    for s in [&mut s, &mut next] {
+        s.list_started(1, ListedState::Up, start(STARTED + 1, ms(1)));
+        s.now += ms(20_000);
+        assert!(is_read(s), "it has started again");
+    }
 }
 
 /// Guards against a cold member that seems warm as an old list names its start before the last.
