Compare the position of a session's last write as its client told it

What callers saw: a session's read could be served by a replica that lacked its session's own write, where the position that the client tells (after) lies in the future of the front's clock: a front that is behind and not corrected yet, or a primary whose clock is ahead.

Cause: the told position was turned into an age by the front's clock when the statement was read, cut to 1 ms at least, and turned back into a position when the request was started.

Change: the position stays as told (ToldWrite) until the request is started and is then dated as servers' positions are; it may lie ahead of now. So a correction of the clock in between applies to both alike, and the time in the queue no longer makes the read stricter. The router gets SessionWrite in place of an optional age of which zero meant that there was no write.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -57,9 +57,6 @@
 /// How long a client may take to complete its startup or a message.
 const MAX_MESSAGE_TIME: Duration = Duration::from_secs(2);
 
-/// The least age of a write with a known commit: zero means that there was no write.
-const MIN_WRITE_AGE: Duration = Duration::from_micros(1);
-
 const TOO_MANY_AT_ONCE: &str = "too much at once, trying again is harmless";
 
 /// A request that is not answered.
@@ -395,11 +392,7 @@
             && let Some(Start { payload: mut arrival, write_answered }) = self.pipeline.start(self.unsent())
         {
             started += 1;
-            if let Some(answered) = write_answered {
-                let ago = self.shared.clock.now().saturating_sub(answered).max(MIN_WRITE_AGE);
-                let reported = arrival.wrote_ago.filter(|reported| !reported.is_zero());
-                arrival.wrote_ago = Some(reported.map_or(ago, |reported| reported.min(ago)));
-            }
+            arrival.write_answered = write_answered;
             self.shared.request_log.request(arrival.request_id, RequestEvent::Started);
             let _ = self.shared.dispatcher.send(DispatcherMessage::RequestArrived(arrival));
         }
--- a/crates/front/src/client/request.rs
+++ b/crates/front/src/client/request.rs
@@ -3,7 +3,7 @@
 use super::unread::UnreadSince;
 use super::{Client, MAX_UNREAD_TIME};
 use crate::clock::Clock;
-use crate::messages::Arrival;
+use crate::messages::{Arrival, ToldWrite};
 use crate::request_log::RequestEvent;
 use juniperdock_connection::PeerWatch;
 use juniperdock_pg as pg;
@@ -48,7 +48,7 @@
         let txn_type = self.txn_type(&comment)?;
         let expiry = at + Duration::from_millis(comment.number("d")?.min(MAX_DEADLINE_MS));
         let group = comment.number("cluster")?;
-        let wrote_ago = self.wrote_ago(&comment)?;
+        let told_write = self.told_write(&comment)?;
         let session = pg::first_quoted(comment.rest()).map(session_hash);
         let retried = comment.field("r") == Some("1");
         let left = pg::value_range(&statement, comment.required("d")?);
@@ -77,7 +77,8 @@
             expiry,
             retried,
             session,
-            wrote_ago,
+            told_write,
+            write_answered: None,
             statement,
             left,
             client,
@@ -98,16 +99,14 @@
         Ok(txn_type)
     }
 
-    /// How long ago the request's session last wrote, as its client tells: zero if it has not written, `None` if clients
-    /// do not tell.
-    fn wrote_ago(&self, comment: &pg::Comment) -> Result<Option<Duration>, String> {
-        if comment.field("after").is_none() {
-            return Ok(self.shared.client_session_marks.then_some(Duration::ZERO));
+    /// The last write of the request's session, as its client tells it. Where clients tell, one that tells none has not
+    /// written.
+    fn told_write(&self, comment: &pg::Comment) -> Result<ToldWrite, String> {
+        match comment.field("after") {
+            Some(_) => Ok(ToldWrite::At(comment.number("after")?)),
+            None if self.shared.client_session_marks => Ok(ToldWrite::Never),
+            None => Ok(ToldWrite::Untold),
         }
-        let clock = &self.shared.clock;
-        let unix_ms = clock.origin().start / 1000 + clock.now().as_millis() as i64;
-        let ago_ms = unix_ms.saturating_sub_unsigned(comment.number("after")?);
-        Ok(Some(Duration::from_millis(ago_ms.max(1) as u64)))
     }
 }
 
--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -490,7 +490,7 @@
             self.host.txns.len() - 1
         });
         let (txn_type, left) = (a.txn_type, a.expiry.saturating_sub(now));
-        let (retried, session, wrote_ago) = (a.retried, a.session, a.wrote_ago);
+        let (retried, session, session_write) = (a.retried, a.session, a.session_write(&self.host.origin));
         let bytes = a.statement.len() + size_of::<Arrival>();
         self.host.by_request_id.insert(a.request_id, txn);
         self.host.txns[txn] = Some(OpenRequest {
@@ -501,8 +501,19 @@
             timers: Vec::new(),
         });
         let host = &mut self.host;
-        self.router
-            .txn_arrived(now, txn, txn_type, group, left, retried, None, session, wrote_ago, bytes, host);
+        self.router.txn_arrived(
+            now,
+            txn,
+            txn_type,
+            group,
+            left,
+            retried,
+            None,
+            session,
+            session_write,
+            bytes,
+            host,
+        );
         self.host.probes.used(now, group, self.router.waiting_in(group) > 0);
     }
 
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -2,10 +2,11 @@
 
 use crate::mailbox::Mailbox;
 use juniperdock_connection::Waker;
+use juniperdock_deployment::Origin;
 use juniperdock_fleet_tasks::{HoldStep, ProbeRole, SHARDS};
 use juniperdock_membership::Keys;
 use juniperdock_request_guard::{AttemptPermit, RequestGuard};
-use juniperdock_router::host::{AttemptOutcome, Report, Role};
+use juniperdock_router::host::{AttemptOutcome, Report, Role, SessionWrite};
 use juniperdock_server_list::ServerList;
 use juniperdock_wait_queue::WaitLimits;
 use may::sync::mpsc::Sender;
@@ -44,6 +45,17 @@
     }
 }
 
+/// The last write of a session, as its client tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ToldWrite {
+    Untold,
+    /// The session has not written.
+    Never,
+    /// It was committed at this position, in Unix milliseconds. Kept as told until the request is started: it is
+    /// compared with positions that servers tell, and a clock that is off or corrected must not come in between.
+    At(u64),
+}
+
 /// A request as its client's actor read it.
 pub struct Arrival {
     pub request_id: u64,
@@ -59,8 +71,10 @@
     pub retried: bool,
     /// A hash of its session key.
     pub session: Option<u64>,
-    /// How long ago its session last wrote: `None` if unknown, zero if it has not written.
-    pub wrote_ago: Option<Duration>,
+    /// What its client tells of its session's last write.
+    pub told_write: ToldWrite,
+    /// When an earlier write of its session on the same connection was answered, if it has waited for that.
+    pub write_answered: Option<Duration>,
     pub statement: Arc<str>,
     /// The byte range of the remaining time in the statement.
     pub left: Range<usize>,
@@ -69,6 +83,31 @@
     pub guard: RequestGuard,
 }
 
+impl Arrival {
+    /// What must be seen of its session's writes, with told positions dated by this origin.
+    pub fn session_write(&self, origin: &Origin) -> SessionWrite {
+        let told = match self.told_write {
+            ToldWrite::Untold => SessionWrite::Untold,
+            ToldWrite::Never => SessionWrite::Never,
+            ToldWrite::At(unix_ms) => SessionWrite::At(position_of(unix_ms, origin)),
+        };
+        match (told, self.write_answered) {
+            (told, None) => told,
+            (SessionWrite::At(position), Some(answered)) => SessionWrite::At(position.max(answered)),
+            (SessionWrite::Untold | SessionWrite::Never, Some(answered)) => SessionWrite::At(answered),
+        }
+    }
+}
+
+/// Dates a position in Unix milliseconds as those of servers are dated. One before the start of this process counts as
+/// its start, one that can't be expressed as never reached.
+fn position_of(unix_ms: u64, origin: &Origin) -> Duration {
+    match i64::try_from(unix_ms).ok().and_then(|ms| ms.checked_mul(1000)) {
+        Some(micros) => origin.position(micros).unwrap_or_default(),
+        None => Duration::MAX,
+    }
+}
+
 /// The end of one attempt at a member.
 pub struct AttemptEnd {
     pub request_id: u64,
--- a/crates/front/tests/dispatcher.rs
+++ b/crates/front/tests/dispatcher.rs
@@ -5,7 +5,9 @@
 use juniperdock_front::counters::Counters;
 use juniperdock_front::dispatcher::{Dispatcher, SpawnMember};
 use juniperdock_front::mailbox::Mailbox;
-use juniperdock_front::messages::{Answer, Arrival, DiscoveryMessage, DispatcherMessage, Job, MemberMessage};
+use juniperdock_front::messages::{
+    Answer, Arrival, DiscoveryMessage, DispatcherMessage, Job, MemberMessage, ToldWrite,
+};
 use juniperdock_front::request_log::RequestLog;
 use juniperdock_request_guard::{ClientPresence, RequestGuard};
 use juniperdock_router::host::AttemptOutcome;
@@ -54,7 +56,7 @@
     client: Mailbox<(u64, Answer)>,
 ) -> DispatcherMessage {
     let (txn_type, group, statement, left) = (0, 3, "".into(), 0..0);
-    let (retried, session, wrote_ago) = (false, None, None);
+    let (retried, session, told_write, write_answered) = (false, None, ToldWrite::Untold, None);
     let guard = RequestGuard::new(expiry, Box::new(Stays), Arc::default());
     DispatcherMessage::RequestArrived(Box::new(Arrival {
         request_id,
@@ -64,7 +66,8 @@
         expiry,
         retried,
         session,
-        wrote_ago,
+        told_write,
+        write_answered,
         statement,
         left,
         client,
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -5,7 +5,9 @@
 use crate::scenario::Scenario;
 use juniperdock_emulator::{Entry, FinalAnswer, Out, Stream, World};
 use juniperdock_membership::{Keys, Membership, NEWEST_VERSION, Timing, incarnation_at};
-use juniperdock_router::host::{Consistency, Effect, FrontInfo, Host, ListedStart, ListedState, TxnType};
+use juniperdock_router::host::{
+    Consistency, Effect, FrontInfo, Host, ListedStart, ListedState, SessionWrite, TxnType,
+};
 use juniperdock_router::routing::Router;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -384,7 +386,19 @@
                 router.list_completed(now, None, &mut host);
             }
             (&Out::Arrived { kind, group, left, retried, .. }, Some(index)) => {
-                router.txn_arrived(now, index, kind, group, left, retried, None, None, None, 0, &mut host);
+                router.txn_arrived(
+                    now,
+                    index,
+                    kind,
+                    group,
+                    left,
+                    retried,
+                    None,
+                    None,
+                    SessionWrite::Untold,
+                    0,
+                    &mut host,
+                );
             }
             (Out::Left { .. }, Some(index)) => router.client_left(now, index, &mut host),
             (&Out::Ended { txn, member, ending, role, position, took, over, .. }, Some(index)) => {
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -90,6 +90,18 @@
     Removed,
 }
 
+/// What is told of the last write of a txn's session.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SessionWrite {
+    /// Nothing: the router has to know.
+    #[default]
+    Untold,
+    /// The session has not written.
+    Never,
+    /// It was committed at this log position, which may lie in the future of this process's clock.
+    At(Duration),
+}
+
 /// When a member last started, as a server list tells it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListedStart {
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -5,7 +5,7 @@
 use crate::host::AttemptOutcome::*;
 use crate::host::{
     AttemptOutcome, ColdStart, Consistency, Effect, FrontInfo, Host, ListedStart, ListedState, Phase, Plan,
-    Report, Role, TxnType, WriteProgress,
+    Report, Role, SessionWrite, TxnType, WriteProgress,
 };
 use crate::sliding_sum::SlidingSum;
 pub use crate::state::{Drain, Router};
@@ -179,8 +179,8 @@
         self.run_rules(now, &[], host);
     }
 
-    /// A txn has arrived from a client. `left` is the time until it expires; `wrote_ago` is the age of its session's
-    /// last write, if the client sends it.
+    /// A txn has arrived from a client. `left` is the time until it expires; `session_write` is what the client tells of
+    /// its session's last write.
     pub fn txn_arrived(
         &mut self,
         now: Duration,
@@ -191,18 +191,19 @@
         retried: bool,
         tenant: Option<usize>,
         session: Option<u64>,
-        wrote_ago: Option<Duration>,
+        session_write: SessionWrite,
         bytes: usize,
         host: &mut impl Host,
     ) {
         self.ensure_indices(group, txn);
         let must_see = match self.types[kind].consistency {
             Consistency::Fresh => Some(now),
-            Consistency::Session => match (wrote_ago.filter(|_| self.client_marks_trusted), session) {
-                (Some(ago), _) => Some(now.saturating_sub(ago)).filter(|_| !ago.is_zero()),
-                (None, Some(key)) if self.has_write_in_flight(group, key) => Some(now),
-                (None, Some(key)) => self.session_marks.must_see(key),
-                (None, None) => Some(now),
+            Consistency::Session => match (session_write, session) {
+                (SessionWrite::At(position), _) if self.client_marks_trusted => Some(position),
+                (SessionWrite::Never, _) if self.client_marks_trusted => None,
+                (_, Some(key)) if self.has_write_in_flight(group, key) => Some(now),
+                (_, Some(key)) => self.session_marks.must_see(key),
+                (_, None) => Some(now),
             },
             _ => None,
         };
--- a/crates/router/tests/harness/mod.rs
+++ b/crates/router/tests/harness/mod.rs
@@ -138,7 +138,19 @@
     pub fn arrive_retry(&mut self, kind: usize, left: u64, retried: bool) -> usize {
         self.next += 1;
         let (now, txn) = (self.now, self.next);
-        self.router.txn_arrived(now, txn, kind, 0, ms(left), retried, None, None, None, 100, &mut self.host);
+        self.router.txn_arrived(
+            now,
+            txn,
+            kind,
+            0,
+            ms(left),
+            retried,
+            None,
+            None,
+            SessionWrite::Untold,
+            100,
+            &mut self.host,
+        );
         txn
     }
 
@@ -147,7 +159,19 @@
         self.next += 1;
         let (now, txn, session) = (self.now, self.next, Some(session));
         let host = &mut self.host;
-        self.router.txn_arrived(now, txn, kind, 0, ms(left), false, None, session, None, 100, host);
+        self.router.txn_arrived(
+            now,
+            txn,
+            kind,
+            0,
+            ms(left),
+            false,
+            None,
+            session,
+            SessionWrite::Untold,
+            100,
+            host,
+        );
         txn
     }
 
--- a/crates/router/tests/primary.rs
+++ b/crates/router/tests/primary.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use harness::{Action, BOUNDED, LOOSE, ONCE_ONLY, REFERENCED, Scenario, ms};
-use juniperdock_router::host::{AttemptOutcome, ListedState, Phase, Role, WriteProgress};
+use juniperdock_router::host::{AttemptOutcome, ListedState, Phase, Role, SessionWrite, WriteProgress};
 use juniperdock_wait_queue::WaitLimits;
 
 /// Member 0 has answered as primary; the others are replicas.
@@ -379,7 +379,19 @@
     // Another group has its own limit.
     let (now, txn) = (s.now, 50);
     s.router.member_listed(now, 7, 1, 0, ListedState::Up, false, None);
-    s.router.txn_arrived(now, txn, ONCE_ONLY, 1, ms(4000), false, None, None, None, 100, &mut s.host);
+    s.router.txn_arrived(
+        now,
+        txn,
+        ONCE_ONLY,
+        1,
+        ms(4000),
+        false,
+        None,
+        None,
+        SessionWrite::Untold,
+        100,
+        &mut s.host,
+    );
     assert!(!s.recorded(&Action::Declined(txn)) && s.router.waiting() == 5);
 }
 
--- a/crates/router/tests/scenarios.rs
+++ b/crates/router/tests/scenarios.rs
@@ -3,7 +3,9 @@
 mod harness;
 
 use harness::{Action, BOUNDED, FRESH, LOOSE, ONCE_ONLY, REFERENCED, SESSION, Scenario, ms};
-use juniperdock_router::host::{AttemptOutcome, FrontInfo, ListedStart, ListedState, Role, WriteProgress};
+use juniperdock_router::host::{
+    AttemptOutcome, FrontInfo, ListedStart, ListedState, Role, SessionWrite, WriteProgress,
+};
 use std::time::Duration;
 
 #[test]
@@ -668,7 +670,19 @@
     s.router.set_tenant_quotas(&[1e9, 0.0], 0.2);
     let arrive = |s: &mut Scenario, txn: usize, tenant: usize| {
         let (now, who) = (s.now, Some(tenant));
-        s.router.txn_arrived(now, txn, ONCE_ONLY, 0, ms(3000), false, who, None, None, 0, &mut s.host);
+        s.router.txn_arrived(
+            now,
+            txn,
+            ONCE_ONLY,
+            0,
+            ms(3000),
+            false,
+            who,
+            None,
+            SessionWrite::Untold,
+            0,
+            &mut s.host,
+        );
     };
     // The second tenant has a quota of zero and has sent txns already.
     for txn in 300..400 {
@@ -717,7 +731,19 @@
         let tenant = usize::from(i % 9 != 0);
         let txn = 1000 + i;
         let (now, who) = (s.now, Some(tenant));
-        s.router.txn_arrived(now, txn, LOOSE, 0, ms(900), false, who, None, None, 0, &mut s.host);
+        s.router.txn_arrived(
+            now,
+            txn,
+            LOOSE,
+            0,
+            ms(900),
+            false,
+            who,
+            None,
+            SessionWrite::Untold,
+            0,
+            &mut s.host,
+        );
         sent[tenant] += 1;
         if let Some(&at) = s.sent_to(txn).first() {
             // One answer in four is late.
@@ -851,7 +877,19 @@
         s.now += ms(60);
         s.report_all(0);
         let group = txn % 2;
-        s.router.txn_arrived(s.now, txn, LOOSE, group, ms(2000), false, None, None, None, 0, &mut s.host);
+        s.router.txn_arrived(
+            s.now,
+            txn,
+            LOOSE,
+            group,
+            ms(2000),
+            false,
+            None,
+            None,
+            SessionWrite::Untold,
+            0,
+            &mut s.host,
+        );
         if let Some(&at) = s.sent_to(txn).first() {
             sent[group] += 1;
             s.end(txn, at, AttemptOutcome::Committed, if group == 0 { 900 } else { 50 });
--- a/crates/sim-adapter/src/adapter.rs
+++ b/crates/sim-adapter/src/adapter.rs
@@ -4,7 +4,7 @@
 use crate::message::Message;
 use juniperdock_deployment::{self as deployment, Indices, Origin};
 use juniperdock_membership::Membership;
-use juniperdock_router::host::{AttemptOutcome, Host, ListedStart, ListedState, Report, Role};
+use juniperdock_router::host::{AttemptOutcome, Host, ListedStart, ListedState, Report, Role, SessionWrite};
 use juniperdock_router::routing::Router;
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -301,11 +301,26 @@
                 let retried = message.flag("IsRetry")?;
                 let tenant: Option<usize> = message.optional("Org")?;
                 let (session, wrote_ago) = (message.optional("ClientKey")?, message.span("WroteMsAgo")?);
+                let session_write = |now: Duration| match wrote_ago {
+                    None => SessionWrite::Untold,
+                    Some(Duration::ZERO) => SessionWrite::Never,
+                    Some(ago) => SessionWrite::At(now.saturating_sub(ago)),
+                };
                 let txn = ids.add_txn(message.required("Corr")?)?;
                 let group = ids.cells.index(cell);
                 self.with_router(front, |router, now, host| {
                     router.txn_arrived(
-                        now, txn, kind, group, left, retried, tenant, session, wrote_ago, 0, host,
+                        now,
+                        txn,
+                        kind,
+                        group,
+                        left,
+                        retried,
+                        tenant,
+                        session,
+                        session_write(now),
+                        0,
+                        host,
                     );
                 })
             }
