Never shift a restored position forward with the wall clock

A position was told by a server; what servers tell the next process is not shifted with its clock. After a forward step of the wall clock the restored position counted as later than it was told, by the step, beside the positions that clients tell: until the server was heard again, a session's read could miss its own write. Not played with processes.

Change: positions are shifted back only (after a step back that keeps their age right), never forward.

--- a/crates/snapshot/src/lib.rs
+++ b/crates/snapshot/src/lib.rs
@@ -198,20 +198,18 @@
         Ok(age)
     }
 
-    /// Shifts all times to a clock that shows `now` while the snapshot has that age.
+    /// Shifts all times to a clock that shows `now` while the snapshot has that age. Positions are shifted back only: they
+    /// were told by servers, and what servers tell the next process is not shifted with its clock. A position that was
+    /// shifted forward would prove commits that its server may lack.
     pub fn rebase(&mut self, now: i64, age: Duration) {
         let taken = now.saturating_sub(age.as_micros() as i64);
         let offset = taken.saturating_sub(self.taken);
         self.taken = taken;
+        for position in self.members.iter_mut().filter_map(|of| of.position.as_mut()) {
+            *position = position.saturating_add(offset.min(0));
+        }
         let of_members = self.members.iter_mut().flat_map(|of| {
-            [
-                &mut of.warm_at,
-                &mut of.position,
-                &mut of.shunned,
-                &mut of.served,
-                &mut of.stepped,
-                &mut of.heard,
-            ]
+            [&mut of.warm_at, &mut of.shunned, &mut of.served, &mut of.stepped, &mut of.heard]
         });
         let of_groups = self.groups.iter_mut().flat_map(|of| [&mut of.began, &mut of.newest]);
         for time in of_members.chain(of_groups).flatten() {
