Split the opening of connections to servers from the jobs that they carry

Connecting and the server's welcome are member/opening.rs now, in functions of one step each. No change in behaviour.

--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -1,6 +1,7 @@
 //! The actor of a member. It keeps the pool of connections to the member and gives each job to one of them.
 
 mod connection;
+mod opening;
 mod reply;
 mod transit;
 
--- a/crates/front/src/member/connection.rs
+++ b/crates/front/src/member/connection.rs
@@ -1,10 +1,10 @@
 //! One connection to a member. It carries one job at a time and reports each outcome to the dispatcher.
 
 use super::PoolContext;
+use super::opening::MAX_WELCOME_MESSAGE;
 use super::reply::{Reply, check_position, load_report, report_outcome};
 use super::transit::TransitChecks;
 use crate::clock::SHORTAGE_PAUSE;
-use crate::connect::{ConnectFailure, ConnectRequest, connect};
 use crate::messages::{DispatcherMessage, Job, MemberMessage, Submit, TransferIdle};
 use crate::request_log::{RequestEvent, ServerCloseReason};
 use juniperdock_connection::{Failure, Link, Reached};
@@ -27,9 +27,7 @@
 pub const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(3);
 
 /// What is read ahead of the message in hand, whatever memory there is.
-const READ_AHEAD: usize = 16 << 10;
-/// The longest message of a member's welcome.
-const MAX_WELCOME_MESSAGE: usize = 8 << 10;
+pub(super) const READ_AHEAD: usize = 16 << 10;
 /// The longest load report of which a second copy is recognised.
 const MAX_REMEMBERED_REPORT: usize = 1 << 10;
 /// How long a large answer waits for memory before it asks again.
@@ -65,8 +63,8 @@
 pub struct ServerConnection {
     pub(super) id: u64,
     pub(super) member: usize,
-    address: SocketAddr,
-    pool: Sender<MemberMessage>,
+    pub(super) address: SocketAddr,
+    pub(super) pool: Sender<MemberMessage>,
     pub(super) context: PoolContext,
     messages: Receiver<ConnectionMessage>,
     /// Messages that came while a job was in hand and do not concern it.
@@ -201,15 +199,6 @@
         }
     }
 
-    /// Opens the connection for a job; the error is the job's outcome.
-    fn open_for(&self, job: &Job, started_at: Duration) -> Result<Link, AttemptOutcome> {
-        let link = self.open_session(job, started_at)?;
-        let took = self.context.clock.now().saturating_sub(started_at);
-        self.context.counters.connect_most_us.record_max(took.as_micros() as u64);
-        self.catch_up_after_stall();
-        Ok(link)
-    }
-
     /// Waits for the next job. The error says why the connection is over.
     fn wait_for_job(&self, mut link: Link, current: &mut Option<Job>) -> Result<Link, ServerCloseReason> {
         self.idle_since.set(Some(self.context.clock.now()));
@@ -288,7 +277,7 @@
     }
 
     /// After a stall a client's end may still be unread: its actor gets a turn first, then the dispatcher.
-    fn catch_up_after_stall(&self) {
+    pub(super) fn catch_up_after_stall(&self) {
         let clock = &self.context.clock;
         clock.note_running();
         for _ in 0..BARRIERS_AFTER_STALL {
@@ -311,77 +300,8 @@
         self.deferred.borrow_mut().pop_front().map_or_else(|| self.messages.try_recv(), Ok)
     }
 
-    /// Connects, and waits until the member is ready; the error is the outcome of the job that needed the connection.
-    fn open_session(&self, job: &Job, started_at: Duration) -> Result<Link, AttemptOutcome> {
-        let (clock, limit) = (&self.context.clock, started_at + self.context.connect_timeout);
-        let deadline = self.deadline(job);
-        let until = limit.min(deadline);
-        // Running out of the txn's time proves nothing about the member.
-        let late = |at: Duration| {
-            if at >= deadline && at < limit { AttemptOutcome::Moot } else { AttemptOutcome::Unreachable }
-        };
-        let up = |waker| {
-            let _ = self.pool.send(MemberMessage::WakerReady(self.id, waker));
-        };
-        let wanted = ConnectRequest { to: self.address, until, limits: self.context.buffers() };
-        let connected = connect(clock, &wanted, &up, &|| self.cancelled(job));
-        let mut link = connected.map_err(|why| {
-            slog::debug!(self.context.log, "no connection to a server"; "why" => %why, "server" => self.member);
-            match why {
-                ConnectFailure::Cancelled | ConnectFailure::TooLate | ConnectFailure::LocalShortage(_) => {
-                    AttemptOutcome::Moot
-                }
-                ConnectFailure::TimedOut | ConnectFailure::Failed(_) => late(clock.now()),
-            }
-        })?;
-        // Whatever ends this connection while it carries a statement, even the end of this process: what has not arrived
-        // by then must not arrive later.
-        link.set_reset_on_close(true);
-        link.queue(&pg::startup("api", "ledger")).map_err(|_| AttemptOutcome::Unreachable)?;
-        link.set_read_limit(READ_AHEAD);
-        for busy in 1u32.. {
-            let pumped = link.pump();
-            while let Some((kind, body, length)) =
-                pg::message(link.inbound.make_contiguous(), MAX_WELCOME_MESSAGE)
-                    .map_err(|_| AttemptOutcome::Unreachable)?
-            {
-                match kind {
-                    b'Z' => {
-                        link.inbound.drain(..length);
-                        return Ok(link);
-                    }
-                    b'E' if pg::error_field(body, b'C') == Some(pg::TOO_MANY_CONNECTIONS) => {
-                        return Err(AttemptOutcome::Full);
-                    }
-                    b'E' => return Err(AttemptOutcome::Unreachable),
-                    b'R' if !body.starts_with(&[0; 4]) => return Err(AttemptOutcome::Unreachable),
-                    _ => {}
-                }
-                link.inbound.drain(..length);
-            }
-            let now = clock.now();
-            if pumped.is_err() || link.ended || now >= until {
-                return Err(if pumped.is_ok() && !link.ended {
-                    late(now)
-                } else {
-                    AttemptOutcome::Unreachable
-                });
-            }
-            if self.cancelled(job) {
-                return Err(AttemptOutcome::Moot);
-            }
-            if matches!(pumped, Ok(false)) {
-                link.wait();
-            } else {
-                // A member that sends without an end must not starve the others.
-                clock.yield_if_busy(busy, link.lacks_memory());
-            }
-        }
-        Err(AttemptOutcome::Unreachable)
-    }
-
     /// When the job is given up.
-    fn deadline(&self, job: &Job) -> Duration {
+    pub(super) fn deadline(&self, job: &Job) -> Duration {
         match job {
             Job::Submit(submit) => submit.deadline,
             Job::Probe { at } => *at + self.context.connect_timeout,
@@ -428,8 +348,9 @@
             }
             let unsent = !link.is_flushed();
             if !unsent && !std::mem::replace(&mut written, true) {
-                self.record_written(job, now);
-                transit_checks.handed_over(clock.now());
+                let handed_over_at = clock.now();
+                self.record_written(job, now, handed_over_at);
+                transit_checks.handed_over(handed_over_at);
             }
             if reply.ready && self.is_copy_of_probe_answer(job, &reply) {
                 // The answer is still to come.
@@ -497,9 +418,9 @@
     }
 
     /// Records that all of a request's statement has been handed to the kernel; `began` is when its first byte was.
-    fn record_written(&self, job: &Job, began: Duration) {
+    fn record_written(&self, job: &Job, began: Duration, handed_over_at: Duration) {
         let Job::Submit(submit) = job else { return };
-        submit.permit.record_written(self.context.clock.now());
+        submit.permit.record_written(handed_over_at);
         let idle_for = self.idle_since.get().map(|since| began.saturating_sub(since));
         let event = RequestEvent::Written { server: self.member, connection: self.id, idle_for };
         self.context.request_log.request(submit.request_id, event);
