--- a/crates/front/tests/drained_servers.rs
+++ b/crates/front/tests/drained_servers.rs
@@ -15,7 +15,8 @@
 /// Twice the 50 ms by which every limit is longer on sockets.
 const GRACE: Duration = Duration::from_millis(100);
 
-/// A group of which only a drain takes servers out of use, as its settings say; all started 15 s ago, and are warm a second later.
+/// A group of which only a drain takes servers out of use, as its settings say. All started 15 s ago and are warm a
+/// second later.
 struct Setting {
     agent: Agent,
     members: Vec<Member>,
