Date a line of the JSON log when its event happens, not when it is written

Cause: `monotonic_us` was read by the logging thread, when it came to the line. The auditor of ownership takes it for the time of the event and allows 5 ms. A task that was given back counts as owned until its line is written, so a logging thread that gets no processor for longer makes two owners out of one.

Change: the time is read on the thread that logs (`MonotonicTime` in logging.rs). The logger moved out of serve.rs; its queue has a named length.

The auditor and its bound are unchanged.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod discovery_client;
 pub mod dispatcher;
 pub mod fleet_tasks;
+pub mod logging;
 pub mod mailbox;
 pub mod member;
 pub mod membership;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -9,17 +9,18 @@
 use crate::request_log::RequestLog;
 use crate::settings::{Settings, TxnTypes};
 use crate::upgrade::{self, TransferTarget};
-use crate::{control, discovery_client, dispatcher, member, membership, signals, snapshot_file, threads};
+use crate::{
+    control, discovery_client, dispatcher, logging, member, membership, signals, snapshot_file, threads,
+};
 use juniperdock_connection::{Listener, spawn};
 use juniperdock_hot_restart::Timeouts;
 use juniperdock_operator_config as operator_config;
-use juniperdock_operator_config::{Fault, Log, LogFormat, OperatorConfig, Upgrade, WaitQueueConfig};
+use juniperdock_operator_config::{Fault, OperatorConfig, Upgrade, WaitQueueConfig};
 use juniperdock_request_guard::RequestIds;
 use juniperdock_server_list::{ProbeLimits, ProbeQueue};
 use juniperdock_wait_queue::WaitLimits;
 use may::sync::mpsc::{Sender, channel};
 use sd_notify::NotifyState;
-use slog::Drain;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::sync_channel;
@@ -122,8 +123,8 @@
     let grace = settings.millis("Guarantees.GraceToAnswer")?;
     let TxnTypes { names: txn_types, writes, keyed, max_time_limit } = settings.txn_types()?;
 
-    let level = log_level(&config.log);
-    let log = logger(&config.log, level);
+    let level = logging::level(&config.log);
+    let log = logging::logger(&config.log, level, std::io::stderr());
     let request_log = RequestLog::new(log.clone(), level >= slog::Level::Debug);
     std::panic::set_hook(Box::new({
         let log = log.clone();
@@ -397,33 +398,3 @@
     let program_folder = folder(program);
     program_folder.is_some() && known.iter().flatten().any(|known| folder(known) == program_folder)
 }
-
-/// The log level from the environment, else from the operators' file.
-fn log_level(config: &Log) -> slog::Level {
-    let level = std::env::var("JUNIPERDOCK_LOG").ok().and_then(|level| level.parse().ok());
-    level.or_else(|| config.level.name().parse().ok()).unwrap_or(slog::Level::Info)
-}
-
-/// Creates a logger that writes lines of text or JSON to standard error, on a thread of its own. Lines that can't be
-/// written are lost: a reader that is gone or a full disk must not end the process.
-fn logger(config: &Log, level: slog::Level) -> slog::Logger {
-    // Line by line: during an upgrade two processes write to the same stream, and partial lines would mix.
-    let lines = std::io::LineWriter::new(std::io::stderr());
-    let drain = match config.form {
-        LogFormat::Text => {
-            let decorator = slog_term::PlainDecorator::new(lines);
-            let drain = slog_term::FullFormat::new(decorator).build().ignore_res();
-            slog_async::Async::new(drain).chan_size(1024).build()
-        }
-        LogFormat::Json => {
-            let monotonic_us = slog::FnValue(|_| juniperdock_connection::monotonic().as_micros() as u64);
-            let drain = slog_json::Json::new(lines)
-                .add_default_keys()
-                .add_key_value(slog::o!("monotonic_us" => monotonic_us))
-                .build();
-            slog_async::Async::new(Mutex::new(drain).ignore_res()).chan_size(1024).build()
-        }
-    };
-    let drain = slog::LevelFilter::new(drain.ignore_res(), level).ignore_res();
-    slog::Logger::root(drain, slog::o!())
-}
