Close the listener at the end of the process although clients keep coming

Cause: the acceptor closed the listener only when a wake-up found nobody waiting. A client that came together with the wake-up of the end used it up; from then on each next client was what woke the acceptor, and `closing` was not looked at again.

Change: once the process ends the acceptor does not wait. It closes the listener when nobody is there, or after as many clients as the kernel's queue holds: all that came before the end have been accepted by then.

--- a/crates/connection/src/listener.rs
+++ b/crates/connection/src/listener.rs
@@ -19,7 +19,7 @@
 
 impl Listener {
     /// Limit of the kernel's queue of connections that are not accepted yet.
-    const BACKLOG: i32 = 1024;
+    pub const BACKLOG: i32 = 1024;
     /// Pause between two attempts to listen.
     const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -74,17 +74,22 @@
 
     /// Accepts the next connection, waiting once if there is none; `None` if it was woken without a connection.
     pub fn next(&self) -> std::io::Result<Option<std::net::TcpStream>> {
-        for waited in [false, true] {
-            match accept(self.listener.inner()) {
-                Ok((stream, _)) => return Ok(Some(stream)),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
-            }
-            if !waited {
+        match self.try_next()? {
+            None => {
                 self.listener.wait_io();
+                self.try_next()
             }
+            accepted => Ok(accepted),
+        }
+    }
+
+    /// Accepts the next connection if there is one.
+    pub fn try_next(&self) -> std::io::Result<Option<std::net::TcpStream>> {
+        match accept(self.listener.inner()) {
+            Ok((stream, _)) => Ok(Some(stream)),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(None),
+            Err(e) => Err(e),
         }
-        Ok(None)
     }
 }
 
--- a/crates/front/src/acceptor.rs
+++ b/crates/front/src/acceptor.rs
@@ -46,22 +46,31 @@
     /// are already connected are still accepted, then the listener is closed.
     pub fn accept_until_stopped(self: Arc<Self>, door: &Listener) {
         self.acceptor_running.store(true, Ordering::Release);
-        let mut in_a_row = 0;
+        let (mut in_a_row, mut accepted_at_end) = (0, 0);
         while !self.stop_accepting.load(Ordering::Acquire) {
             while self.present() >= self.max_clients + self.refusal_slots {
                 self.slots().ask_to_leave(self.clock.now(), MIN_IDLE);
                 self.pause_accepting();
             }
-            match door.next() {
+            let ends = self.closing.load(Ordering::Relaxed);
+            // At the end it must not wait: further clients may keep coming for as long as the listener is open.
+            let accepted = if ends { door.try_next() } else { door.next() };
+            match accepted {
+                // All that had come when the end began have been accepted by then.
+                Ok(Some(_)) if accepted_at_end > Listener::BACKLOG => {
+                    door.close();
+                    break;
+                }
                 Ok(Some(stream)) => {
                     in_a_row += 1;
+                    accepted_at_end += i32::from(ends);
                     if !self.clone().admit(stream, &[], false, false) {
                         self.pause_accepting();
                     } else if in_a_row % ACCEPTED_PER_TURN == 0 {
                         self.clock.yield_to_others();
                     }
                 }
-                Ok(None) if self.closing.load(Ordering::Relaxed) => {
+                Ok(None) if ends => {
                     door.close();
                     break;
                 }
--- a/crates/front/tests/draining.rs
+++ b/crates/front/tests/draining.rs
@@ -209,3 +209,31 @@
         assert!(answered || !sent, "{reply:?}");
     }
 }
+
+/// How long after SIGTERM clients may still be accepted on a busy machine: 0.45 s in the process's own time.
+const LISTENER_CLOSED_WITHIN: Duration = Duration::from_millis(1500);
+
+/// How long after SIGTERM the front still accepts clients that come one at a time.
+fn accepts_after_sigterm() -> Duration {
+    let cluster = TestCluster::new();
+    let front = cluster.start_front();
+    warm_up(&cluster, &front);
+    // It has to stay for a while after its listener is closed.
+    let _hangs = client_with_a_hanging_order(&cluster, &front, 60_000);
+    front.signal("-TERM");
+    let told = Instant::now();
+    wait_until(|| TcpStream::connect(front.at).is_err());
+    let accepted_for = told.elapsed();
+    assert!(front.end().0);
+    accepted_for
+}
+
+/// Guards against an acceptor that closes its listener only when nobody has come for a moment.
+#[test]
+fn listener_is_closed_at_the_end_although_clients_keep_coming() {
+    let accepted_for: Vec<Duration> = std::thread::scope(|scope| {
+        let fronts: Vec<_> = (0..8).map(|_| scope.spawn(accepts_after_sigterm)).collect();
+        fronts.into_iter().map(|front| front.join().expect("the front ends")).collect()
+    });
+    assert!(accepted_for.iter().all(|&time| time < LISTENER_CLOSED_WITHIN), "{accepted_for:?}");
+}
