Take an upgrade back after its commit although the acceptor has not stopped yet

Cause: the stop of the acceptor and its running were two flags. An upgrade that was taken back before the acceptor had noticed the stop cleared the first and waited for the second, which an acceptor that goes on never clears. The thread of the upgrade stayed, and the front was not back among its peers.

Change: `AcceptorState` is one value, changed by compare-and-exchange. Taking a stop back says whether the acceptor goes on or has to be started again; one that ended with its process is not started again.

--- a/crates/front/src/acceptor.rs
+++ b/crates/front/src/acceptor.rs
@@ -42,12 +42,11 @@
         started.is_ok()
     }
 
-    /// Accepts clients until another process does (`stop_accepting`) or this process ends; at its end, clients that
-    /// are already connected are still accepted, then the listener is closed.
+    /// Accepts clients until another process does or this process ends; at its end, clients that are already connected are
+    /// still accepted, then the listener is closed.
     pub fn accept_until_stopped(self: Arc<Self>, door: &Listener) {
-        self.acceptor_running.store(true, Ordering::Release);
         let (mut in_a_row, mut accepted_at_end) = (0, 0);
-        while !self.stop_accepting.load(Ordering::Acquire) {
+        while !self.acceptor.stops_now() {
             while self.present() >= self.max_clients + self.refusal_slots {
                 self.slots().ask_to_leave(self.clock.now(), MIN_IDLE);
                 self.pause_accepting();
@@ -59,7 +58,7 @@
                 // All that had come when the end began have been accepted by then.
                 Ok(Some(_)) if accepted_at_end > Listener::BACKLOG => {
                     door.close();
-                    break;
+                    return self.acceptor.finish();
                 }
                 Ok(Some(stream)) => {
                     in_a_row += 1;
@@ -72,7 +71,7 @@
                 }
                 Ok(None) if ends => {
                     door.close();
-                    break;
+                    return self.acceptor.finish();
                 }
                 Ok(None) => in_a_row = 0,
                 Err(why) => {
@@ -82,6 +81,5 @@
                 }
             }
         }
-        self.acceptor_running.store(false, Ordering::Release);
     }
 }
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -1,6 +1,7 @@
 //! State that the actors of all clients share: settings, the slots that clients take, and the transfer of clients to
 //! another process.
 
+use crate::acceptor_state::AcceptorState;
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::membership;
@@ -64,10 +65,8 @@
     pub transfer_mode: AtomicU8,
     /// Clients may still come from the previous process.
     pub receiving_transfers: AtomicBool,
-    /// The acceptor has to stop: another process accepts clients now.
-    pub stop_accepting: AtomicBool,
-    /// The acceptor is running.
-    pub acceptor_running: AtomicBool,
+    /// Whether clients are accepted here, or by another process.
+    pub acceptor: AcceptorState,
     /// The membership actor, if it is on.
     pub membership: Option<membership::Handle>,
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,6 +2,7 @@
 //! built on this package; its modules are public so that tests can use them separately.
 
 pub mod acceptor;
+pub mod acceptor_state;
 pub mod atomic_file;
 pub mod client;
 pub mod clients;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -1,5 +1,6 @@
 //! Starts a front: reads the configuration, creates and connects the actors, and serves until SIGTERM.
 
+use crate::acceptor_state::AcceptorState;
 use crate::client::CONNECTION_STACK_BYTES;
 use crate::clients::SharedClients;
 use crate::clock::Clock;
@@ -228,8 +229,7 @@
         transfer_to: Mutex::default(),
         transfer_mode: AtomicU8::default(),
         receiving_transfers: AtomicBool::new(false),
-        stop_accepting: AtomicBool::new(false),
-        acceptor_running: AtomicBool::new(true),
+        acceptor: AcceptorState::default(),
         membership: config.fellows.as_ref().and_then(|fellows_config| {
             let started =
                 start_membership(fellows_config, &settings, &clock, &counters, &dispatcher_tx, &log);
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -13,7 +13,6 @@
 use signal_hook::iterator::Signals;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// After SIGTERM clients may still arrive for 0.4 s. After this delay those between txns are disconnected with a
@@ -37,9 +36,7 @@
 
 /// Waits until the acceptor has stopped and all clients have disconnected, at most until `deadline`.
 fn await_clients(clients: &SharedClients, deadline: Duration) {
-    while (clients.acceptor_running.load(Ordering::Acquire) || clients.present() > 0)
-        && clients.clock.now() < deadline
-    {
+    while (clients.acceptor.is_running() || clients.present() > 0) && clients.clock.now() < deadline {
         std::thread::sleep(Duration::from_millis(5));
     }
 }
--- a/crates/front/src/upgrade.rs
+++ b/crates/front/src/upgrade.rs
@@ -2,6 +2,7 @@
 //! process. `juniperdock_hot_restart` decides; this module connects it to processes, file descriptors and client
 //! actors. It runs on threads of its own because its calls block.
 
+use crate::acceptor_state::Resumption;
 use crate::client::CONNECTION_STACK_BYTES;
 use crate::clients::{ClientTransfer, SharedClients, TransferResult};
 use crate::messages::{DispatcherMessage, MembershipMessage};
@@ -198,7 +199,7 @@
             Action::TransferAll => self.clients.transfer_all(),
             Action::Commit => {
                 if self.send_message(&message::commit(), None) {
-                    self.clients.stop_accepting.store(true, Ordering::Release);
+                    self.clients.acceptor.request_stop();
                     let waker = self.listener.waker();
                     self.clients.clock.run_at(Duration::ZERO, move || waker.wake());
                     // The new process needs the peer address and represents this front from now on.
@@ -234,7 +235,7 @@
         while let Ok(client) = self.transfer_rx.try_recv() {
             client.result.complete(false);
         }
-        let committed = self.clients.stop_accepting.load(Ordering::Acquire);
+        let committed = self.clients.acceptor.is_stop_requested();
         // An exiting process closes its socket shortly before it is gone.
         let started_at = Instant::now();
         while committed && matches!(self.child.try_wait(), Ok(None)) && started_at.elapsed() < EXIT_GRACE {
@@ -249,15 +250,16 @@
         }
         let _ = self.child.kill();
         let _ = self.child.wait();
-        if self.clients.stop_accepting.swap(false, Ordering::AcqRel) {
-            while self.clients.acceptor_running.load(Ordering::Acquire) {
-                std::thread::sleep(POLL_INTERVAL);
-            }
+        let resumption = self.clients.acceptor.resume();
+        if resumption != Resumption::NotStopped {
             self.clients.send_to_membership(MembershipMessage::Join);
+        }
+        if resumption == Resumption::Restart {
             let (clients, listener) = (self.clients.clone(), self.listener.clone());
             if let Err(why) =
                 spawn("acceptor", CONNECTION_STACK_BYTES, move || clients.accept_until_stopped(&listener))
             {
+                self.clients.acceptor.finish();
                 slog::crit!(self.log, "no acceptor: new clients can't be accepted"; "why" => why);
             }
         }
