Check when a datagram is for another incarnation by what the front was told

Cause: the check was wrong. It forbade WrongRecipient at all times. A reply to a hello that remembers the front in a later incarnation makes it go above that one (docs/fleet.md: "it goes on under a later life"), and datagrams for the earlier incarnation are refused from then on, as they have to be.

Change: the check says both sides now: no datagram is refused as another's before such a reply has been accepted, and each one is afterwards. Before, the second was not asked for, so the check is stricter where it applies and as strict elsewhere.

--- a/crates/membership/tests/fuzz.rs
+++ b/crates/membership/tests/fuzz.rs
@@ -53,6 +53,15 @@
     assert!(most[0] > 10 && most[2] <= most[0] + most[0] / 10, "{most:?} timers");
 }
 
+/// The kind of a reply to a hello.
+const HELLO_REPLY: u8 = 2;
+
+/// Whether a datagram tells its recipient that it is remembered in a later incarnation than its own.
+fn tells_later_incarnation(kind: u8, body: &[u8], own: u32) -> bool {
+    let reply = postcard::take_from_bytes::<(u64, u32)>(body);
+    kind == HELLO_REPLY && reply.is_ok_and(|((_hello, remembered), _)| remembered > own)
+}
+
 /// The input holds some datagrams, each prefixed by its length. The first is taken as it is, the others as bodies
 /// under a valid head of a kind, from front 0 to front 1, signed with the right key.
 fn play(input: &[u8]) {
@@ -60,6 +69,7 @@
     let times = Timing { period: Duration::from_millis(100), suspicion_periods: 3 };
     let mut one = Membership::new(1, CLUSTER_SIZE, 1000, 3, 2, times, keys);
     let (mut out, mut rest, mut now) = (Out::default(), input, Duration::ZERO);
+    let mut has_later_incarnation = false;
     for number in 1..=32u64 {
         let Some((&length, left)) = rest.split_first() else { break };
         let (bytes, left) = left.split_at(usize::from(length).min(left.len()));
@@ -70,12 +80,14 @@
             assert!(taken.is_err(), "accepted without a valid tag: {taken:?}");
         }
         let (kind, body) = bytes.split_first().map_or((0, &[][..]), |(kind, body)| (kind % 8, body));
-        let datagram = from_0(kind, number, &body[..body.len().min(200)]);
-        let taken = one.handle_datagram(now, 0, &datagram, &mut out);
-        assert!(
-            !matches!(taken, Err(Refused::Forged | Refused::Version | Refused::WrongRecipient)),
-            "{taken:?}"
-        );
+        let body = &body[..body.len().min(200)];
+        let incarnation = one.incarnation();
+        let taken = one.handle_datagram(now, 0, &from_0(kind, number, body), &mut out);
+        assert!(!matches!(taken, Err(Refused::Forged | Refused::Version)), "{taken:?}");
+        // The datagrams are for the first incarnation: none is refused as that of another before the front has been
+        // told of a later one, and all are afterwards.
+        assert_eq!(taken == Err(Refused::WrongRecipient), has_later_incarnation, "{taken:?}");
+        has_later_incarnation |= taken.is_ok() && tells_later_incarnation(kind, body, incarnation);
         one.handle_timeout(now, &mut out);
         assert!(one.present().iter().all(|&place| place < CLUSTER_SIZE));
         assert!(one.peers().len() == CLUSTER_SIZE);
