Judge what the recording process reads behind its own pauses by when it was sent

Cause: the emulated servers and clients run in the test's own process, and its history dates what they read when they read it. Auditors allow a message 100 ms. While that process stands still, statements and the ends of attempts lie in its sockets; right behind it they seem to be sent late.

Change: a thread of the rig notes each pause of 50 ms or more. Four auditors (sent after its answer, out twice, drains, stale reads) ask when a message may have been sent: 100 ms of running time before it was read, as before; only pauses don't count. Everything else is as strict: without a pause the bound is the same 100 ms to the microsecond.

--- a/crates/lab/src/fleet/audit.rs
+++ b/crates/lab/src/fleet/audit.rs
@@ -3,6 +3,7 @@
 
 use super::history::Line;
 use super::owners;
+use super::pauses::Pauses;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use serde_json::{Value, json};
@@ -87,6 +88,7 @@
     pub(super) faults: Vec<(Value, Duration, Duration)>,
     /// The kind of each txn.
     kinds: HashMap<u64, usize>,
+    pauses: Pauses,
 }
 
 pub(super) fn micros(value: &Value) -> Duration {
@@ -134,7 +136,7 @@
                 disturbances[front].push((line.at, line.at + RECOVERY_TIME));
             }
         }
-        HistoryView { lines, settings, fronts, disturbances, faults, kinds }
+        HistoryView { lines, settings, fronts, disturbances, faults, kinds, pauses: Pauses::read(lines) }
     }
 
     pub(super) fn lines_of(&self, what: &'a str) -> impl Iterator<Item = &'a Line> {
@@ -153,6 +155,11 @@
             .is_some_and(|intervals| intervals.iter().any(|&(a, b)| a <= to && from <= b))
     }
 
+    /// The earliest time at which a process may have sent what the recording process read at this time.
+    fn earliest_sent(&self, read_at: Duration) -> Duration {
+        self.pauses.earliest_sent(read_at, PROPAGATION_DELAY)
+    }
+
     /// The end of the run; the time of the last line if the history is incomplete.
     pub(super) fn end(&self) -> Duration {
         self.lines_of("over")
@@ -275,7 +282,7 @@
         match line.what.as_str() {
             "submitted" => {
                 spans.entry(txn).or_default().push((line.at, Duration::MAX, member));
-                if answered.get(&txn).is_some_and(|&at| line.at > at + PROPAGATION_DELAY) {
+                if answered.get(&txn).is_some_and(|&at| view.earliest_sent(line.at) > at) {
                     found.push((line.at, format!("front {} sends txn {txn} after its answer", front(line))));
                 }
             }
@@ -291,7 +298,7 @@
         }
     }
     for (txn, spans) in spans {
-        for pair in spans.windows(2).filter(|pair| pair[0].1 > pair[1].0 + PROPAGATION_DELAY) {
+        for pair in spans.windows(2).filter(|pair| view.earliest_sent(pair[0].1) > pair[1].0) {
             found.push((pair[1].0, format!("txn {txn} is out twice")));
         }
     }
@@ -301,7 +308,7 @@
 /// Rule 3: nothing new is sent to a draining or removed member after the grace period, which starts when that front
 /// received the list entry.
 fn check_drains(view: &HistoryView) -> Vec<(Duration, String)> {
-    let grace = micros(&view.settings["drain_grace"]) + PROPAGATION_DELAY;
+    let grace = micros(&view.settings["drain_grace"]);
     let mut drained: HashMap<(usize, u64), Duration> = HashMap::new();
     let mut found = Vec::new();
     for line in view.lines {
@@ -315,8 +322,8 @@
             }
             // A stopped process may not have read the entry yet, and what it had already written still arrives.
             "submitted"
-                if drained.get(&key).is_some_and(|&at| line.at > at + grace)
-                    && !view.excused(key.0, line.at.saturating_sub(grace), line.at) =>
+                if drained.get(&key).is_some_and(|&at| view.earliest_sent(line.at) > at + grace)
+                    && !view.excused(key.0, view.earliest_sent(line.at).saturating_sub(grace), line.at) =>
             {
                 let what = format!("front {} sends to member {}, which is to get none", key.0, key.1);
                 found.push((line.at, what));
@@ -371,11 +378,12 @@
                 let epoch = line.number("epoch");
                 let known_replica = replica
                     .get(&key)
-                    .is_some_and(|&(at, of)| Some(of) == epoch && line.at > at + PROPAGATION_DELAY);
+                    .is_some_and(|&(at, of)| Some(of) == epoch && view.earliest_sent(line.at) > at);
                 // A request that waited in a socket while its front was stopped was written in time.
                 let excused =
                     leads || epoch.is_some() && !known_replica || view.excused(key.0, line.at, line.at);
-                if age > bound + PROPAGATION_DELAY.as_micros() as u64 && !excused {
+                let on_its_way = line.at - view.earliest_sent(line.at);
+                if age > bound + on_its_way.as_micros() as u64 && !excused {
                     found.push((
                         line.at,
                         format!("front {} reads data {} ms old at member {}", key.0, age / 1000, key.1),
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod misbehaving;
 pub mod owners;
 pub mod page;
+mod pauses;
 pub mod play;
 pub mod primaries;
 mod process;
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -6,6 +6,7 @@
 use super::ledger::Clients;
 use super::machine::MachineFaults;
 use super::misbehaving::MisbehavingClients;
+use super::pauses::record_pauses;
 use super::process::{POLL_INTERVAL, PROCESS_TIMEOUT, Process};
 use super::relay::Relay;
 use super::schedule::{FaultKind, InjectedFault, Schedule};
@@ -238,6 +239,8 @@
         rig.start(front)?;
     }
     let over = Arc::new(AtomicBool::new(false));
+    let clock = cluster.clone();
+    record_pauses(history.clone(), move || clock.now(), over.clone());
     // Enough clients for the concurrent load while all writes are held: a txn that waits for a free client connection
     // reaches its front with its deadline already spent.
     let busy_s = (1.2 * schedule.expiry_ms as f64 / 1000.0).max(3.0);
