Tell an answer that equals the load report before it from a second copy of that report

A client's own SHOW server_load meets this. A second report with other figures was served to the statement behind the probe as its row.

Cause: equal bytes were taken for proof of a copy, other bytes for proof of an answer. Neither is: an answer names no statement.

Change: an answer of the report's form (its row without the numbers) is kept. If nothing comes for 0.1 s, half of the time left at most, an empty query is sent behind the statement. A server answers the queries of a connection in their order: if that answer is next, the kept one was the statement's own, else what comes first is. pg::CopyCheck decides, without I/O. Statements that name server_load wait for the 3 ms of all others. A report that is left out is counted (load_reports_repeated) and logged with its server.

--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -54,7 +54,7 @@
     clients, clients_refused, clients_unfinished, bad_messages, duplicate_ids, txns, over_limits, committed, declined, rolled_back, unknown, invalid, left, withheld_unread, withdrawn_in_transit, guard_acts,
     submitted, ended_committed, ended_errored, ended_invalid, ended_spoilt, ended_full, ended_timed_out, ended_unreachable,
     ended_dropped, ended_cancelled, ended_moot, ended_misplaced,
-    connections_opened, connections_reused, connections_reuse_awaited, connections_unexpected_bytes, connections_lost, connections_idle_closed,
+    connections_opened, connections_reused, connections_reuse_awaited, connections_unexpected_bytes, load_reports_repeated, connections_lost, connections_idle_closed,
     probes, probes_failed, probes_spared, members_ended, members_forgotten, lists, lists_failed, reloads, reloads_failed, reminders, reminders_late, panics,
     primary_changes, vacancies, vacant_most_ms, plans, plans_undone,
     groups_vacant, groups_settling, groups_steady, groups_doubted, groups_handing_over, waiting,
--- a/crates/front/src/member/connection.rs
+++ b/crates/front/src/member/connection.rs
@@ -74,8 +74,8 @@
     /// Since when the connection has carried no job, or had carried none when it got its present one; `None` before
     /// its first idle time.
     idle_since: Cell<Option<Duration>>,
-    /// The messages of the load report that the last job got, if that was a probe: a second copy of it can be told from
-    /// any row of a statement, so the connection may be used again at once.
+    /// The messages of the load report that the last job got, if that was a probe: [`pg::CopyCheck`] tells a second copy
+    /// of it from the answer to a statement, so the connection may be used again at once.
     probe_answer: RefCell<Option<Vec<u8>>>,
 }
 
@@ -266,14 +266,24 @@
     }
 
     /// Whether a second copy of what the server answered last can be told from the answer to this job: if that was a load
-    /// report and this is a request's statement. Two reports in a row may well be the same.
+    /// report and this is a request's statement that does not ask for one. Two reports in a row may well be the same.
     fn recognises_copies(&self, job: &Job) -> bool {
-        matches!(job, Job::Submit(_)) && self.probe_answer.borrow().is_some()
+        let Job::Submit(submit) = job else { return false };
+        self.probe_answer.borrow().is_some() && !pg::names_load_report(&submit.statement)
     }
 
-    /// Whether an answer to this job is the server's second copy of what it answered to the probe before.
-    fn is_copy_of_probe_answer(&self, job: &Job, reply: &Reply) -> bool {
-        self.recognises_copies(job) && self.probe_answer.borrow().as_ref() == Some(&reply.raw)
+    /// The check of the answers to this job, if it comes right behind a probe.
+    fn copy_check(&self, job: &Job) -> Option<pg::CopyCheck> {
+        if !self.recognises_copies(job) {
+            return None;
+        }
+        self.probe_answer.borrow().as_deref().map(pg::CopyCheck::new)
+    }
+
+    /// Records that the answer before this one was a second copy of the server's load report.
+    fn record_copy(&self) {
+        self.context.counters.load_reports_repeated.add();
+        slog::info!(self.context.log, "a server sent its load report twice"; "member" => self.member);
     }
 
     /// After a stall a client's end may still be unread: its actor gets a turn first, then the dispatcher.
@@ -331,12 +341,13 @@
         if let Err(failure) = link.queue(&pg::query(&text)) {
             return result_of_failure(&failure, reply);
         }
-        let (mut written, mut had_copy) = (false, false);
+        let mut written = false;
+        let (mut copy_check, mut ambiguous) = (self.copy_check(job), None);
         let mut transit_checks = TransitChecks::begin(now);
         for busy in 1u32.. {
             // The statement takes effect only with its last byte: if it was not written at once, check again before
             // each further write.
-            if busy > 1 && !link.is_flushed() && !self.may_continue(job) {
+            if busy > 1 && !written && !link.is_flushed() && !self.may_continue(job) {
                 return JobResult { outcome: AttemptOutcome::Moot, reply, usable: false };
             }
             let awaits_memory = self.limit_reading(link);
@@ -346,16 +357,25 @@
                 // Nothing in such an answer is used.
                 return JobResult { outcome: AttemptOutcome::Spoilt, reply: Reply::default(), usable: false };
             }
-            let unsent = !link.is_flushed();
+            // A marker that is written later is no part of the statement.
+            let unsent = !written && !link.is_flushed();
             if !unsent && !std::mem::replace(&mut written, true) {
                 let handed_over_at = clock.now();
                 self.record_written(job, now, handed_over_at);
                 transit_checks.handed_over(handed_over_at);
             }
-            if reply.ready && self.is_copy_of_probe_answer(job, &reply) {
-                // The answer is still to come.
-                (reply, had_copy) = (Reply::to(job), true);
-                continue;
+            if reply.ready
+                && let Some(check) = &mut copy_check
+            {
+                match check.read(&reply.raw, reply.is_empty_query, clock.now(), deadline) {
+                    pg::Reading::Ambiguous => {
+                        ambiguous = Some(std::mem::replace(&mut reply, Reply::to(job)));
+                        continue;
+                    }
+                    pg::Reading::Marker => reply = ambiguous.take().unwrap_or_default(),
+                    pg::Reading::Answer if ambiguous.is_some() => self.record_copy(),
+                    pg::Reading::Answer => {}
+                }
             }
             if reply.ready || (unsent && reply.described) {
                 // Ready without an answer proves nothing, and a row that came before its statement was written whole
@@ -367,7 +387,8 @@
                         usable: false,
                     };
                 };
-                return JobResult { outcome, reply, usable: !had_copy };
+                let is_clean = copy_check.is_none_or(|check| !check.is_ambiguous());
+                return JobResult { outcome, reply, usable: is_clean };
             }
             match pumped {
                 Err(failure) => return result_of_failure(&failure, reply),
@@ -380,6 +401,12 @@
                 }
                 Ok(_) => {}
             }
+            if written && copy_check.as_mut().is_some_and(|check| check.takes_marker(clock.now())) {
+                if let Err(failure) = link.queue(&pg::query("")) {
+                    return result_of_failure(&failure, reply);
+                }
+                continue;
+            }
             let stop = if self.cancelled(job) {
                 Some(AttemptOutcome::Cancelled)
             } else if clock.now() >= deadline {
@@ -393,7 +420,8 @@
             }
             if matches!(pumped, Ok(false)) {
                 let retry_at = if awaits_memory { clock.now() + MEMORY_RETRY_PAUSE } else { deadline };
-                self.wait_until(link, retry_at.min(deadline).min(transit_checks.due(job)));
+                let marker_due = copy_check.as_ref().and_then(pg::CopyCheck::marker_due).unwrap_or(deadline);
+                self.wait_until(link, retry_at.min(deadline).min(transit_checks.due(job)).min(marker_due));
             } else {
                 // An answer without an end must not starve the others.
                 clock.yield_if_busy(busy, link.lacks_memory());
--- a/crates/front/src/member/reply.rs
+++ b/crates/front/src/member/reply.rs
@@ -22,6 +22,8 @@
     pub value: Vec<u8>,
     keeps_value: bool,
     pub error: Option<String>,
+    /// The answer to an empty query.
+    pub is_empty_query: bool,
     pub role: Option<Role>,
     /// In microseconds since 1970.
     pub position_unix: Option<i64>,
@@ -93,7 +95,8 @@
                 self.error = Some(code.to_owned());
             }
             b'Z' => self.ready = true,
-            b'N' | b'I' | b'K' | b'R' => {}
+            b'I' => self.is_empty_query = true,
+            b'N' | b'K' | b'R' => {}
             other => {
                 return Err(format!("expected an answer, found a message of type {:?}", other as char));
             }
--- a/crates/front/tests/connection_reuse.rs
+++ b/crates/front/tests/connection_reuse.rs
@@ -27,21 +27,33 @@
     early: AtomicUsize,
     /// Second copies that were sent within [`MIN_IDLE`] of the answer.
     copies: AtomicUsize,
+    /// Statements that were answered with the bytes of the load report before them.
+    repeated_reports: AtomicUsize,
     /// Second copies that came later, as this thread was held up while it sent one: nothing can tell them from an
     /// answer.
     late_copies: AtomicUsize,
 }
 
-/// A primary that answers each txn with its statement as the row. If it copies, it sends each answer a second time, those
-/// to probes too:
-/// as soon as the next statement comes on that connection, or after [`COPY_AFTER`] if none does.
+/// How a [`CopyingMember`] answers.
+#[derive(Clone, Copy, PartialEq)]
+enum Answers {
+    /// Each txn with its statement as the row.
+    Once,
+    /// Likewise, and each answer a second time, those to probes too: as soon as the next statement comes on that
+    /// connection, or after [`COPY_AFTER`] if none does.
+    Twice,
+    /// A txn right behind a probe with the very bytes of that load report, each other one with its statement.
+    LastReport,
+}
+
+/// A primary that answers in one of several ways.
 struct CopyingMember {
     at: SocketAddr,
     seen: Arc<Seen>,
 }
 
 impl CopyingMember {
-    fn start(copies: bool) -> CopyingMember {
+    fn start(answers: Answers) -> CopyingMember {
         let listener = TcpListener::bind(address()).expect("a free address");
         let at = listener.local_addr().expect("an address");
         let seen = Arc::<Seen>::default();
@@ -53,7 +65,7 @@
                     seen.connections.fetch_add(1, Ordering::SeqCst);
                     let open = seen.open.fetch_add(1, Ordering::SeqCst) + 1;
                     seen.most_open.fetch_max(open, Ordering::SeqCst);
-                    let _ = serve(stream, copies, &seen);
+                    let _ = serve(stream, answers, &seen);
                     seen.open.fetch_sub(1, Ordering::SeqCst);
                 });
             }
@@ -71,26 +83,34 @@
 }
 
 /// Serves one connection until it ends.
-fn serve(mut stream: TcpStream, copies: bool, seen: &Seen) -> Option<()> {
+fn serve(mut stream: TcpStream, answers: Answers, seen: &Seen) -> Option<()> {
     use std::io::Write;
     stream.set_nodelay(true).ok()?;
     read_message(&mut stream, false)?;
     stream.write_all(&[message(b'R', &[0; 4]), ready()].concat()).ok()?;
     let mut answered_at: Option<Instant> = None;
+    let mut last_report: Option<String> = None;
     while let Some((b'Q', body)) = read_message(&mut stream, true) {
         let early = answered_at.is_some_and(|at| at.elapsed() < MIN_IDLE);
         seen.early.fetch_add(usize::from(early), Ordering::SeqCst);
         let text = String::from_utf8_lossy(&body).trim_end_matches('\0').to_owned();
+        if text.is_empty() {
+            stream.write_all(&[message(b'I', &[]), ready()].concat()).ok()?;
+            continue;
+        }
         let is_probe = text == "SHOW server_load";
-        let value =
-            if is_probe { format!("x0={:.3},x1=1,q=0,busy=0.1", unix_ms() as f64 / 1000.0) } else { text };
+        let report = format!("x0={:.3},x1=1,q=0,busy=0.1", unix_ms() as f64 / 1000.0);
+        let repeated = last_report.take().filter(|_| answers == Answers::LastReport && !is_probe);
+        seen.repeated_reports.fetch_add(usize::from(repeated.is_some()), Ordering::SeqCst);
+        let value = if is_probe { report.clone() } else { repeated.unwrap_or(text) };
+        last_report = is_probe.then_some(report);
         let answer = [row(value.as_bytes()), parameter("node_role", "leader"), ready()].concat();
         // Taken before the answer can be read, so that what counts as too soon certainly is.
         let before = Instant::now();
         // A second copy of a load report is known by its bytes, so the connection may be used again at once.
         answered_at = (!is_probe).then_some(before);
         stream.write_all(&answer).ok()?;
-        if copies {
+        if answers == Answers::Twice {
             wait_for_statement(&stream, COPY_AFTER)?;
             if before.elapsed() < MIN_IDLE {
                 stream.write_all(&answer).ok()?;
@@ -151,7 +171,7 @@
 /// Guards against serving a member's second copy of an answer to the request that uses the connection next.
 #[test]
 fn second_copy_of_an_answer_is_never_served_to_the_next_request() {
-    let member = CopyingMember::start(true);
+    let member = CopyingMember::start(Answers::Twice);
     let agent = Agent::start(WATCH);
     let front = Front::start(PROGRAM, agent.at, &member.server_list(), 1024);
     wait_until(|| front.client().query(&txn("order", 4000, "first")).value.is_some());
@@ -166,7 +186,7 @@
 #[test]
 fn requests_in_a_row_use_no_more_connections_than_there_are_clients() {
     const CLIENTS: usize = 8;
-    let member = CopyingMember::start(false);
+    let member = CopyingMember::start(Answers::Once);
     let agent = Agent::start(WATCH);
     let front = Front::start(PROGRAM, agent.at, &member.server_list(), 1024);
     wait_until(|| front.client().query(&txn("order", 4000, "first")).value.is_some());
@@ -185,7 +205,7 @@
 /// for want of memory.
 #[test]
 fn second_copy_is_not_missed_while_reads_fail_for_want_of_memory() {
-    let member = CopyingMember::start(true);
+    let member = CopyingMember::start(Answers::Twice);
     let agent = Agent::start(WATCH);
     let path = std::env::temp_dir().join(format!("jd-reuse-{}", std::process::id()));
     Controls::default().write(&path).expect("a file");
@@ -201,3 +221,27 @@
     assert_eq!(foreign, 0, "of 150 orders: another's row");
     assert!(member.count(|seen| &seen.copies) > 0, "no copy was sent in time");
 }
+
+/// Guards against taking a statement's own answer for a second copy of the load report before it: its request got no
+/// row.
+#[test]
+fn answer_that_equals_the_load_report_before_it_is_served() {
+    let member = CopyingMember::start(Answers::LastReport);
+    let agent = Agent::start(WATCH);
+    let front = Front::start(PROGRAM, agent.at, &member.server_list(), 1024);
+    wait_until(|| front.client().query(&txn("order", 4000, "first")).value.is_some());
+    let mut client = front.client();
+    let mut sent = 0;
+    wait_until(|| {
+        sent += 1;
+        let reply = client.query(&txn("order", 2000, &format!("n{sent}")));
+        assert!(reply.value.is_some(), "order {sent}: {reply:?}");
+        member.count(|seen| &seen.repeated_reports) > 0
+    });
+    let own = txn("order", 2000, "own")
+        .split_inclusive("*/")
+        .next()
+        .map(|comment| format!("{comment} SHOW server_load"));
+    let reply = client.query(&own.expect("a comment"));
+    assert!(reply.value.is_some(), "a client's own request for the load report: {reply:?}");
+}
--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -299,10 +299,9 @@
     assert!(matches!(ends[..], [AttemptOutcome::Spoilt]), "one end without an answer");
 }
 
-/// Guards against serving a member's second copy of its load report to the request whose statement comes right behind the
-/// probe: such a statement is written at once.
-#[test]
-fn second_copy_of_a_load_report_is_not_the_answer_to_the_statement_behind_it() {
+/// Plays a member that answers a probe with a load report and the statement right behind it as told; returns the rows
+/// that were served. The connection is not used again.
+fn rows_behind_a_probe(answer: impl FnOnce(&mut TcpStream, &[u8]) + Send + 'static) -> Vec<Vec<u8>> {
     use juniperdock_test_support::row;
     use juniperdock_test_support::wire::{read_message, ready};
     use std::io::Write;
@@ -318,9 +317,7 @@
         read_message(&mut stream, true).expect("a probe");
         stream.write_all(&report).expect("its answer");
         read_message(&mut stream, true).expect("a statement");
-        // The copy crosses the statement.
-        stream.write_all(&report).expect("the copy");
-        stream.write_all(&[row(b"own"), ready()].concat()).expect("the answer");
+        answer(&mut stream, &report);
         read_message(&mut stream, true).is_none()
     });
     let ((pool, _at_pool), (dispatcher, reported)) = (channel(), channel());
@@ -334,16 +331,67 @@
         let _ = ended.send(connection.serve_jobs(&mut Some(probe), None));
     })
     .expect("a coroutine");
-    // A connection that has had a copy is not used again.
     assert_eq!(end.recv_timeout(Duration::from_secs(20)), Ok(ServerCloseReason::Unusable));
     assert!(member.join().expect("no panic"), "nothing more comes on that connection");
-    let rows: Vec<Vec<u8>> = reported
-        .try_iter()
-        .filter_map(|message| match message {
-            DispatcherMessage::AttemptEnded(end) => Some(end.row),
-            _ => None,
-        })
-        .collect();
-    assert_eq!(rows, [row(b"own")], "one answer, the statement's own");
+    let rows = reported.try_iter().filter_map(|message| match message {
+        DispatcherMessage::AttemptEnded(end) => Some(end.row),
+        _ => None,
+    });
+    let rows = rows.collect();
     drop(sender);
+    rows
+}
+
+/// Guards against serving a member's second copy of its load report to the request whose statement comes right behind the
+/// probe: such a statement is written at once.
+#[test]
+fn second_copy_of_a_load_report_is_not_the_answer_to_the_statement_behind_it() {
+    use juniperdock_test_support::{row, wire::ready};
+    use std::io::Write;
+    let rows = rows_behind_a_probe(|stream, report| {
+        // The copy crosses the statement.
+        stream.write_all(report).expect("the copy");
+        stream.write_all(&[row(b"own"), ready()].concat()).expect("the answer");
+    });
+    assert_eq!(rows, [row(b"own")], "one answer, the statement's own");
+}
+
+/// Guards against serving a second report with other figures.
+#[test]
+fn second_load_report_with_other_figures_is_not_the_answer_to_the_statement_behind_it() {
+    use juniperdock_test_support::{row, wire::ready};
+    use std::io::Write;
+    let rows = rows_behind_a_probe(|stream, _| {
+        stream.write_all(&[row(b"x0=0.500,x1=0,q=7,busy=0.25"), ready()].concat()).expect("a second report");
+        stream.write_all(&[row(b"own"), ready()].concat()).expect("the answer");
+    });
+    assert_eq!(rows, [row(b"own")], "one answer, the statement's own");
+}
+
+/// Guards against the same where the statement is in work for longer than the front waits before it asks which of both
+/// the equal bytes are.
+#[test]
+fn second_copy_of_a_load_report_is_told_from_a_slow_answer() {
+    use juniperdock_test_support::{message, row, wire::read_message, wire::ready};
+    use std::io::Write;
+    let rows = rows_behind_a_probe(|stream, report| {
+        stream.write_all(report).expect("the copy");
+        assert_eq!(read_message(stream, true), Some((b'Q', vec![0])), "an empty query");
+        stream.write_all(&[row(b"own"), ready()].concat()).expect("the answer");
+        stream.write_all(&[message(b'I', &[]), ready()].concat()).expect("the answer to the empty query");
+    });
+    assert_eq!(rows, [row(b"own")], "one answer, the statement's own");
+}
+
+/// Guards against leaving out a statement's own answer as it equals the load report before it.
+#[test]
+fn answer_that_equals_the_load_report_is_served_once_the_member_has_nothing_else() {
+    use juniperdock_test_support::{message, row, wire::read_message, wire::ready};
+    use std::io::Write;
+    let rows = rows_behind_a_probe(|stream, report| {
+        stream.write_all(report).expect("the answer");
+        assert_eq!(read_message(stream, true), Some((b'Q', vec![0])), "an empty query");
+        stream.write_all(&[message(b'I', &[]), ready()].concat()).expect("the answer to the empty query");
+    });
+    assert_eq!(rows, [row(b"x0=0.000,x1=0,q=0,busy=0")]);
 }
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -2,8 +2,10 @@
 //! Does no I/O.
 
 mod comment;
+mod copy_check;
 
 pub use comment::{Comment, MAX_COMMENT_FIELDS, shown};
+pub use copy_check::{CopyCheck, Reading, names_load_report};
 
 use std::ops::Range;
 
