Leave out a repeated load report that comes before its statement is whole

Change: CopyCheck is told whether the statement has been written; such a report is left out and counted at once, and what comes behind the whole statement is judged anew.

--- a/crates/front/src/member/connection.rs
+++ b/crates/front/src/member/connection.rs
@@ -280,7 +280,7 @@
         self.probe_answer.borrow().as_deref().map(pg::CopyCheck::new)
     }
 
-    /// Records that the answer before this one was a second copy of the server's load report.
+    /// Records that the server sent its load report twice.
     fn record_copy(&self) {
         self.context.counters.load_reports_repeated.add();
         slog::info!(self.context.log, "a server sent its load report twice"; "member" => self.member);
@@ -367,7 +367,12 @@
             if reply.ready
                 && let Some(check) = &mut copy_check
             {
-                match check.read(&reply.raw, reply.is_empty_query, clock.now(), deadline) {
+                match check.read(&reply.raw, reply.is_empty_query, written, clock.now(), deadline) {
+                    pg::Reading::Repeated => {
+                        self.record_copy();
+                        reply = Reply::to(job);
+                        continue;
+                    }
                     pg::Reading::Ambiguous => {
                         ambiguous = Some(std::mem::replace(&mut reply, Reply::to(job)));
                         continue;
@@ -387,7 +392,7 @@
                         usable: false,
                     };
                 };
-                let is_clean = copy_check.is_none_or(|check| !check.is_ambiguous());
+                let is_clean = copy_check.is_none_or(|check| !check.is_suspect());
                 return JobResult { outcome, reply, usable: is_clean };
             }
             match pumped {
@@ -401,7 +406,7 @@
                 }
                 Ok(_) => {}
             }
-            if written && copy_check.as_mut().is_some_and(|check| check.takes_marker(clock.now())) {
+            if copy_check.as_mut().is_some_and(|check| check.takes_marker(clock.now())) {
                 if let Err(failure) = link.queue(&pg::query("")) {
                     return result_of_failure(&failure, reply);
                 }
--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -302,10 +302,28 @@
 /// Plays a member that answers a probe with a load report and the statement right behind it as told; returns the rows
 /// that were served. The connection is not used again.
 fn rows_behind_a_probe(answer: impl FnOnce(&mut TcpStream, &[u8]) + Send + 'static) -> Vec<Vec<u8>> {
+    rows_of_statement_behind_a_probe("", |stream, report| {
+        juniperdock_test_support::wire::read_message(stream, true).expect("a statement");
+        answer(stream, report);
+    })
+}
+
+/// Like [`rows_behind_a_probe`], for a given statement, which the member has not read.
+fn rows_of_statement_behind_a_probe(
+    statement: &str,
+    answer: impl FnOnce(&mut TcpStream, &[u8]) + Send + 'static,
+) -> Vec<Vec<u8>> {
     use juniperdock_test_support::row;
     use juniperdock_test_support::wire::{read_message, ready};
     use std::io::Write;
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
+    // Small, so that a long statement is not written whole at once.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a small buffer");
+    socket.set_mss(1460).expect("small segments");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).expect("a free address");
+    socket.listen(1).expect("a listener");
+    let listener = std::net::TcpListener::from(socket);
     let address = listener.local_addr().expect("an address");
     let member = std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
@@ -316,13 +334,16 @@
         let report = [row(b"x0=0.000,x1=0,q=0,busy=0"), ready()].concat();
         read_message(&mut stream, true).expect("a probe");
         stream.write_all(&report).expect("its answer");
-        read_message(&mut stream, true).expect("a statement");
         answer(&mut stream, &report);
         read_message(&mut stream, true).is_none()
     });
     let ((pool, _at_pool), (dispatcher, reported)) = (channel(), channel());
     let (sender, messages) = channel();
-    let _ = sender.send(ConnectionMessage::Job(submit(Duration::from_secs(3600))));
+    let mut job = submit(Duration::from_secs(3600));
+    if let Job::Submit(submit) = &mut job {
+        submit.statement = statement.into();
+    }
+    let _ = sender.send(ConnectionMessage::Job(job));
     let context = context(dispatcher);
     let (ended, end) = std::sync::mpsc::channel();
     spawn("line", context.stack_bytes, move || {
@@ -395,3 +416,20 @@
     });
     assert_eq!(rows, [row(b"x0=0.000,x1=0,q=0,busy=0")]);
 }
+
+/// Guards against asking which of both a repeated report is while the statement is not whole yet: it can't be its answer.
+#[test]
+fn load_report_that_is_repeated_before_the_statement_is_whole_is_left_out() {
+    use juniperdock_test_support::{row, wire::read_message, wire::ready};
+    use std::io::Write;
+    const STATEMENT_BYTES: usize = 256 << 10;
+    // Longer than an ambiguous answer is kept without a marker.
+    const STALL: Duration = Duration::from_millis(300);
+    let rows = rows_of_statement_behind_a_probe(&"x".repeat(STATEMENT_BYTES), |stream, report| {
+        stream.write_all(report).expect("the copy");
+        std::thread::sleep(STALL);
+        read_message(stream, true).expect("the statement");
+        stream.write_all(&[row(b"own"), ready()].concat()).expect("the answer");
+    });
+    assert_eq!(rows, [row(b"own")], "one answer, the statement's own");
+}
--- a/crates/pg/src/copy_check.rs
+++ b/crates/pg/src/copy_check.rs
@@ -25,7 +25,9 @@
 pub enum Reading {
     /// Its own answer.
     Answer,
-    /// The copy or its own answer: to be kept until the next one is read.
+    /// A second report: it was read before the statement was written whole.
+    Repeated,
+    /// A second report or its own answer: to be kept until the next one is read.
     Ambiguous,
     /// The answer to the marker: the one that was kept is the statement's own.
     Marker,
@@ -36,6 +38,8 @@
 pub struct CopyCheck {
     /// The report without its numbers.
     form: Option<Vec<u8>>,
+    /// A second report has come, or may have.
+    is_suspect: bool,
     marker: Marker,
 }
 
@@ -49,30 +53,38 @@
 impl CopyCheck {
     /// `report` holds the messages of the load report, from the description of its row to its completion.
     pub fn new(report: &[u8]) -> CopyCheck {
-        CopyCheck { form: form(report), marker: Marker::NotNeeded }
+        CopyCheck { form: form(report), is_suspect: false, marker: Marker::NotNeeded }
     }
 
-    /// Judges a complete answer of these messages that is read now, for a statement that is given up at `deadline`.
+    /// Judges a complete answer of these messages that is read now, for a statement that is given up at `deadline`, and
+    /// that has been written whole or not.
     pub fn read(
         &mut self,
         answer: &[u8],
         is_empty_query: bool,
+        is_written: bool,
         now: Duration,
         deadline: Duration,
     ) -> Reading {
-        match self.marker {
-            Marker::NotNeeded if self.form.is_some() && form(answer) == self.form => {
-                self.marker = Marker::DueAt(now + MARKER_DELAY.min(deadline.saturating_sub(now) / 2));
-                Reading::Ambiguous
-            }
-            Marker::Sent if is_empty_query => Reading::Marker,
-            _ => Reading::Answer,
+        if self.marker == Marker::Sent && is_empty_query {
+            return Reading::Marker;
+        }
+        let may_be_report =
+            self.marker == Marker::NotNeeded && self.form.is_some() && form(answer) == self.form;
+        if !may_be_report {
+            return Reading::Answer;
+        }
+        self.is_suspect = true;
+        if !is_written {
+            return Reading::Repeated;
         }
+        self.marker = Marker::DueAt(now + MARKER_DELAY.min(deadline.saturating_sub(now) / 2));
+        Reading::Ambiguous
     }
 
-    /// Whether an answer is kept that may be the copy.
-    pub fn is_ambiguous(&self) -> bool {
-        self.marker != Marker::NotNeeded
+    /// Whether the connection may bring more than belongs to its answers.
+    pub fn is_suspect(&self) -> bool {
+        self.is_suspect
     }
 
     /// When the marker is to be sent; none if it is not needed, or has been sent.
--- a/crates/pg/tests/copy_check.rs
+++ b/crates/pg/tests/copy_check.rs
@@ -30,47 +30,47 @@
 fn second_report_with_other_figures_is_as_ambiguous_as_a_copy() {
     let mut check = check_behind_report();
     let other = answer("x0=12.25,q=0,busy=-1");
-    assert_eq!(check.read(&other, false, ms(1), DEADLINE), Reading::Ambiguous);
-    assert_eq!(check.read(&answer("row"), false, ms(9), DEADLINE), Reading::Answer);
+    assert_eq!(check.read(&other, false, true, ms(1), DEADLINE), Reading::Ambiguous);
+    assert_eq!(check.read(&answer("row"), false, true, ms(9), DEADLINE), Reading::Answer);
 }
 
 #[test]
 fn other_bytes_are_the_statements_own_answer() {
     let mut check = check_behind_report();
-    assert_eq!(check.read(&answer("row"), false, ms(1), DEADLINE), Reading::Answer);
-    assert!(!check.is_ambiguous() && check.marker_due().is_none());
+    assert_eq!(check.read(&answer("row"), false, true, ms(1), DEADLINE), Reading::Answer);
+    assert!(!check.is_suspect() && check.marker_due().is_none());
 }
 
 #[test]
 fn answer_behind_an_equal_one_is_the_statements_own_even_if_equal() {
     for next in [answer("row"), report()] {
         let mut check = check_behind_report();
-        assert_eq!(check.read(&report(), false, ms(1), DEADLINE), Reading::Ambiguous);
-        assert_eq!(check.read(&next, false, ms(9), DEADLINE), Reading::Answer);
+        assert_eq!(check.read(&report(), false, true, ms(1), DEADLINE), Reading::Ambiguous);
+        assert_eq!(check.read(&next, false, true, ms(9), DEADLINE), Reading::Answer);
     }
 }
 
 #[test]
 fn marker_is_sent_once_and_its_answer_confirms_the_one_before() {
     let mut check = check_behind_report();
-    assert_eq!(check.read(&report(), false, ms(1), DEADLINE), Reading::Ambiguous);
+    assert_eq!(check.read(&report(), false, true, ms(1), DEADLINE), Reading::Ambiguous);
     assert!(check.marker_due() == Some(ms(101)) && !check.takes_marker(ms(100)));
     assert!(check.takes_marker(ms(101)) && !check.takes_marker(ms(102)));
-    assert_eq!(check.read(b"", true, ms(103), DEADLINE), Reading::Marker);
+    assert_eq!(check.read(b"", true, true, ms(103), DEADLINE), Reading::Marker);
 }
 
 #[test]
 fn answer_that_comes_before_the_markers_is_the_statements_own() {
     let mut check = check_behind_report();
-    check.read(&report(), false, ms(1), DEADLINE);
+    check.read(&report(), false, true, ms(1), DEADLINE);
     assert!(check.takes_marker(ms(101)));
-    assert_eq!(check.read(&answer("row"), false, ms(150), DEADLINE), Reading::Answer);
+    assert_eq!(check.read(&answer("row"), false, true, ms(150), DEADLINE), Reading::Answer);
 }
 
 #[test]
 fn marker_is_sent_in_time_for_a_short_deadline() {
     let mut check = check_behind_report();
-    check.read(&report(), false, ms(10), ms(50));
+    check.read(&report(), false, true, ms(10), ms(50));
     assert_eq!(check.marker_due(), Some(ms(30)));
 }
 
@@ -78,3 +78,12 @@
 fn statements_that_may_ask_for_the_report_are_known() {
     assert!(names_load_report("/* c=lookup */ show SERVER_LOAD") && !names_load_report("SELECT 1"));
 }
+
+#[test]
+fn report_before_the_statement_is_whole_needs_no_marker() {
+    let mut check = check_behind_report();
+    assert_eq!(check.read(&report(), false, false, ms(1), DEADLINE), Reading::Repeated);
+    assert!(check.is_suspect() && check.marker_due().is_none() && !check.takes_marker(ms(500)));
+    // What comes behind the whole statement is judged anew.
+    assert_eq!(check.read(&report(), false, true, ms(600), DEADLINE), Reading::Ambiguous);
+}
