Take the position of a test's replica only once its front has started

Cause: in the test. Its replicas report one position for the whole test, and a position from before the start of the front's process proves nothing to it (docs of Origin::position). Traced: the position was 102 us older than the start. With one that is 5 ms older the test fails in 6 of 6.

Change: a read is answered first, two milliseconds go by (positions are whole ones), what the replicas have seen of it is forgotten, and the test goes on as it was. A first try without the last of these failed in all plays: the loop ended by the read before it.

--- a/crates/front/tests/races.rs
+++ b/crates/front/tests/races.rs
@@ -627,6 +627,8 @@
     }
 }
 
+const POSITION_RESOLUTION: Duration = Duration::from_millis(1);
+
 #[test]
 fn reports_that_come_with_answers_prove_data_where_nothing_may_be_asked() {
     let cluster = TestCluster::new();
@@ -636,6 +638,11 @@
         .replace("[\"recent\",\"update\",", "[\"recent\",\"loose\",");
     let front = Front::start_with_config(PROGRAM, address(), cluster.agent.at, &config, None);
     let mut client = front.client();
+    // A position from before the start of the process proves nothing, and positions are whole milliseconds.
+    let started = txn("lookup", 20_000, "started").replace("c=lookup", "c=mark");
+    assert!(client.query(&started).value.is_some());
+    std::thread::sleep(2 * POSITION_RESOLUTION);
+    cluster.members.iter().for_each(|member| member.seen.try_iter().for_each(drop));
     // Loose reads go to replicas, whose answers report their positions.
     wait_until(|| {
         let report = format!("busy=0.1,x1=0,x0={:.3}", unix_ms() as f64 / 1000.0);
