Remember in the upgrade itself that it was committed

After SIGTERM the acceptor has ended, so a commit behind it left no trace there; if that upgrade was then undone, the old process took it for not committed and killed the new one, although that might serve.

Change: the upgrade keeps it as a field. AcceptorState loses a question that only its test would ask now; the test checks the same states by the others.

Measured: upgrade.rs and the unit tests pass.

--- a/crates/front/src/acceptor_state.rs
+++ b/crates/front/src/acceptor_state.rs
@@ -31,11 +31,6 @@
         self.change(RUNNING, STOP_REQUESTED);
     }
 
-    /// Whether it has been asked to stop, or has stopped.
-    pub fn is_stop_requested(&self) -> bool {
-        matches!(self.0.load(Ordering::Acquire), STOP_REQUESTED | STOPPED)
-    }
-
     /// Takes a stop back.
     pub fn resume(&self) -> Resumption {
         if self.change(STOP_REQUESTED, RUNNING) {
--- a/crates/front/src/upgrade.rs
+++ b/crates/front/src/upgrade.rs
@@ -44,6 +44,8 @@
     socket: PacketSocket,
     child: Child,
     state: OldProcess,
+    /// The new process has been told that it serves from now on.
+    committed: bool,
     transfer_tx: Sender<ClientTransfer>,
     transfer_rx: Receiver<ClientTransfer>,
     in_flight: BTreeMap<u64, TransferResult>,
@@ -83,6 +85,7 @@
         socket,
         child,
         state,
+        committed: false,
         transfer_tx,
         transfer_rx,
         in_flight: BTreeMap::new(),
@@ -199,6 +202,7 @@
             Action::TransferAll => self.clients.transfer_all(),
             Action::Commit => {
                 if self.send_message(&message::commit(), None) {
+                    self.committed = true;
                     self.clients.acceptor.request_stop();
                     let waker = self.listener.waker();
                     self.clients.clock.run_at(Duration::ZERO, move || waker.wake());
@@ -235,7 +239,7 @@
         while let Ok(client) = self.transfer_rx.try_recv() {
             client.result.complete(false);
         }
-        let committed = self.clients.acceptor.is_stop_requested();
+        let committed = self.committed;
         // An exiting process closes its socket shortly before it is gone.
         let started_at = Instant::now();
         while committed && matches!(self.child.try_wait(), Ok(None)) && started_at.elapsed() < EXIT_GRACE {
