--- a/crates/front/tests/session_upgrades.rs
+++ b/crates/front/tests/session_upgrades.rs
@@ -3,6 +3,7 @@
 
 use juniperdock_fd_passing::{PacketSocket, Received};
 use juniperdock_hot_restart::message::{self, MAX_MESSAGE_LEN};
+use juniperdock_lab::sessions;
 use juniperdock_test_support::{
     Agent, Client, FROZEN, Front, ReplicatedGroup, TEST_TIMEOUT, WATCH, address, list, session_read,
     session_write,
@@ -255,3 +256,14 @@
     (0..READS).for_each(|_| assert!(read(&mut client, "another session").is_some()));
     assert_eq!(cluster.group.reads_at_replicas(), before, "any session may have written there");
 }
+
+/// Guards against a session that misses a write of its own in any order of upgrades that are disturbed: processes on
+/// either side are stopped and killed. `juniperdock-lab sessions` plays longer ones.
+#[test]
+fn sessions_see_their_writes_while_upgrades_are_disturbed() {
+    for seed in [1, 2, 3, 4] {
+        let figures = sessions::play(PROGRAM, seed, Duration::from_secs(8)).expect("played");
+        println!("seed {seed}\n{figures}");
+        assert!(figures.holds(), "seed {seed}: {figures}");
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod request_logs;
 pub mod scale;
 pub mod scenario;
+pub mod sessions;
 pub mod simulate;
 pub mod sockets;
 pub mod upgrade;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,7 +7,9 @@
 use juniperdock_lab::measure::Outcome;
 use juniperdock_lab::scenario::{self, BUILT_IN_SCENARIOS, Scenario, find};
 use juniperdock_lab::simulate::simulate;
-use juniperdock_lab::{circle, fleet, load, offices, prove, report, request_logs, scale, sockets, upgrade};
+use juniperdock_lab::{
+    circle, fleet, load, offices, prove, report, request_logs, scale, sessions, sockets, upgrade,
+};
 use std::io::IsTerminal;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -288,6 +290,18 @@
         #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=100))]
         groups: u64,
     },
+    /// Upgrade a front repeatedly while sessions write and read, and processes on either side are stopped and killed.
+    Sessions {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Number of consecutive seeds to run.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(5..=3600))]
+        seconds: u64,
+        #[arg(long, default_value = "target/release/juniperdock")]
+        front: String,
+    },
     /// Act as a failing new process; started by the front that is being upgraded.
     #[command(hide = true)]
     Successor { how: String },
@@ -522,6 +536,15 @@
             println!("seed {seed}\n{figures}");
             Ok(figures.holds())
         }
+        Command::Sessions { seed, seeds, seconds, front } => {
+            let mut all_hold = true;
+            for seed in seed..seed + seeds {
+                let figures = sessions::play(&front, seed, Duration::from_secs(seconds))?;
+                println!("seed {seed}\n{figures}");
+                all_hold &= figures.holds();
+            }
+            Ok(all_hold)
+        }
         Command::Successor { how } => Ok(upgrade::successor(&how)),
         Command::Scale { front, servers, behaviour, changes_per_second, changes_seconds, seed, json } => {
             let sizes = servers.into_iter().map(|servers| servers as usize).collect();
