--- /dev/null
+++ b/crates/front/src/upgrade/new_process.rs
@@ -0,0 +1,215 @@
+//! The new process's side: receives the listener and the clients of the process that it replaces.
+
+use super::SUCCESSOR_ENV;
+use crate::clients::SharedClients;
+use crate::messages::DispatcherMessage;
+use crate::threads;
+use juniperdock_fd_passing::{PacketSocket, PeerProcess, Received};
+use juniperdock_hot_restart::message::{self, MAX_MESSAGE_LEN, MessageHandler};
+use juniperdock_hot_restart::{NewProcess, SUPPORTED_VERSIONS, Stage};
+use juniperdock_session_marks::{SharedMarks, TableError};
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::{AsFd, OwnedFd};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// How long the new process waits for a message. The old process has its own, shorter limits for each step.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A client received from the old process.
+struct ReceivedClient {
+    stream: TcpStream,
+    unread: Vec<u8>,
+    open: bool,
+    skipping: bool,
+}
+
+/// The new process's side of an upgrade.
+pub struct TransferTarget {
+    socket: PacketSocket,
+    state: NewProcess,
+    descriptor: Option<OwnedFd>,
+    listener: Option<TcpListener>,
+    unread: Vec<u8>,
+    received_clients: Vec<ReceivedClient>,
+    snapshot: Vec<u8>,
+    /// The table of session marks, if the old process has sent it.
+    session_marks: Option<Result<SharedMarks, TableError>>,
+    /// The old process.
+    peer: Result<PeerProcess, String>,
+    /// Idle connections to members, by their ids.
+    idle: Vec<(String, TcpStream)>,
+    error: Option<&'static str>,
+}
+
+impl MessageHandler for TransferTarget {
+    fn agreed(&mut self, version: u16) {
+        if !self.state.on_version(version) {
+            self.error = Some("no common protocol version");
+        }
+    }
+
+    fn session_marks(&mut self) {
+        let table = self.descriptor.take().ok_or(TableError::NotATable);
+        self.session_marks = Some(table.and_then(SharedMarks::from_descriptor));
+    }
+
+    fn memory(&mut self, piece: &[u8]) {
+        self.snapshot.extend_from_slice(piece);
+        if self.snapshot.len() > juniperdock_snapshot::MAX_SNAPSHOT_BYTES {
+            self.error = Some("the snapshot of the old process is too long");
+        }
+    }
+
+    fn listener(&mut self) {
+        self.listener = self.descriptor.take().map(TcpListener::from);
+        if !self.state.on_listener() || self.listener.is_none() {
+            self.error = Some("listener missing or unexpected");
+        }
+    }
+
+    fn unread(&mut self, bytes: &[u8]) {
+        self.unread.extend_from_slice(bytes);
+    }
+
+    fn client(&mut self, number: u64, open: bool, skipping: bool) {
+        let unread = std::mem::take(&mut self.unread);
+        let (Some(fd), Some(_)) = (self.descriptor.take(), self.state.on_client()) else {
+            self.error = Some("unexpected client");
+            return;
+        };
+        self.received_clients.push(ReceivedClient { stream: TcpStream::from(fd), unread, open, skipping });
+        // After this confirmation the client belongs to this process, provided that the restart is committed.
+        let _ = self.socket.send(&message::client_received(number), None);
+    }
+
+    fn idle(&mut self, member: &str) {
+        let stream = self.descriptor.take().map(TcpStream::from);
+        self.idle.extend(stream.map(|stream| (member.to_owned(), stream)));
+    }
+
+    fn commit(&mut self) {
+        if !self.state.on_commit() {
+            self.error = Some("unexpected commit");
+        }
+    }
+
+    fn nonsense(&mut self) {
+        self.error = Some("malformed message");
+    }
+}
+
+impl TransferTarget {
+    /// Connects to the process to be replaced and agrees on a protocol version; `None` if this process was started
+    /// otherwise.
+    pub fn connect() -> Option<Result<TransferTarget, String>> {
+        std::env::var_os(SUCCESSOR_ENV)?;
+        let socket = std::io::stdin().as_fd().try_clone_to_owned().map(PacketSocket::from_fd);
+        Some(socket.map_err(|e| format!("standard input: {e}")).and_then(|socket| {
+            let (unread, received_clients, snapshot) = (Vec::new(), Vec::new(), Vec::new());
+            // Opened before the old process answers, so its id can't have passed to another process.
+            let peer = socket.peer();
+            let mut target = TransferTarget {
+                socket,
+                state: NewProcess::default(),
+                descriptor: None,
+                listener: None,
+                unread,
+                received_clients,
+                snapshot,
+                session_marks: None,
+                peer,
+                idle: Vec::new(),
+                error: None,
+            };
+            target.socket.send(&message::hello(SUPPORTED_VERSIONS.0, SUPPORTED_VERSIONS.1), None)?;
+            target.wait_for_stage(Stage::Preparing)?;
+            Ok(target)
+        }))
+    }
+
+    /// Handles messages until that stage is reached.
+    fn wait_for_stage(&mut self, stage: Stage) -> Result<(), String> {
+        let started_at = Instant::now();
+        while self.state.stage() != stage {
+            self.receive_message(MESSAGE_TIMEOUT.saturating_sub(started_at.elapsed()))?;
+            if started_at.elapsed() >= MESSAGE_TIMEOUT {
+                return Err("no message from the old process in time".to_owned());
+            }
+        }
+        Ok(())
+    }
+
+    fn receive_message(&mut self, wait: Duration) -> Result<(), String> {
+        match self.socket.receive(MAX_MESSAGE_LEN, wait)? {
+            Received::Packet(message, with) => {
+                self.descriptor = with;
+                message::deliver_to_new(&message, self);
+            }
+            Received::TimedOut => {}
+            Received::Closed => {
+                if !self.state.on_disconnected() {
+                    return Err("the old process continues without this one".to_owned());
+                }
+                return Err("the old process has exited".to_owned());
+            }
+        }
+        self.error.map_or(Ok(()), |why| Err(format!("hot restart: {why}")))
+    }
+
+    /// Reports that this process is ready to serve, and waits for the listener.
+    pub fn receive_listener(&mut self) -> Result<TcpListener, String> {
+        self.socket.send(&message::ready(), None)?;
+        self.wait_for_stage(Stage::Receiving)?;
+        self.listener.take().ok_or_else(|| "no listener received".to_owned())
+    }
+
+    /// Collects clients and connections until the commit, then serves them. Clients that were busy follow on a thread.
+    pub fn serve(mut self, clients: &Arc<SharedClients>) -> Result<(), String> {
+        self.wait_for_stage(Stage::Serving)?;
+        self.adopt_session_marks(clients);
+        if !self.snapshot.is_empty() {
+            clients.clock.post(
+                &clients.dispatcher,
+                DispatcherMessage::RestoreSnapshot(std::mem::take(&mut self.snapshot)),
+            );
+        }
+        self.admit_received(clients);
+        let clients = clients.clone();
+        clients.receiving_transfers.store(true, Ordering::Release);
+        threads::start("received clients", move || {
+            while self.receive_message(MESSAGE_TIMEOUT).is_ok() {
+                self.admit_received(&clients);
+            }
+            clients.receiving_transfers.store(false, Ordering::Release);
+            match self.peer.and_then(|peer| peer.wait_for_end()) {
+                Ok(()) => clients.clock.post(&clients.dispatcher, DispatcherMessage::PredecessorEnded),
+                Err(why) => {
+                    slog::warn!(clients.log, "the old process may still commit, as far as is known"; "why" => why);
+                }
+            }
+        })
+    }
+
+    /// Hands the table of session marks to the dispatcher, which takes all marks for lost until it has one.
+    fn adopt_session_marks(&mut self, clients: &SharedClients) {
+        match self.session_marks.take() {
+            Some(Ok(table)) => {
+                clients.clock.post(&clients.dispatcher, DispatcherMessage::PredecessorServes(Some(table)))
+            }
+            Some(Err(why)) => slog::warn!(clients.log, "session marks are lost"; "why" => %why),
+            None => slog::info!(clients.log, "the old process shares no session marks"),
+        }
+    }
+
+    fn admit_received(&mut self, clients: &Arc<SharedClients>) {
+        for (member, stream) in self.idle.drain(..) {
+            clients.clock.post(&clients.dispatcher, DispatcherMessage::AdoptConnection(member, stream));
+        }
+        // The clients sent last are the most active ones and must not wait behind the others.
+        for client in self.received_clients.drain(..).rev() {
+            clients.clone().admit(client.stream, &client.unread, client.open, client.skipping);
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/upgrade/old_process.rs
@@ -0,0 +1,288 @@
+//! The old process's side: starts the new process and transfers the listener and the clients to it.
+
+use super::SUCCESSOR_ENV;
+use crate::acceptor_state::Resumption;
+use crate::client::CONNECTION_STACK_BYTES;
+use crate::clients::{ClientTransfer, SharedClients, TransferResult};
+use crate::messages::{DispatcherMessage, MembershipMessage};
+use juniperdock_connection::{Listener, spawn};
+use juniperdock_fd_passing::{PacketSocket, Received};
+use juniperdock_hot_restart::message::{self, MAX_MESSAGE_LEN};
+use juniperdock_hot_restart::{Action, OldProcess, Phase, Timeouts, VERSION_WITH_SESSION_MARKS};
+use std::collections::BTreeMap;
+use std::os::fd::OwnedFd;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::{Receiver, Sender, SyncSender, channel, sync_channel};
+use std::time::{Duration, Instant};
+
+/// How long one wait for messages lasts.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// Clients that are sent before confirmations are read again.
+const BATCH_SIZE: usize = 16;
+/// How long a process may take to exit after its socket has closed.
+const EXIT_GRACE: Duration = Duration::from_secs(1);
+/// How long the dispatcher may take to produce a snapshot, or the table of session marks.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The id of a member, and an idle connection to it.
+type IdleConnection = (String, OwnedFd);
+
+/// The old process's side of an upgrade.
+struct TransferSource {
+    clients: Arc<SharedClients>,
+    listener: Arc<Listener>,
+    socket: PacketSocket,
+    child: Child,
+    state: OldProcess,
+    /// The new process has been told that it serves from now on.
+    committed: bool,
+    transfer_tx: Sender<ClientTransfer>,
+    transfer_rx: Receiver<ClientTransfer>,
+    in_flight: BTreeMap<u64, TransferResult>,
+    /// Idle connections to members that are to be sent.
+    idle_channel: (Sender<IdleConnection>, Receiver<IdleConnection>),
+    log: slog::Logger,
+}
+
+/// Starts the program and transfers listener and clients to it. Sends `result_tx` the id of the new process once that
+/// serves, or the reason why this process continues to serve.
+pub fn run_upgrade(
+    clients: Arc<SharedClients>,
+    listener: Arc<Listener>,
+    program: &Path,
+    timeouts: Timeouts,
+    result_tx: &SyncSender<Result<u32, String>>,
+    log: slog::Logger,
+) {
+    let started = PacketSocket::pair().and_then(|(socket, child_socket)| {
+        let child = Command::new(program)
+            .args(std::env::args_os().skip(1))
+            .env(SUCCESSOR_ENV, "1")
+            .stdin(Stdio::from(child_socket))
+            .spawn();
+        child.map(|child| (socket, child)).map_err(|e| format!("starting {}: {e}", program.display()))
+    });
+    let (socket, child) = match started {
+        Ok(started) => started,
+        Err(why) => return drop(result_tx.try_send(Err(why))),
+    };
+    slog::info!(log, "upgrade started"; "program" => %program.display(), "pid" => child.id());
+    let (transfer_tx, transfer_rx) = channel();
+    let state = OldProcess::new(clients.clock.now(), timeouts);
+    TransferSource {
+        clients,
+        listener,
+        socket,
+        child,
+        state,
+        committed: false,
+        transfer_tx,
+        transfer_rx,
+        in_flight: BTreeMap::new(),
+        idle_channel: channel(),
+        log,
+    }
+    .run(result_tx);
+}
+
+impl TransferSource {
+    fn run(mut self, result_tx: &SyncSender<Result<u32, String>>) {
+        loop {
+            self.receive_messages();
+            if !matches!(self.child.try_wait(), Ok(None)) {
+                self.state.on_disconnected();
+            }
+            // In small batches, with confirmations read in between: otherwise both sides could block on full sockets.
+            let clients: Vec<_> = self.transfer_rx.try_iter().take(BATCH_SIZE).collect();
+            if clients.len() < BATCH_SIZE {
+                for (member, connection) in
+                    self.idle_channel.1.try_iter().take(BATCH_SIZE).collect::<Vec<_>>()
+                {
+                    self.send_message(&message::idle(&member), Some(&connection));
+                }
+            }
+            clients.into_iter().for_each(|client| self.send_client(client));
+            // Clients still arriving from this process's own predecessor have to be transferred, too.
+            let still_receiving = self.clients.receiving_transfers.load(Ordering::Acquire);
+            self.state.set_remaining(self.clients.present() + usize::from(still_receiving));
+            while let Some(action) = self.state.next_action(self.clients.clock.now()) {
+                if self.perform(action, result_tx) {
+                    return;
+                }
+            }
+            if let Phase::Aborted(why) = self.state.phase() {
+                // No client is in flight any more.
+                slog::error!(self.log, "upgrade aborted"; "why" => ?why);
+                let _ = result_tx.try_send(Err(format!("undone: {why:?}")));
+                return;
+            }
+        }
+    }
+
+    /// Reads the messages that have arrived from the new process; waits up to `POLL_INTERVAL` for the first.
+    fn receive_messages(&mut self) {
+        let mut wait = POLL_INTERVAL;
+        for _ in 0..4 * BATCH_SIZE {
+            match self.socket.receive(MAX_MESSAGE_LEN, wait) {
+                Ok(Received::Packet(message, _)) => message::deliver_to_old(&message, &mut self.state),
+                Ok(Received::TimedOut) => return,
+                Ok(Received::Closed) => return self.state.on_disconnected(),
+                Err(_) => return self.state.on_protocol_error(),
+            }
+            wait = Duration::ZERO;
+        }
+    }
+
+    /// Returns whether the message was sent; if not, the new process counts as disconnected.
+    fn send_message(&mut self, message: &[u8], with: Option<&OwnedFd>) -> bool {
+        let sent = self.socket.send(message, with).is_ok();
+        if !sent {
+            self.state.on_disconnected();
+        }
+        sent
+    }
+
+    /// Returns an encoded snapshot, which is empty if the dispatcher does not produce one in time.
+    fn snapshot(&self) -> Vec<u8> {
+        let (reply, response) = sync_channel(1);
+        self.clients.clock.post(&self.clients.dispatcher, DispatcherMessage::TakeSnapshot(reply));
+        let snapshot =
+            response.recv_timeout(SNAPSHOT_TIMEOUT).map_err(|e| e.to_string()).and_then(|snapshot| snapshot);
+        snapshot.unwrap_or_else(|why| {
+            slog::warn!(self.log, "no snapshot for the new process; it starts without one"; "why" => why);
+            Vec::new()
+        })
+    }
+
+    /// Sends a snapshot; returns whether all of it was sent.
+    fn send_snapshot(&mut self) -> bool {
+        let snapshot = self.snapshot();
+        let pieces = snapshot.chunks(MAX_MESSAGE_LEN - 1);
+        pieces.map(message::memory).all(|piece| self.send_message(&piece, None))
+            && self.send_message(&message::memory(&[]), None)
+    }
+
+    /// Shares the marks of sessions with the new process, if it knows them; without them it takes all of them for lost.
+    /// Returns whether the new process is still connected.
+    fn send_session_marks(&mut self) -> bool {
+        if self.state.version() < VERSION_WITH_SESSION_MARKS {
+            return true;
+        }
+        let (reply, response) = sync_channel(1);
+        self.clients.clock.post(&self.clients.dispatcher, DispatcherMessage::ShareSessionMarks(reply));
+        let table = response.recv_timeout(SNAPSHOT_TIMEOUT).map_err(|e| e.to_string());
+        match table.and_then(|table| table.map_err(|e| e.to_string())) {
+            Ok(Some(table)) => self.send_message(&message::session_marks(), Some(&table)),
+            Ok(None) => true,
+            Err(why) => {
+                slog::warn!(self.log, "no session marks for the new process"; "why" => why);
+                true
+            }
+        }
+    }
+
+    /// Sends a client together with its unprocessed input. If clients are no longer transferred, it stays here.
+    fn send_client(&mut self, client: ClientTransfer) {
+        let ClientTransfer { number, descriptor, unread, open, skipping, result } = client;
+        let sent = self.state.is_transferring()
+            && unread
+                .chunks(MAX_MESSAGE_LEN - 1)
+                .all(|piece| self.send_message(&message::unread(piece), None))
+            && self.send_message(&message::client(number, open, skipping), Some(&descriptor));
+        if !sent {
+            result.complete(false);
+            return;
+        }
+        self.in_flight.insert(number, result);
+        self.state.on_sent(self.clients.clock.now(), number);
+    }
+
+    /// Performs an action. Returns true once the upgrade is complete.
+    fn perform(&mut self, action: Action, result_tx: &SyncSender<Result<u32, String>>) -> bool {
+        match action {
+            Action::SendVersion(version) => drop(self.send_message(&message::agree(version), None)),
+            Action::SendListener => match self.listener.descriptor() {
+                Ok(listener) => {
+                    if self.send_session_marks()
+                        && self.send_snapshot()
+                        && self.send_message(&message::listener(), Some(&listener))
+                    {
+                        self.clients.start_transfer(self.transfer_tx.clone());
+                    }
+                }
+                Err(_) => self.state.cancel(),
+            },
+            Action::TransferAll => self.clients.transfer_all(),
+            Action::Commit => {
+                if self.send_message(&message::commit(), None) {
+                    self.committed = true;
+                    self.clients.acceptor.request_stop();
+                    let waker = self.listener.waker();
+                    self.clients.clock.run_at(Duration::ZERO, move || waker.wake());
+                    // The new process needs the peer address and represents this front from now on.
+                    self.clients.send_to_membership(MembershipMessage::Leave);
+                    self.clients.clock.post(
+                        &self.clients.dispatcher,
+                        DispatcherMessage::TransferIdle(self.idle_channel.0.clone()),
+                    );
+                    slog::info!(self.log, "upgrade committed"; "clients" => self.in_flight.len(), "pid" => self.child.id());
+                    let _ = result_tx.try_send(Ok(self.child.id()));
+                }
+            }
+            Action::Release(client) => {
+                self.in_flight.remove(&client).iter().for_each(|result| result.complete(true))
+            }
+            Action::Keep(client) => {
+                self.in_flight.remove(&client).iter().for_each(|result| result.complete(false))
+            }
+            Action::Resume => self.resume(),
+            Action::Exit => {
+                slog::info!(self.log, "last client transferred");
+                // Ends the usual way; no client is left to wait for.
+                let _ = signal_hook::low_level::raise(signal_hook::consts::SIGTERM);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Continues to serve: clients stay, and new ones are accepted again.
+    fn resume(&mut self) {
+        self.clients.stop_transfer();
+        while let Ok(client) = self.transfer_rx.try_recv() {
+            client.result.complete(false);
+        }
+        let committed = self.committed;
+        // An exiting process closes its socket shortly before it is gone.
+        let started_at = Instant::now();
+        while committed && matches!(self.child.try_wait(), Ok(None)) && started_at.elapsed() < EXIT_GRACE {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        let exited_cleanly = matches!(self.child.try_wait(), Ok(Some(status)) if status.success());
+        if committed && (exited_cleanly || matches!(self.child.try_wait(), Ok(None))) {
+            // The new process serves although its socket is closed, or it has served and was terminated in the regular
+            // way: this process answers its pending requests and exits.
+            let _ = signal_hook::low_level::raise(signal_hook::consts::SIGTERM);
+            return;
+        }
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.clients.clock.post(&self.clients.dispatcher, DispatcherMessage::UpgradeUndone { committed });
+        let resumption = self.clients.acceptor.resume();
+        if resumption != Resumption::NotStopped {
+            self.clients.send_to_membership(MembershipMessage::Join);
+        }
+        if resumption == Resumption::Restart {
+            let (clients, listener) = (self.clients.clone(), self.listener.clone());
+            if let Err(why) =
+                spawn("acceptor", CONNECTION_STACK_BYTES, move || clients.accept_until_stopped(&listener))
+            {
+                self.clients.acceptor.finish();
+                slog::crit!(self.log, "no acceptor: new clients can't be accepted"; "why" => why);
+            }
+        }
+    }
+}
