Say what an upgrade hands over; count reads at the primary and the length of upgrades

The laboratory's sessions tell reads at the primary and how long upgrades take, and play them undisturbed (`--calm`).

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,12 @@
 prove-upgrade: build
 	target/release/juniperdock-lab upgrades --seed $(SEED) --upgrades 10
 
+# Sessions that write and read across upgrades whose processes are stopped and killed by the seed.
+.PHONY: prove-sessions
+
+prove-sessions: build
+	target/release/juniperdock-lab sessions --seed $(SEED) --seeds 8 --seconds 12
+
 .PHONY: prove-lab demo
 
 prove-lab: build
--- a/crates/front/src/dispatcher/session_marks.rs
+++ b/crates/front/src/dispatcher/session_marks.rs
@@ -86,7 +86,7 @@
             return Ok(None);
         }
         if self.mark_sharing.is_incomplete {
-            return Err(TableError::NotATable);
+            return Err(TableError::Incomplete);
         }
         let table = match &self.mark_sharing.table {
             Some(table) => table.clone(),
--- a/crates/front/tests/session_upgrades.rs
+++ b/crates/front/tests/session_upgrades.rs
@@ -8,8 +8,9 @@
     Agent, Client, FROZEN, Front, ReplicatedGroup, TEST_TIMEOUT, WATCH, address, list, session_read,
     session_write,
 };
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
+use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -186,67 +187,83 @@
     cluster.assert_reads_see(&mut stays, "session", 2, "on a connection that has stayed");
 }
 
-/// The messages of a new process, as its predecessor sees them, and those of an old process of the first version.
+/// Set for a process of this test that plays an old process: the address at which the front listens.
+const PLAYS_OLD_PROCESS: &str = "PLAYS_OLD_PROCESS";
+
+/// No test by itself: where a test below says so, this process is an old process of the first protocol version, which
+/// shares no marks. It brings the program to serve in its place, and lives on until it is killed.
+#[test]
+fn play_old_process_of_the_first_version() {
+    let Ok(at) = std::env::var(PLAYS_OLD_PROCESS) else { return };
+    let listener: OwnedFd = TcpListener::bind(at).expect("a free address").into();
+    let (socket, child_socket) = PacketSocket::pair().expect("a socket pair");
+    let child =
+        Command::new(PROGRAM).env("JUNIPERDOCK_TAKES_OVER", "1").stdin(Stdio::from(child_socket)).spawn();
+    drop(child.expect("it starts"));
+    let send = |packet: &[u8], with| socket.send(packet, with).expect("sent");
+    let await_message = |letter: u8| match socket.receive(MAX_MESSAGE_LEN, TEST_TIMEOUT) {
+        Ok(Received::Packet(packet, _)) => assert_eq!(packet.first(), Some(&letter)),
+        _ => panic!("expected message {letter:?}"),
+    };
+    await_message(b'h');
+    send(&message::agree(1), None);
+    await_message(b'r');
+    send(&message::memory(&[]), None);
+    send(&message::listener(), Some(&listener));
+    send(&message::commit(), None);
+    std::thread::sleep(4 * TEST_TIMEOUT);
+}
+
+/// A process that plays an old process, and the new process that it has started.
 struct OldProcess {
-    socket: PacketSocket,
     child: Child,
+    at: SocketAddr,
 }
 
 impl OldProcess {
-    /// Starts the program as the next process of a front, and brings it to serve without sharing marks.
-    fn start(cluster: &TestCluster, listener: &OwnedFd) -> OldProcess {
-        let (socket, child_socket) = PacketSocket::pair().expect("a socket pair");
-        let child = Command::new(PROGRAM)
-            .env("JUNIPERDOCK_TAKES_OVER", "1")
-            .env("GW_LISTEN", "127.0.0.1:1")
+    fn start(cluster: &TestCluster) -> OldProcess {
+        let at = address();
+        let child = Command::new(std::env::current_exe().expect("its own path"))
+            .args(["--exact", "play_old_process_of_the_first_version"])
+            .env(PLAYS_OLD_PROCESS, at.to_string())
+            .env("GW_LISTEN", at.to_string())
             .env("GW_DISCOVERY", cluster.agent.at.to_string())
             .env("GW_CONFIG", cluster.front.path("config.json"))
             .env_remove("JUNIPERDOCK_CHARTER")
-            .stdin(Stdio::from(child_socket))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
             .stderr(Stdio::null())
+            .process_group(0)
             .spawn()
             .expect("it starts");
-        let process = OldProcess { socket, child };
-        process.await_message(b'h');
-        process.send(&message::agree(1), None);
-        process.await_message(b'r');
-        process.send(&message::memory(&[]), None);
-        process.send(&message::listener(), Some(listener));
-        process.send(&message::commit(), None);
-        process
-    }
-
-    fn send(&self, packet: &[u8], descriptor: Option<&OwnedFd>) {
-        self.socket.send(packet, descriptor).expect("sent");
+        OldProcess { child, at }
     }
 
-    fn await_message(&self, letter: u8) {
-        match self.socket.receive(MAX_MESSAGE_LEN, TEST_TIMEOUT) {
-            Ok(Received::Packet(packet, _)) => assert_eq!(packet.first(), Some(&letter)),
-            _ => panic!("expected message {letter:?}"),
-        }
+    fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
 impl Drop for OldProcess {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        // The new process is in the same process group.
+        let group = format!("-{}", self.child.id());
+        let _ = Command::new("kill").args(["-KILL", "--", &group]).status();
+        self.kill();
     }
 }
 
 /// Guards against a new process that takes a predecessor without shared marks, as an older version is, for one that has
-/// committed nothing.
+/// committed nothing, and against one that still does not trust replicas when that has ended.
 #[test]
-fn all_writes_bind_while_an_old_process_without_shared_marks_lives() {
+fn all_writes_bind_until_an_old_process_without_shared_marks_has_ended() {
     let cluster = TestCluster::start();
     write(&mut cluster.front.client(), "session", 7);
-    let listener = TcpListener::bind(address()).expect("a free address");
-    let at = listener.local_addr().expect("an address");
-    let _process = OldProcess::start(&cluster, &listener.into());
+    let mut old_process = OldProcess::start(&cluster);
     let mut client = None;
     wait_until(|| {
-        client = Client::open(at);
+        client = Client::open_within(old_process.at, TEST_TIMEOUT);
         client.is_some()
     });
     let mut client = client.expect("a client");
@@ -255,6 +272,11 @@
     let before = cluster.group.reads_at_replicas();
     (0..READS).for_each(|_| assert!(read(&mut client, "another session").is_some()));
     assert_eq!(cluster.group.reads_at_replicas(), before, "any session may have written there");
+    old_process.kill();
+    cluster.assert_reads_see(&mut client, "session", 7, "right after the end of the old process");
+    cluster.group.set_lag(Duration::from_millis(5));
+    cluster.assert_others_read_at_replicas(&mut client, "another session");
+    cluster.assert_reads_see(&mut client, "session", 7, "once replicas have caught up");
 }
 
 /// Guards against a session that misses a write of its own in any order of upgrades that are disturbed: processes on
@@ -262,7 +284,7 @@
 #[test]
 fn sessions_see_their_writes_while_upgrades_are_disturbed() {
     for seed in [1, 2, 3, 4] {
-        let figures = sessions::play(PROGRAM, seed, Duration::from_secs(8)).expect("played");
+        let figures = sessions::play(PROGRAM, seed, Duration::from_secs(8), false).expect("played");
         println!("seed {seed}\n{figures}");
         assert!(figures.holds(), "seed {seed}: {figures}");
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -301,6 +301,9 @@
         seconds: u64,
         #[arg(long, default_value = "target/release/juniperdock")]
         front: String,
+        /// No process is stopped or killed, and no start fails.
+        #[arg(long)]
+        calm: bool,
     },
     /// Act as a failing new process; started by the front that is being upgraded.
     #[command(hide = true)]
@@ -536,10 +539,10 @@
             println!("seed {seed}\n{figures}");
             Ok(figures.holds())
         }
-        Command::Sessions { seed, seeds, seconds, front } => {
+        Command::Sessions { seed, seeds, seconds, front, calm } => {
             let mut all_hold = true;
             for seed in seed..seed + seeds {
-                let figures = sessions::play(&front, seed, Duration::from_secs(seconds))?;
+                let figures = sessions::play(&front, seed, Duration::from_secs(seconds), calm)?;
                 println!("seed {seed}\n{figures}");
                 all_hold &= figures.holds();
             }
--- a/crates/lab/src/sessions.rs
+++ b/crates/lab/src/sessions.rs
@@ -72,6 +72,9 @@
     /// Reads that did not see a write of their session that was answered before.
     pub stale: u64,
     pub reads_at_replicas: u64,
+    pub reads_at_primary: u64,
+    /// How long each upgrade took, as its operator saw it.
+    pub upgrades_took: Vec<Duration>,
     pub notes: Vec<String>,
 }
 
@@ -85,9 +88,12 @@
 impl fmt::Display for Figures {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         self.notes.iter().try_for_each(|note| writeln!(f, "{note}"))?;
+        let mut took = self.upgrades_took.clone();
+        took.sort_unstable();
+        let median = took.get(took.len() / 2).copied().unwrap_or_default();
         write!(
             f,
-            "sessions: upgrades={} undone={} old_killed={} restarts={} writes={} reads={} reads_at_replicas={} failed={} stale={}",
+            "sessions: upgrades={} undone={} old_killed={} restarts={} writes={} reads={} reads_at_replicas={} reads_at_primary={} failed={} stale={} upgrade_p50_ms={:.1}",
             self.upgrades,
             self.undone,
             self.old_killed,
@@ -95,8 +101,10 @@
             self.writes,
             self.reads,
             self.reads_at_replicas,
+            self.reads_at_primary,
             self.failed,
-            self.stale
+            self.stale,
+            median.as_secs_f64() * 1000.0
         )
     }
 }
@@ -270,6 +278,7 @@
 fn disturb(play: &Play, front: &mut PlayedFront, what: Disturbance, wait: Duration) {
     let old = front.serving;
     let program = if what == Disturbance::StartFails { "/bin/false" } else { front.program };
+    let started_at = Instant::now();
     let Some(new) = front.upgrade(program) else {
         if what != Disturbance::StartFails {
             play.note("an upgrade failed");
@@ -278,7 +287,10 @@
     };
     front.serving = new;
     front.processes.push(new);
-    play.update(|figures| figures.upgrades += 1);
+    play.update(|figures| {
+        figures.upgrades += 1;
+        figures.upgrades_took.push(started_at.elapsed());
+    });
     std::thread::sleep(wait);
     match what {
         Disturbance::None | Disturbance::StartFails => {}
@@ -302,11 +314,11 @@
     }
 }
 
-/// Plays for that long.
+/// Plays for that long. `calm`: upgrades are not disturbed.
 ///
 /// # Errors
 /// If the program is not there.
-pub fn play(program: &str, seed: u64, lasts: Duration) -> Result<Figures, String> {
+pub fn play(program: &str, seed: u64, lasts: Duration, calm: bool) -> Result<Figures, String> {
     std::fs::metadata(program).map_err(|e| format!("{program}: {e}"))?;
     let mut random = Rand32::new(seed);
     let group = ReplicatedGroup::start(REPLICAS, Duration::from_millis(20));
@@ -350,7 +362,7 @@
             std::thread::sleep(Duration::from_millis(u64::from(random.rand_range(50..500))));
             group.set_lag(Duration::from_millis(u64::from(random.rand_range(0..MAX_LAG_MS))));
             if left.is_empty() {
-                left = DISTURBANCES.to_vec();
+                left = if calm { vec![Disturbance::None] } else { DISTURBANCES.to_vec() };
             }
             let what = left.swap_remove(random.rand_range(0..left.len() as u32) as usize);
             let wait = Duration::from_millis(u64::from(random.rand_range(0..250)));
@@ -371,5 +383,6 @@
     front.end();
     let mut figures = play.figures.into_inner().unwrap_or_else(PoisonError::into_inner);
     figures.reads_at_replicas = group.reads_at_replicas();
+    figures.reads_at_primary = group.reads_at_primary();
     Ok(figures)
 }
--- a/crates/router/src/sessions.rs
+++ b/crates/router/src/sessions.rs
@@ -134,7 +134,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use std::sync::{Arc, Mutex};
+    use std::sync::{Arc, Mutex, MutexGuard};
 
     #[test]
     fn dropped_entries_still_count_and_memory_stays_bounded() {
@@ -173,38 +173,50 @@
         assert_eq!(sessions.must_see(now, 7), Some(now));
     }
 
+    #[derive(Debug, Default)]
+    struct Marks {
+        commits: HashMap<u64, Duration>,
+        in_flight: Vec<u64>,
+        floor: Option<Duration>,
+    }
+
     /// Marks of two processes, in memory of the test.
     #[derive(Clone, Debug, Default)]
-    struct Table(Arc<Mutex<(HashMap<u64, Duration>, Vec<u64>, Option<Duration>)>>);
+    struct Table(Arc<Mutex<Marks>>);
+
+    impl Table {
+        fn marks(&self) -> MutexGuard<'_, Marks> {
+            self.0.lock().expect("no panic")
+        }
+    }
 
     impl SharedSessionMarks for Table {
         fn record(&self, session: u64, commit: Duration) {
-            let marks = &mut self.0.lock().expect("no panic").0;
-            let newest = marks.entry(session).or_insert(commit);
+            let mut marks = self.marks();
+            let newest = marks.commits.entry(session).or_insert(commit);
             *newest = commit.max(*newest);
         }
 
         fn write_sent(&self, session: u64) {
-            self.0.lock().expect("no panic").1.push(session);
+            self.marks().in_flight.push(session);
         }
 
         fn write_ended(&self, session: u64) {
-            let in_flight = &mut self.0.lock().expect("no panic").1;
-            in_flight.retain(|&other| other != session);
+            self.marks().in_flight.retain(|&other| other != session);
         }
 
         fn has_write_in_flight(&self, session: u64) -> bool {
-            self.0.lock().expect("no panic").1.contains(&session)
+            self.marks().in_flight.contains(&session)
         }
 
         fn must_see(&self, session: u64) -> Option<Duration> {
-            let table = self.0.lock().expect("no panic");
-            table.0.get(&session).copied().max(table.2)
+            let marks = self.marks();
+            marks.commits.get(&session).copied().max(marks.floor)
         }
 
         fn raise_floor(&self, commit: Duration) {
-            let floor = &mut self.0.lock().expect("no panic").2;
-            *floor = (*floor).max(Some(commit));
+            let mut marks = self.marks();
+            marks.floor = marks.floor.max(Some(commit));
         }
     }
 
--- a/crates/session-marks/src/lib.rs
+++ b/crates/session-marks/src/lib.rs
@@ -29,13 +29,15 @@
 const WORDS_PER_SLOT: u64 = 2;
 const TABLE_BYTES: u64 = (FIRST_SLOT + SLOTS * WORDS_PER_SLOT) * WORD_BYTES;
 
-/// Why a descriptor that another process sent is not used as a table.
+/// Why there is no table.
 #[derive(Debug)]
 pub enum TableError {
     /// A system call failed.
     Io(io::Error),
     /// It has another size or layout, or could be shrunk.
     NotATable,
+    /// Marks of a previous process are missing here, so that a table would lack them.
+    Incomplete,
 }
 
 impl fmt::Display for TableError {
@@ -43,6 +45,7 @@
         match self {
             TableError::Io(e) => write!(f, "session marks: {e}"),
             TableError::NotATable => f.write_str("session marks: not a table of this version"),
+            TableError::Incomplete => f.write_str("session marks: those of the previous process are unknown"),
         }
     }
 }
