--- a/crates/lab/src/sessions.rs
+++ b/crates/lab/src/sessions.rs
@@ -161,6 +161,8 @@
         let value = reply.value.as_ref().and_then(|value| String::from_utf8_lossy(value).parse().ok());
         if value.is_none() {
             self.update(|figures| figures.failed += 1);
+            let (code, last) = (reply.code.as_deref().unwrap_or("-"), char::from(reply.last));
+            self.note(&format!("{statement} failed: {code}, {last}"));
         }
         if reply.last == 0
             && let Some(new) = self.connect()
