Let a test's member find its connection closed once the front has the answer

It writes the statement's answer and then, by a second write, the answer to the empty query; the front has what it needs after the first and closes the connection, which is not used again (the test expects `Unusable`). That the second write succeeds is nothing that the front owes; what it serves, how the connection ends and that nothing more comes on it are checked as before.

--- a/crates/front/tests/unit/member.rs
+++ b/crates/front/tests/unit/member.rs
@@ -399,7 +399,8 @@
         stream.write_all(report).expect("the copy");
         assert_eq!(read_message(stream, true), Some((b'Q', vec![0])), "an empty query");
         stream.write_all(&[row(b"own"), ready()].concat()).expect("the answer");
-        stream.write_all(&[message(b'I', &[]), ready()].concat()).expect("the answer to the empty query");
+        // The front has its answer by now and closes this connection, perhaps before this is written.
+        let _ = stream.write_all(&[message(b'I', &[]), ready()].concat());
     });
     assert_eq!(rows, [row(b"own")], "one answer, the statement's own");
 }
