--- a/crates/front/tests/cluster/mod.rs
+++ b/crates/front/tests/cluster/mod.rs
@@ -1,8 +1,8 @@
 //! A test cluster for the built program: one group of simulated members, discovery, and helpers that wait for a state.
 #![allow(dead_code)] // Not every test file uses all of it.
 
+pub use juniperdock_test_support::wait_until;
 use juniperdock_test_support::{Agent, Front, Member, TEST_TIMEOUT, WATCH, list};
-use std::time::Instant;
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperdock");
 
@@ -47,12 +47,3 @@
         self.members[member].seen.try_recv().is_err()
     }
 }
-
-/// Waits until the condition holds.
-pub fn wait_until(mut condition: impl FnMut() -> bool) {
-    let started_at = Instant::now();
-    while !condition() {
-        assert!(started_at.elapsed() < TEST_TIMEOUT, "the condition did not become true in time");
-        std::thread::sleep(std::time::Duration::from_millis(1));
-    }
-}
--- a/crates/front/tests/session_upgrades.rs
+++ b/crates/front/tests/session_upgrades.rs
@@ -5,14 +5,14 @@
 use juniperdock_hot_restart::message::{self, MAX_MESSAGE_LEN};
 use juniperdock_lab::sessions;
 use juniperdock_test_support::{
-    Agent, Client, FROZEN, Front, ReplicatedGroup, TEST_TIMEOUT, WATCH, address, list, session_read,
-    session_write,
+    Agent, Client, FROZEN, Front, OperatedFront, ReplicatedGroup, TEST_TIMEOUT, WATCH, address, has_ended,
+    list, session_read, session_write, signal, wait_until,
 };
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
 use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperdock");
 /// Reads that are sent in a row: without a mark each of them may go to any of the members.
@@ -22,7 +22,7 @@
 struct TestCluster {
     group: ReplicatedGroup,
     agent: Agent,
-    front: Front,
+    front: OperatedFront,
 }
 
 impl TestCluster {
@@ -33,36 +33,13 @@
             group.members.iter().zip(names).map(|(member, name)| (name, member.at, "up")).collect();
         let server_list = list(1, true, &entries);
         let (agent, at) = (Agent::start(WATCH), address());
-        let path = Front::folder(at).join("control").display().to_string();
-        let charter = format!("{{ control: {{ path: {path:?} }} }}");
-        let front = Front::start_with_config(PROGRAM, at, agent.at, &config(&server_list), Some(&charter));
+        let front = OperatedFront::start(PROGRAM, at, agent.at, &config(&server_list), "");
         let cluster = TestCluster { group, agent, front };
         let mut client = cluster.front.client();
         wait_until(|| client.query(&session_write("first", 1, 2000, 0)).value.is_some());
         cluster
     }
 
-    fn command(&self, args: &[&str]) -> (bool, String) {
-        let charter = self.front.path("charter.json5");
-        let out = Command::new(PROGRAM).arg("--charter").arg(charter).args(args).output().expect("it runs");
-        (out.status.success(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
-    }
-
-    /// Upgrades the front; returns the id of the new process.
-    fn upgrade(&self) -> String {
-        let old = self.serving_pid();
-        let (succeeded, output) = self.command(&["upgrade"]);
-        assert!(succeeded, "{output}");
-        wait_until(|| self.serving_pid() != old);
-        self.serving_pid()
-    }
-
-    fn serving_pid(&self) -> String {
-        let (_, status) = self.command(&["--json", "status"]);
-        let pid = status.split("\"pid\":").nth(1).and_then(|rest| rest.split([',', '}']).next());
-        pid.unwrap_or("").to_owned()
-    }
-
     /// Checks that each of some reads of the session sees this value.
     fn assert_reads_see(&self, client: &mut Client, session: &str, value: u64, when: &str) {
         for i in 0..READS {
@@ -80,12 +57,6 @@
     }
 }
 
-impl Drop for TestCluster {
-    fn drop(&mut self) {
-        signal(&self.serving_pid(), "-KILL");
-    }
-}
-
 /// The settings of a front that remembers what its sessions have written.
 fn config(server_list: &str) -> String {
     let config = Front::config(server_list, 1024).replace("\"recent\"", "\"own_writes\"");
@@ -102,23 +73,6 @@
     assert!(reply.value.is_some(), "the write of {value} is committed: {reply:?}");
 }
 
-fn signal(pid: &str, name: &str) {
-    let _ = Command::new("kill").args([name, pid]).stderr(Stdio::null()).status();
-}
-
-fn has_ended(pid: &str) -> bool {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    stat.rsplit(')').next().is_none_or(|rest| rest.is_empty() || rest.trim_start().starts_with('Z'))
-}
-
-fn wait_until(mut condition: impl FnMut() -> bool) {
-    let started_at = Instant::now();
-    while !condition() {
-        assert!(started_at.elapsed() < TEST_TIMEOUT, "the condition did not become true in time");
-        std::thread::sleep(Duration::from_millis(2));
-    }
-}
-
 /// Guards against a new process that does not know what its predecessor has reported as committed, also after a second
 /// upgrade.
 #[test]
@@ -126,9 +80,9 @@
     let cluster = TestCluster::start();
     let (mut client, mut other) = (cluster.front.client(), cluster.front.client());
     write(&mut client, "session", 7);
-    cluster.upgrade();
+    cluster.front.upgrade();
     cluster.assert_reads_see(&mut client, "session", 7, "after the first upgrade");
-    cluster.upgrade();
+    cluster.front.upgrade();
     cluster.assert_reads_see(&mut other, "session", 7, "on another connection, after the second upgrade");
     cluster.assert_others_read_at_replicas(&mut other, "another session");
 }
@@ -143,7 +97,7 @@
     cluster.group.members[0].hold_answers(true);
     late.send(&session_write("session", 2, 5000, 0));
     wait_until(|| cluster.group.members[0].held_answers() == 1);
-    cluster.upgrade();
+    cluster.front.upgrade();
     cluster.assert_reads_see(&mut early, "session", 2, "while the write is committed and not answered");
     cluster.group.members[0].hold_answers(false);
     assert!(late.reply().value.is_some(), "the old process answers it");
@@ -156,13 +110,13 @@
 #[test]
 fn writes_answered_by_the_old_process_bind_after_it_is_killed() {
     let cluster = TestCluster::start();
-    let old = cluster.serving_pid();
+    let old = cluster.front.serving_pid();
     let (mut stays, mut late, mut early) =
         (cluster.front.client(), cluster.front.client(), cluster.front.client());
     stays.send(&session_write("long", 1, 5000, 4000));
     late.send(&session_write("session", 2, 5000, 400));
     std::thread::sleep(Duration::from_millis(50));
-    cluster.upgrade();
+    cluster.front.upgrade();
     assert!(late.reply().value.is_some(), "the old process answers it");
     signal(&old, "-KILL");
     wait_until(|| has_ended(&old));
@@ -177,7 +131,7 @@
     let (mut stays, mut client) = (cluster.front.client(), cluster.front.client());
     stays.send(&session_write("long", 1, 5000, 3000));
     std::thread::sleep(Duration::from_millis(50));
-    let new = cluster.upgrade();
+    let new = cluster.front.upgrade();
     write(&mut client, "session", 2);
     signal(&new, "-KILL");
     assert_eq!(client.reply().last, 0, "its connection ends with its process");
@@ -228,7 +182,7 @@
             .env(PLAYS_OLD_PROCESS, at.to_string())
             .env("GW_LISTEN", at.to_string())
             .env("GW_DISCOVERY", cluster.agent.at.to_string())
-            .env("GW_CONFIG", cluster.front.path("config.json"))
+            .env("GW_CONFIG", cluster.front.front.path("config.json"))
             .env_remove("JUNIPERDOCK_CHARTER")
             .stdin(Stdio::null())
             .stdout(Stdio::null())
--- a/crates/front/tests/upgrade.rs
+++ b/crates/front/tests/upgrade.rs
@@ -3,7 +3,8 @@
 
 use juniperdock_lab::upgrade;
 use juniperdock_test_support::{
-    Agent, Behaviour, Client, Front, Member, TEST_TIMEOUT, WATCH, address, list, txn,
+    Agent, Behaviour, Client, Front, Member, OperatedFront, WATCH, address, has_ended, list, signal, txn,
+    wait_until,
 };
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::UnixStream;
@@ -43,7 +44,7 @@
     members: Vec<Member>,
     /// Answers discovery watches for as long as the scenario lasts.
     _agent: Agent,
-    front: Front,
+    front: OperatedFront,
 }
 
 impl TestCluster {
@@ -53,49 +54,11 @@
         let entries: Vec<_> =
             members.iter().zip(names).map(|(member, name)| (name, member.at, "up")).collect();
         let (server_list, agent, at) = (list(1, true, &entries), Agent::start(WATCH), address());
-        let path = Front::folder(at).join("control");
-        let charter =
-            format!("{{ control: {{ path: {:?} }}, log: {{ form: 'json' }} }}", path.display().to_string());
-        let front = Front::start_at(PROGRAM, at, agent.at, &server_list, 1024, Some(&charter));
+        let config = Front::config(&server_list, 1024);
+        let front = OperatedFront::start(PROGRAM, at, agent.at, &config, "log: { form: 'json' }");
         drop(front.client());
         TestCluster { members, _agent: agent, front }
     }
-
-    /// Runs a command; returns whether it succeeded, and what it printed.
-    fn command(&self, args: &[&str]) -> (bool, String) {
-        let charter = self.front.path("charter.json5");
-        let out = Command::new(PROGRAM).arg("--charter").arg(charter).args(args).output().expect("it runs");
-        let output = [out.stdout, out.stderr].concat();
-        (out.status.success(), String::from_utf8_lossy(&output).trim().to_owned())
-    }
-
-    fn serving_pid(&self) -> String {
-        let (_, status) = self.command(&["--json", "status"]);
-        status
-            .split("\"pid\":")
-            .nth(1)
-            .and_then(|rest| rest.split([',', '}']).next())
-            .expect("a pid")
-            .to_owned()
-    }
-}
-
-impl Drop for TestCluster {
-    fn drop(&mut self) {
-        let (succeeded, status) = self.command(&["--json", "status"]);
-        let pid = status.split("\"pid\":").nth(1).and_then(|rest| rest.split([',', '}']).next());
-        if let Some(pid) = pid.filter(|_| succeeded) {
-            let _ = Command::new("kill").args(["-KILL", pid]).status();
-        }
-    }
-}
-
-fn wait_until(mut condition: impl FnMut() -> bool) {
-    let started_at = Instant::now();
-    while !condition() {
-        assert!(started_at.elapsed() < TEST_TIMEOUT, "the condition did not become true in time");
-        std::thread::sleep(Duration::from_millis(2));
-    }
 }
 
 fn commands() {
@@ -124,15 +87,15 @@
     let _ = std::fs::remove_file(&file);
     let cluster = TestCluster::new();
     assert!(cluster.front.client().query(&txn("order", 2000, "first")).value.is_some());
-    let (succeeded, output) = cluster.command(&["status", "2"]);
+    let (succeeded, output) = cluster.front.command(&["status", "2"]);
     assert!(succeeded && output.contains("m-0") && output.contains("1 groups"), "{output}");
-    assert!(cluster.command(&["--json", "status"]).1.contains("\"counters\":{"));
+    assert!(cluster.front.command(&["--json", "status"]).1.contains("\"counters\":{"));
 }
 
 fn control() {
     use std::io::{Read, Write};
     let cluster = TestCluster::new();
-    let path = cluster.front.path("control");
+    let path = cluster.front.front.path("control");
     assert_eq!(std::fs::metadata(&path).expect("a socket").permissions().mode() & 0o777, 0o600);
     let mut client = cluster.front.client();
     // One connection hangs with an incomplete frame; others send garbage or an unsupported version.
@@ -147,7 +110,7 @@
         assert!(output.contains("expected"), "{bytes:?}: {output:?}");
     }
     assert!(client.query(&txn("order", 2000, "w")).value.is_some());
-    assert!(cluster.command(&["status"]).0);
+    assert!(cluster.front.command(&["status"]).0);
 }
 
 fn snapshot() {
@@ -187,7 +150,7 @@
 
 fn busy() {
     let cluster = TestCluster::new();
-    let old = cluster.serving_pid();
+    let old = cluster.front.serving_pid();
     let (mut busy, mut idle, mut half) =
         (cluster.front.client(), cluster.front.client(), cluster.front.client());
     assert!(busy.query(&txn("order", 2000, "first")).value.is_some());
@@ -199,22 +162,22 @@
     let statement =
         juniperdock_test_support::message(b'Q', format!("{}\0", txn("lookup", 2000, "half")).as_bytes());
     std::io::Write::write_all(&mut half.stream, &statement[..20]).expect("sent");
-    let (succeeded, output) = cluster.command(&["upgrade"]);
+    let (succeeded, output) = cluster.front.command(&["upgrade"]);
     assert!(succeeded, "{output}");
-    assert!(cluster.command(&["status"]).0);
-    wait_until(|| cluster.serving_pid() != old);
+    assert!(cluster.front.command(&["status"]).0);
+    wait_until(|| cluster.front.serving_pid() != old);
     std::io::Write::write_all(&mut half.stream, &statement[20..]).expect("sent");
     assert!(half.reply().value.is_some(), "the received half of the statement was transferred");
     assert!(idle.query(&txn("order", 2000, "idle")).value.is_some());
     // The busy client gets its one answer from the old process, and continues with the new one.
     assert_eq!(busy.reply().code.as_deref(), Some("40003"));
     assert!(busy.query(&txn("order", 2000, "next")).value.is_some());
-    wait_until(|| !std::path::Path::new(&format!("/proc/{old}")).exists() || zombie(&old));
+    wait_until(|| has_ended(&old));
 }
 
 /// Creates a program that fails as the new process in the way `how`. It creates the file `how.begun` when it starts.
 fn failing_successor(cluster: &TestCluster, how: &str) -> String {
-    let path = cluster.front.path(how);
+    let path = cluster.front.front.path(how);
     let own = std::env::current_exe().expect("its own path").display().to_string();
     let marker = started_marker(cluster, how).display().to_string();
     std::fs::write(&path, format!("#!/bin/sh\n: > {marker:?}\nexec {own:?} successor {how}\n"))
@@ -224,28 +187,28 @@
 }
 
 fn started_marker(cluster: &TestCluster, how: &str) -> std::path::PathBuf {
-    cluster.front.path(&format!("{how}.begun"))
+    cluster.front.front.path(&format!("{how}.begun"))
 }
 
 fn after_commit() {
     let cluster = TestCluster::new();
-    let old = cluster.serving_pid();
+    let old = cluster.front.serving_pid();
     let mut client = cluster.front.client();
     assert!(client.query(&txn("order", 2000, "first")).value.is_some());
     let program = failing_successor(&cluster, "commit");
-    assert!(cluster.command(&["upgrade", "--program", &program]).0, "the upgrade was committed");
+    assert!(cluster.front.command(&["upgrade", "--program", &program]).0, "the upgrade was committed");
     assert_eq!(client.reply().last, 0, "a transferred client is disconnected and has to reconnect");
     assert!(cluster.front.client().query(&txn("order", 2000, "again")).value.is_some());
-    assert_eq!(cluster.serving_pid(), old);
+    assert_eq!(cluster.front.serving_pid(), old);
     // The next upgrade succeeds, and hundreds of pipelined statements are transferred with their client.
     let mut ahead = cluster.front.client();
     (0..200).for_each(|i| ahead.send(&txn("lookup", 5000, &format!("a{i}"))));
-    wait_until(|| cluster.command(&["upgrade"]).0);
+    wait_until(|| cluster.front.command(&["upgrade"]).0);
     let seen = |reply: juniperdock_test_support::Reply, id: String| {
         reply.value.is_some_and(|value| String::from_utf8_lossy(&value).contains(&format!("id={id},")))
     };
     assert!((0..200).all(|i| seen(ahead.reply(), format!("a{i}"))), "each answered once, in order");
-    wait_until(|| cluster.serving_pid() != old);
+    wait_until(|| cluster.front.serving_pid() != old);
 }
 
 fn in_the_middle() {
@@ -253,59 +216,47 @@
     let mut client = cluster.front.client();
     assert!(client.query(&txn("order", 2000, "first")).value.is_some());
     let program = failing_successor(&cluster, "waits");
-    let charter = cluster.front.path("charter.json5");
-    let mut first = Command::new(PROGRAM)
-        .arg("--charter")
-        .arg(&charter)
-        .args(["upgrade", "--program", &program])
+    let charter = cluster.front.front.path("charter.json5");
+    let mut first = cluster
+        .front
+        .to_command(&["upgrade", "--program", &program])
         .stderr(std::process::Stdio::null())
         .spawn()
         .expect("it runs");
     // Requested any earlier, the second upgrade could arrive first and succeed.
     wait_until(|| started_marker(&cluster, "waits").exists());
-    let (succeeded, output) = cluster.command(&["upgrade"]);
+    let (succeeded, output) = cluster.front.command(&["upgrade"]);
     assert!(!succeeded && output.contains("under way"), "{output}");
     let text = std::fs::read_to_string(&charter).expect("a file");
     let text = text.replacen('{', "{ held: { of_all: 1 },", 1);
     std::fs::write(&charter, text).expect("a file");
-    cluster.front.signal("-HUP");
-    wait_until(|| cluster.command(&["--json", "status"]).1.contains("\"reloads\":1"));
+    cluster.front.front.signal("-HUP");
+    wait_until(|| cluster.front.command(&["--json", "status"]).1.contains("\"reloads\":1"));
     assert!(client.query(&txn("order", 2000, "next")).value.is_some(), "served throughout the upgrade");
-    cluster.front.signal("-TERM");
+    cluster.front.front.signal("-TERM");
     assert_eq!(client.reply().last, 0, "clients are disconnected as in any shutdown");
     let _ = first.wait();
-    wait_until(|| zombie(&cluster.front.id().to_string()));
-}
-
-/// Creates a script that runs a shell command and then the program itself; the file `name.begun` contains its process
-/// id.
-fn wrapped_successor(cluster: &TestCluster, name: &str, shell_command: &str) -> String {
-    let (path, marker) = (cluster.front.path(name), started_marker(cluster, name).display().to_string());
-    let text = format!(
-        "#!/bin/sh\n{shell_command}\necho $$ > {marker:?}.new && mv {marker:?}.new {marker:?}\nexec {PROGRAM:?}\n"
-    );
-    std::fs::write(&path, text).expect("a file");
-    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o700)).expect("a program");
-    path.display().to_string()
+    wait_until(|| has_ended(&cluster.front.front.id().to_string()));
 }
 
 fn out_of_descriptors() {
     let cluster = TestCluster::new();
-    let old = cluster.serving_pid();
+    let old = cluster.front.serving_pid();
     let mut clients: Vec<Client> = (0..60).map(|_| cluster.front.client()).collect();
-    let program = wrapped_successor(&cluster, "poor", "ulimit -n 40");
-    let (succeeded, output) = cluster.command(&["upgrade", "--program", &program]);
+    let program = cluster.front.wrapped_program("poor", "ulimit -n 40");
+    let path = program.path.display().to_string();
+    let (succeeded, output) = cluster.front.command(&["upgrade", "--program", &path]);
     assert!(!succeeded && output.contains("undone"), "{output}");
-    assert!(started_marker(&cluster, "poor").exists(), "it was started");
-    assert_eq!(cluster.serving_pid(), old);
+    program.await_start();
+    assert_eq!(cluster.front.serving_pid(), old);
     for (i, client) in clients.iter_mut().enumerate() {
         assert!(
             client.query(&txn("lookup", 5000, &format!("c{i}"))).value.is_some(),
             "client {i} is still served"
         );
     }
-    assert!(cluster.command(&["upgrade"]).0, "the next one succeeds");
-    wait_until(|| cluster.serving_pid() != old);
+    assert!(cluster.front.command(&["upgrade"]).0, "the next one succeeds");
+    wait_until(|| cluster.front.serving_pid() != old);
     assert!(clients[59].query(&txn("lookup", 5000, "after")).value.is_some());
 }
 
@@ -314,61 +265,53 @@
         let cluster = TestCluster::new();
         let mut idle: Vec<Client> = (0..20).map(|_| cluster.front.client()).collect();
         assert!(idle[0].query(&txn("order", 2000, "first")).value.is_some());
-        let program = wrapped_successor(&cluster, "next", "");
-        let mut command = Command::new(PROGRAM)
-            .arg("--charter")
-            .arg(cluster.front.path("charter.json5"))
-            .args(["upgrade", "--program", &program])
+        let program = cluster.front.wrapped_program("next", "");
+        let mut command = cluster
+            .front
+            .to_command(&["upgrade", "--program", &program.path.display().to_string()])
             .stdout(std::process::Stdio::null())
             .stderr(std::process::Stdio::null())
             .spawn()
             .expect("it runs");
-        wait_until(|| started_marker(&cluster, "next").exists());
-        let next =
-            std::fs::read_to_string(started_marker(&cluster, "next")).expect("its id").trim().to_owned();
+        let next = program.await_start();
         std::thread::sleep(Duration::from_millis(wait));
-        cluster.front.signal("-KILL");
+        cluster.front.front.signal("-KILL");
         let _ = command.wait();
-        let exited = || !std::path::Path::new(&format!("/proc/{next}")).exists() || zombie(&next);
-        wait_until(|| exited() || Client::open(cluster.front.at).is_some());
-        if !exited() {
+        wait_until(|| has_ended(&next) || Client::open(cluster.front.front.at).is_some());
+        if !has_ended(&next) {
             let reply = cluster.front.client().query(&txn("order", 5000, "after"));
             assert!(
                 reply.value.is_some(),
                 "old process killed after {wait} ms: the remaining one serves: {reply:?}"
             );
-            let _ = Command::new("kill").args(["-KILL", &next]).status();
+            signal(&next, "-KILL");
         }
     }
 }
 
-fn zombie(pid: &str) -> bool {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('Z'))
-}
-
 fn change() {
     let cluster = TestCluster::new();
     let mut client = cluster.front.client();
     assert!(client.query(&txn("order", 2000, "first")).value.is_some());
     assert!(
-        !cluster.command(&["primary", "move", "9"]).0
-            && !cluster.command(&["primary", "move", "2", "--to", "x"]).0
+        !cluster.front.command(&["primary", "move", "9"]).0
+            && !cluster.front.command(&["primary", "move", "2", "--to", "x"]).0
     );
-    let (succeeded, output) = cluster.command(&["primary", "move", "2", "--to", "m-1"]);
+    let (succeeded, output) = cluster.front.command(&["primary", "move", "2", "--to", "m-1"]);
     assert!(succeeded && output.contains("Order"), "{output}");
     let send_order = |client: &mut Client, id: &str| client.send(&txn("order", 4000, id));
     send_order(&mut client, "held");
-    assert!(cluster.command(&["status"]).1.contains("handing over"));
+    assert!(cluster.front.command(&["status"]).1.contains("handing over"));
     let seen: Vec<String> = cluster.members[0].seen.try_iter().collect();
     assert!(!seen.iter().any(|seen| seen.contains("id=held")));
     cluster.members[0].set_primary(false);
     cluster.members[1].set_primary(true);
     assert!(client.reply().value.is_some());
-    assert!(cluster.command(&["primary", "move", "2"]).0);
+    assert!(cluster.front.command(&["primary", "move", "2"]).0);
     send_order(&mut client, "called");
     assert!(
-        cluster.command(&["primary", "cancel", "2"]).0 && !cluster.command(&["primary", "cancel", "2"]).0
+        cluster.front.command(&["primary", "cancel", "2"]).0
+            && !cluster.front.command(&["primary", "cancel", "2"]).0
     );
     assert!(client.reply().value.is_some());
 }
--- a/crates/test-support/src/front.rs
+++ b/crates/test-support/src/front.rs
@@ -116,12 +116,17 @@
         }
     }
 
-    /// Replaces the configuration file and sends SIGHUP.
-    pub fn reconfigure(&self, text: &str) {
-        let (file, new) = (self.dir.join("config.json"), self.dir.join("new.json"));
+    /// Replaces a file in the folder of this front.
+    pub fn replace_file(&self, name: &str, text: &str) {
+        let (file, new) = (self.dir.join(name), self.dir.join("new"));
         std::fs::write(&new, text)
             .and_then(|()| std::fs::rename(new, file))
-            .expect("cannot replace config.json");
+            .expect("cannot replace the file");
+    }
+
+    /// Replaces the configuration file and sends SIGHUP.
+    pub fn reconfigure(&self, text: &str) {
+        self.replace_file("config.json", text);
         self.signal("-HUP");
     }
 
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod front;
 pub mod member;
+pub mod operated;
 pub mod replicated;
 pub mod wire;
 
@@ -13,6 +14,7 @@
 pub use client::{Client, Reply, txn};
 pub use front::Front;
 pub use member::{Behaviour, Member};
+pub use operated::{OperatedFront, WrappedProgram, has_ended, signal, wait_until};
 pub use replicated::{FROZEN, ReplicatedGroup, session_read, session_write};
 pub use wire::{error, message, row};
 
