--- a/crates/fd-passing/src/lib.rs
+++ b/crates/fd-passing/src/lib.rs
@@ -10,7 +10,7 @@
 use rustix::io::Errno;
 use rustix::net::{
     AddressFamily, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
-    SendAncillaryMessage, SendFlags, SocketFlags, SocketType, recvmsg, sendmsg, socketpair,
+    SendAncillaryMessage, SendFlags, SocketFlags, SocketType, recvmsg, send, sendmsg, socketpair,
 };
 use std::io::{IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
@@ -69,6 +69,19 @@
         }
     }
 
+    /// Sends one packet if the other end has room for it now; false if it has none.
+    ///
+    /// # Errors
+    /// If the other end is closed.
+    pub fn try_send(&self, packet: &[u8]) -> Result<bool, String> {
+        let flags = SendFlags::NOSIGNAL | SendFlags::DONTWAIT;
+        match send(&self.0, packet, flags) {
+            Ok(_) => Ok(true),
+            Err(Errno::AGAIN | Errno::INTR | Errno::NOBUFS | Errno::NOMEM) => Ok(false),
+            Err(e) => Err(format!("sending a packet: {e}")),
+        }
+    }
+
     /// Waits for one packet, at most for `timeout`. A packet longer than `max_len` is an error.
     pub fn receive(&self, max_len: usize, timeout: Duration) -> Result<Received, String> {
         let timespec = Timespec::try_from(timeout).map_err(|e| format!("timeout out of range: {e}"))?;
@@ -135,8 +148,15 @@
         assert!(matches!(there.receive(10, Duration::ZERO), Ok(Received::TimedOut)));
         here.send(&[0; 11], None).expect("sent");
         assert!(there.receive(10, timeout).is_err());
+        assert_eq!(there.try_send(b"three"), Ok(true));
+        assert!(
+            matches!(here.receive(10, timeout), Ok(Received::Packet(packet, None)) if packet == b"three")
+        );
+        let sent = (0..10_000).take_while(|_| there.try_send(&[0; 1000]) == Ok(true)).count();
+        assert!((1..10_000).contains(&sent), "the other end has no room after {sent} packets");
         drop(here);
-        assert!(matches!(there.receive(10, timeout), Ok(Received::Closed)));
+        assert!(there.try_send(b"x").is_err());
+        while !matches!(there.receive(10, timeout), Ok(Received::Closed)) {}
         assert!(there.send(b"x", None).is_err());
     }
 }
--- /dev/null
+++ b/crates/front/src/runtime_state.rs
@@ -0,0 +1,97 @@
+//! Tells the other processes of this front what is put in force here while it runs: during an upgrade both are the same
+//! front. `juniperdock_runtime_state` says what goes over and what follows from it.
+
+use juniperdock_runtime_state::Change;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Another process of this front.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Peer {
+    /// The process that this one replaces.
+    Predecessor,
+    /// The process that replaces this one.
+    Successor,
+}
+
+/// What goes to another process.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Update {
+    Change(Change),
+    /// The state to start from is complete.
+    InitialStateComplete,
+}
+
+#[derive(Default)]
+struct Inner {
+    /// The address of discovery, if a reload has put it in force.
+    discovery: Option<SocketAddr>,
+    subscribers: Vec<(Peer, Sender<Update>)>,
+}
+
+/// What is in force here, and the other processes that are told of changes.
+#[derive(Default)]
+pub struct RuntimeState {
+    inner: Mutex<Inner>,
+    subscriber_count: AtomicUsize,
+}
+
+impl RuntimeState {
+    /// `discovery`: its address, if a reload in an earlier process has put it in force.
+    pub fn new(discovery: Option<SocketAddr>) -> RuntimeState {
+        let inner = Inner { discovery, subscribers: Vec::new() };
+        RuntimeState { inner: Mutex::new(inner), subscriber_count: AtomicUsize::new(0) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells a process of all changes from now on, in place of an earlier one of its kind. A successor is told at once
+    /// what reloads have put in force.
+    pub fn subscribe(&self, peer: Peer) -> Receiver<Update> {
+        let (sender, updates) = channel();
+        let mut inner = self.lock();
+        if let Some(address) = inner.discovery.filter(|_| peer == Peer::Successor) {
+            let _ = sender.send(Update::Change(Change::DiscoveryAddress(address)));
+        }
+        inner.subscribers.retain(|(its, _)| *its != peer);
+        inner.subscribers.push((peer, sender));
+        self.subscriber_count.store(inner.subscribers.len(), Ordering::Release);
+        updates
+    }
+
+    /// Whether another process may be told of changes.
+    pub fn is_shared(&self) -> bool {
+        self.subscriber_count.load(Ordering::Acquire) > 0
+    }
+
+    /// Tells a process, if there is one of that kind.
+    pub fn tell(&self, peer: Peer, update: Update) {
+        self.send_to(|its| its == peer, &update);
+    }
+
+    /// Tells all processes of a change but the one that it comes from.
+    pub fn publish(&self, change: Change, source: Option<Peer>) {
+        self.send_to(|its| Some(its) != source, &Update::Change(change));
+    }
+
+    fn send_to(&self, is_meant: impl Fn(Peer) -> bool, update: &Update) {
+        let mut inner = self.lock();
+        inner.subscribers.retain(|(peer, sender)| !is_meant(*peer) || sender.send(update.clone()).is_ok());
+        self.subscriber_count.store(inner.subscribers.len(), Ordering::Release);
+    }
+
+    /// The address of discovery that a reload has put in force.
+    pub fn discovery(&self) -> Option<SocketAddr> {
+        self.lock().discovery
+    }
+
+    /// Records that a reload has put this address in force, and tells a successor.
+    pub fn set_discovery(&self, address: SocketAddr) {
+        self.lock().discovery = Some(address);
+        self.tell(Peer::Successor, Update::Change(Change::DiscoveryAddress(address)));
+    }
+}
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -7,25 +7,26 @@
 use crate::counters::Counters;
 use crate::memory::Memory;
 use crate::messages::{self, DiscoveryMessage, DispatcherMessage, MembershipMessage};
+use crate::reload::{self, Reloader};
 use crate::request_log::RequestLog;
-use crate::settings::{Settings, TxnTypes};
-use crate::upgrade::{self, TransferTarget};
+use crate::runtime_state::RuntimeState;
+use crate::settings::{DISCOVERY_ENV, Settings, TxnTypes};
+use crate::upgrade::{self, ChangeTarget, TransferTarget};
 use crate::{
     control, discovery_client, dispatcher, logging, member, membership, signals, snapshot_file, threads,
 };
 use juniperdock_connection::{Listener, spawn};
 use juniperdock_hot_restart::Timeouts;
 use juniperdock_operator_config as operator_config;
-use juniperdock_operator_config::{Fault, OperatorConfig, Upgrade, WaitQueueConfig};
+use juniperdock_operator_config::{OperatorConfig, Upgrade};
 use juniperdock_request_guard::RequestIds;
 use juniperdock_server_list::{ProbeLimits, ProbeQueue};
-use juniperdock_wait_queue::WaitLimits;
 use may::sync::mpsc::{Sender, channel};
 use sd_notify::NotifyState;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::sync_channel;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// How long a start may wait for a socket. Restarted processes have to be ready within 10 s.
@@ -48,7 +49,7 @@
 pub fn check(config: Option<&OperatorConfig>) -> Result<(), String> {
     let settings = Settings::read()?;
     settings.address("GW_LISTEN", "listen")?;
-    settings.address("GW_DISCOVERY", "discovery")?;
+    settings.address(DISCOVERY_ENV, "discovery")?;
     settings.check()?;
     let Some(fellows_config) = config.and_then(|config| config.fellows.as_ref()) else { return Ok(()) };
     membership::read_keys(&fellows_config.keys)?;
@@ -108,13 +109,15 @@
         .set_worker_pin(false);
     let (clock, run_clock) = Clock::start(START_TIMEOUT)?;
     let mut settings = Settings::read()?;
-    let (listen, discovery) =
-        (settings.address("GW_LISTEN", "listen")?, settings.address("GW_DISCOVERY", "discovery")?);
+    let initial_state = target.as_mut().map(TransferTarget::take_initial_state).unwrap_or_default();
+    let listen = settings.address("GW_LISTEN", "listen")?;
+    let discovery = settings.discovery(initial_state.discovery)?;
+    let runtime_state = Arc::new(RuntimeState::new(initial_state.discovery));
     let (routers, held) = (settings.routers()?, config.held.clone());
     let make_router: dispatcher::MakeRouter = Box::new(move || {
         let mut router = routers()?;
         router.set_unexecuted_wait_share(held.untaken_share);
-        router.set_wait_queue_limits(wait_limits(&held));
+        router.set_wait_queue_limits(reload::wait_limits(&held));
         Ok(router)
     });
     let limits = settings.connection_limits()?;
@@ -199,6 +202,11 @@
     let listener = match &mut target {
         None => Listener::open(listen, START_TIMEOUT)?,
         Some(target) => {
+            target.follow_changes(ChangeTarget {
+                clock: clock.clone(),
+                discovery: discovery_tx.clone(),
+                runtime_state: runtime_state.clone(),
+            });
             let _ = dispatcher_tx.send(DispatcherMessage::ProbeAll);
             await_roles(&counters);
             Listener::of(target.receive_listener()?)?
@@ -239,8 +247,16 @@
             started.map_err(|why| slog::error!(log, "fellows are off"; "why" => why)).ok()
         }),
     });
+    let reloader = Arc::new(Reloader {
+        settings,
+        operators_file: file.map(Path::to_path_buf),
+        operator_config: Mutex::new(config.clone()),
+        clients: clients.clone(),
+        discovery: discovery_tx,
+        runtime_state,
+    });
     if let Some(target) = target {
-        target.serve(&clients)?;
+        target.serve(&reloader)?;
     }
     let (acceptor, its_listener) = (clients.clone(), listener.clone());
     spawn("acceptor", CONNECTION_STACK_BYTES, move || acceptor.accept_until_stopped(&its_listener))?;
@@ -252,7 +268,7 @@
             log.clone(),
         )?;
     }
-    let upgrade = make_upgrade_fn(&clients, &listener, &config.upgrade, &log);
+    let upgrade = make_upgrade_fn(&reloader, &listener, &config.upgrade, &log);
     let upgrade_for_roll = upgrade_for_roll(&upgrade, &config.upgrade);
     clients.send_to_membership(MembershipMessage::SetUpgrade(upgrade_for_roll));
     if let Some(socket) = &config.control {
@@ -274,65 +290,10 @@
         slog::warn!(log, "could not notify the supervisor"; "why" => %why);
     }
     slog::info!(log, "serving"; "listen" => %listen, "discovery" => %discovery);
-    let current = Mutex::new(config.clone());
-    let reload = || reload_operator_config(file, &current, &clients);
-    signals::follow(
-        signals,
-        &settings,
-        &discovery_tx,
-        &reload,
-        &clients,
-        &listener,
-        &counters,
-        max_time_limit + grace,
-        &log,
-    );
+    signals::follow(signals, &reloader, &listener, max_time_limit + grace);
     Ok(())
 }
 
-fn wait_limits(held: &WaitQueueConfig) -> WaitLimits {
-    WaitLimits {
-        per_group: held.of_group,
-        total: held.of_all,
-        bytes_per_group: held.kib_of_group.saturating_mul(1024),
-        total_bytes: held.kib_of_all.saturating_mul(1024),
-    }
-}
-
-/// Reads the operators' file again. Limits of the wait queue and keys of peers take effect at once; returns the names
-/// of the other sections that have changed.
-fn reload_operator_config(
-    file: Option<&Path>,
-    current: &Mutex<OperatorConfig>,
-    clients: &SharedClients,
-) -> Result<Vec<&'static str>, String> {
-    let Some(file) = file else { return Ok(Vec::new()) };
-    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    let join = |faults: Vec<Fault>| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ");
-    let new = juniperdock_operator_config::read(&text).map_err(join)?;
-    let mut current = current.lock().unwrap_or_else(PoisonError::into_inner);
-    if new.held != current.held {
-        clients.clock.post(
-            &clients.dispatcher,
-            DispatcherMessage::SetWaitLimits(wait_limits(&new.held), new.held.untaken_share),
-        );
-        current.held = new.held.clone();
-    }
-    if let (Some(new), Some(old), Some(_)) = (&new.fellows, &mut current.fellows, &clients.membership) {
-        // The key files may have changed under the same names.
-        clients.send_to_membership(MembershipMessage::SetKeys(membership::read_keys(&new.keys)?));
-        old.keys.clone_from(&new.keys);
-    }
-    let other = [
-        ("log", new.log != current.log),
-        ("control", new.control != current.control),
-        ("upgrade", new.upgrade != current.upgrade),
-        ("snapshot", new.snapshot != current.snapshot),
-        ("fellows", new.fellows != current.fellows),
-    ];
-    Ok(other.into_iter().filter(|(_, changed)| *changed).map(|(name, _)| name).collect())
-}
-
 /// Waits until the primary of each group is known, but not so long that clients would suffer more from the wait.
 fn await_roles(counters: &Counters) {
     let started_at = Instant::now();
@@ -345,12 +306,12 @@
 
 /// Returns the function that upgrades this front on request; only one upgrade runs at a time.
 fn make_upgrade_fn(
-    clients: &Arc<SharedClients>,
+    reloader: &Arc<Reloader>,
     listener: &Arc<Listener>,
     config: &Upgrade,
     log: &slog::Logger,
 ) -> messages::UpgradeFn {
-    let (clients, listener, config, log) = (clients.clone(), listener.clone(), config.clone(), log.clone());
+    let (reloader, listener, config, log) = (reloader.clone(), listener.clone(), config.clone(), log.clone());
     let running = Arc::new(AtomicBool::new(false));
     let span = Duration::from_millis;
     let timeouts = Timeouts {
@@ -366,10 +327,10 @@
             return Err("an upgrade is under way".to_owned());
         }
         let (result_tx, result) = sync_channel(1);
-        let (clients, listener, log, its_running) =
-            (clients.clone(), listener.clone(), log.clone(), running.clone());
+        let (reloader, listener, log, its_running) =
+            (reloader.clone(), listener.clone(), log.clone(), running.clone());
         let started = threads::start("upgrade", move || {
-            upgrade::run_upgrade(clients, listener, &program, timeouts, &result_tx, log);
+            upgrade::run_upgrade(reloader, listener, &program, timeouts, &result_tx, log);
             its_running.store(false, Ordering::Release);
         });
         if let Err(why) = started {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -17,6 +17,9 @@
 /// File descriptors reserved for the front itself: standard streams, listener, discovery, selector, signals.
 const RESERVED_DESCRIPTORS: usize = 14;
 
+/// The environment variable with the address of discovery.
+pub const DISCOVERY_ENV: &str = "GW_DISCOVERY";
+
 /// The configuration as it was read, with its path.
 pub struct Settings {
     path: String,
@@ -95,6 +98,12 @@
         parse_address(variable, &text)
     }
 
+    /// Returns the address of discovery with which a process starts; one that a reload has put in force in the process
+    /// before it goes before the environment and the file.
+    pub fn discovery(&self, in_force: Option<SocketAddr>) -> Result<SocketAddr, String> {
+        in_force.map_or_else(|| self.address(DISCOVERY_ENV, "discovery"), Ok)
+    }
+
     /// Returns the seed for random decisions.
     pub fn seed(&self) -> Result<u64, String> {
         let seed = self.json["seed"].as_str().ok_or("expected a string in seed of GW_CONFIG")?;
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -2,17 +2,13 @@
 //! accepted requests are answered.
 
 use crate::clients::SharedClients;
-use crate::clock::Clock;
-use crate::counters::Counters;
-use crate::messages::{DiscoveryMessage, MembershipMessage};
-use crate::settings::Settings;
+use crate::messages::MembershipMessage;
+use crate::reload::Reloader;
 use crate::standard_error::LinePrinter;
 use juniperdock_connection::{Listener, Waker};
-use may::sync::mpsc::Sender;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::sync::Arc;
 use std::time::Duration;
 
 /// After SIGTERM clients may still arrive for 0.4 s. After this delay those between txns are disconnected with a
@@ -57,58 +53,14 @@
     }
 }
 
-/// Reloads the operators' file and the configuration. The address of discovery takes effect at once; other changes of
-/// the configuration only at the next start.
-fn reload(
-    settings: &Settings,
-    clock: &Clock,
-    discovery: &Sender<DiscoveryMessage>,
-    reload_operator_config: &dyn Fn() -> Result<Vec<&'static str>, String>,
-    counters: &Counters,
-    log: &slog::Logger,
-) {
-    counters.reloads.add();
-    match reload_operator_config() {
-        Ok(changed) if changed.is_empty() => {}
-        Ok(changed) => {
-            slog::warn!(log, "configuration change takes effect only at the next start"; "in" => changed.join(", "));
-        }
-        Err(why) => {
-            counters.reloads_failed.add();
-            slog::error!(log, "could not reload the operators' file; keeping the current one"; "why" => why);
-        }
-    }
-    match settings.reread() {
-        Ok((address, changed)) => {
-            clock.post(discovery, DiscoveryMessage::SetAddress(address));
-            if !changed.is_empty() {
-                slog::warn!(log, "configuration change takes effect only at the next start"; "in" => changed.join(", "));
-            }
-        }
-        Err(why) => {
-            counters.reloads_failed.add();
-            slog::error!(log, "could not reload the configuration; keeping the current one"; "why" => why);
-        }
-    }
-}
-
 /// Handles signals until SIGTERM, then shuts down: answers open requests for at most `max_request_time`.
-pub fn follow(
-    mut signals: Signals,
-    settings: &Settings,
-    discovery: &Sender<DiscoveryMessage>,
-    reload_operator_config: &dyn Fn() -> Result<Vec<&'static str>, String>,
-    clients: &Arc<SharedClients>,
-    listener: &Listener,
-    counters: &Counters,
-    max_request_time: Duration,
-    log: &slog::Logger,
-) {
+pub fn follow(mut signals: Signals, reloader: &Reloader, listener: &Listener, max_request_time: Duration) {
+    let (clients, counters) = (&reloader.clients, &reloader.clients.counters);
     let mut printer = LinePrinter::default();
     while let Some(signal) = next_signal(&mut signals) {
         match signal {
             SIGUSR1 => printer.print(format!("counters: {counters}")),
-            SIGHUP => reload(settings, &clients.clock, discovery, reload_operator_config, counters, log),
+            SIGHUP => reloader.reload(None),
             _ => break,
         }
     }
--- a/crates/front/src/upgrade/new_process.rs
+++ b/crates/front/src/upgrade/new_process.rs
@@ -1,13 +1,19 @@
 //! The new process's side: receives the listener and the clients of the process that it replaces.
 
 use super::SUCCESSOR_ENV;
+use super::changes::ChangeSender;
 use crate::clients::SharedClients;
-use crate::messages::DispatcherMessage;
+use crate::clock::Clock;
+use crate::messages::{DiscoveryMessage, DispatcherMessage};
+use crate::reload::Reloader;
+use crate::runtime_state::{Peer, RuntimeState};
 use crate::threads;
 use juniperdock_fd_passing::{PacketSocket, PeerProcess, Received};
 use juniperdock_hot_restart::message::{self, MAX_MESSAGE_LEN, MessageHandler};
-use juniperdock_hot_restart::{NewProcess, SUPPORTED_VERSIONS, Stage};
+use juniperdock_hot_restart::{ChangePieces, NewProcess, SUPPORTED_VERSIONS, Stage};
+use juniperdock_runtime_state::{Change, InitialState, MAX_CHANGE_LEN};
 use juniperdock_session_marks::{SharedMarks, TableError};
+use may::sync::mpsc::Sender;
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::{AsFd, OwnedFd};
 use std::sync::Arc;
@@ -17,6 +23,16 @@
 /// How long the new process waits for a message. The old process has its own, shorter limits for each step.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How often the old process is told what is put in force here, while it answers what it has in hand.
+const CHANGES_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Where changes go that the old process is told before the commit.
+pub struct ChangeTarget {
+    pub clock: Clock,
+    pub discovery: Sender<DiscoveryMessage>,
+    pub runtime_state: Arc<RuntimeState>,
+}
+
 /// A client received from the old process.
 struct ReceivedClient {
     stream: TcpStream,
@@ -40,6 +56,13 @@
     peer: Result<PeerProcess, String>,
     /// Idle connections to members, by their ids.
     idle: Vec<(String, TcpStream)>,
+    received_changes: ChangePieces,
+    /// What this process starts from.
+    initial_state: InitialState,
+    /// Set once this process has started from it: later changes go there.
+    change_target: Option<ChangeTarget>,
+    /// The operators' files were reloaded in the old process before the commit.
+    reload_due: bool,
     error: Option<&'static str>,
 }
 
@@ -55,6 +78,18 @@
         self.session_marks = Some(table.and_then(SharedMarks::from_descriptor));
     }
 
+    fn change(&mut self, piece: &[u8], last: bool) {
+        if !self.received_changes.append(piece, last) {
+            self.error = Some("a change of the runtime state is too long");
+        }
+    }
+
+    fn state_complete(&mut self) {
+        if !self.state.on_state_complete() {
+            self.error = Some("unexpected end of the runtime state");
+        }
+    }
+
     fn memory(&mut self, piece: &[u8]) {
         self.snapshot.extend_from_slice(piece);
         if self.snapshot.len() > juniperdock_snapshot::MAX_SNAPSHOT_BYTES {
@@ -101,7 +136,7 @@
 }
 
 impl TransferTarget {
-    /// Connects to the process to be replaced and agrees on a protocol version; `None` if this process was started
+    /// Connects to the process to be replaced, agrees on a protocol version and receives the state to start from; `None` if this process was started
     /// otherwise.
     pub fn connect() -> Option<Result<TransferTarget, String>> {
         std::env::var_os(SUCCESSOR_ENV)?;
@@ -121,6 +156,10 @@
                 session_marks: None,
                 peer,
                 idle: Vec::new(),
+                received_changes: ChangePieces::new(MAX_CHANGE_LEN),
+                initial_state: InitialState::default(),
+                change_target: None,
+                reload_due: false,
                 error: None,
             };
             target.socket.send(&message::hello(SUPPORTED_VERSIONS.0, SUPPORTED_VERSIONS.1), None)?;
@@ -155,7 +194,36 @@
                 return Err("the old process has exited".to_owned());
             }
         }
-        self.error.map_or(Ok(()), |why| Err(format!("hot restart: {why}")))
+        self.error.map_or(Ok(()), |why| Err(format!("hot restart: {why}")))?;
+        self.received_changes
+            .take_complete()
+            .iter()
+            .try_for_each(|encoded| self.apply(Change::decode(encoded)?))
+    }
+
+    /// Puts in force what the old process was told before the commit.
+    fn apply(&mut self, change: Change) -> Result<(), String> {
+        match (&self.change_target, change) {
+            (None, change) => self.initial_state.record(change),
+            (Some(target), Change::DiscoveryAddress(address)) => {
+                target.runtime_state.set_discovery(address);
+                target.clock.post(&target.discovery, DiscoveryMessage::SetAddress(address));
+            }
+            (Some(_), Change::Reload) => self.reload_due = true,
+        }
+        Ok(())
+    }
+
+    /// Takes the state that this process starts from.
+    pub fn take_initial_state(&mut self) -> InitialState {
+        let state = std::mem::take(&mut self.initial_state);
+        self.reload_due |= state.reload;
+        state
+    }
+
+    /// To be called once this process has started from the initial state: later changes go to `target`.
+    pub fn follow_changes(&mut self, target: ChangeTarget) {
+        self.change_target = Some(target);
     }
 
     /// Reports that this process is ready to serve, and waits for the listener.
@@ -166,7 +234,8 @@
     }
 
     /// Collects clients and connections until the commit, then serves them. Clients that were busy follow on a thread.
-    pub fn serve(mut self, clients: &Arc<SharedClients>) -> Result<(), String> {
+    pub fn serve(mut self, reloader: &Arc<Reloader>) -> Result<(), String> {
+        let clients = &reloader.clients;
         self.wait_for_stage(Stage::Serving)?;
         self.adopt_session_marks(clients);
         if !self.snapshot.is_empty() {
@@ -176,12 +245,20 @@
             );
         }
         self.admit_received(clients);
-        let clients = clients.clone();
+        let (clients, reloader) = (clients.clone(), reloader.clone());
         clients.receiving_transfers.store(true, Ordering::Release);
+        let mut changes = ChangeSender::new(reloader.runtime_state.subscribe(Peer::Predecessor));
         threads::start("received clients", move || {
-            while self.receive_message(MESSAGE_TIMEOUT).is_ok() {
+            loop {
+                if std::mem::take(&mut self.reload_due) {
+                    reloader.reload(Some(Peer::Predecessor));
+                }
+                if changes.send(&self.socket).is_err() || self.receive_message(CHANGES_INTERVAL).is_err() {
+                    break;
+                }
                 self.admit_received(&clients);
             }
+            drop(changes);
             clients.receiving_transfers.store(false, Ordering::Release);
             match self.peer.and_then(|peer| peer.wait_for_end()) {
                 Ok(()) => clients.clock.post(&clients.dispatcher, DispatcherMessage::PredecessorEnded),
--- a/crates/front/src/upgrade/old_process.rs
+++ b/crates/front/src/upgrade/old_process.rs
@@ -1,14 +1,21 @@
 //! The old process's side: starts the new process and transfers the listener and the clients to it.
 
 use super::SUCCESSOR_ENV;
+use super::changes::ChangeSender;
 use crate::acceptor_state::Resumption;
 use crate::client::CONNECTION_STACK_BYTES;
 use crate::clients::{ClientTransfer, SharedClients, TransferResult};
 use crate::messages::{DispatcherMessage, MembershipMessage};
+use crate::reload::Reloader;
+use crate::runtime_state::{Peer, Update};
+use crate::settings::DISCOVERY_ENV;
 use juniperdock_connection::{Listener, spawn};
 use juniperdock_fd_passing::{PacketSocket, Received};
 use juniperdock_hot_restart::message::{self, MAX_MESSAGE_LEN};
-use juniperdock_hot_restart::{Action, OldProcess, Phase, Timeouts, VERSION_WITH_SESSION_MARKS};
+use juniperdock_hot_restart::{
+    Action, ChangePieces, OldProcess, Phase, Timeouts, VERSION_WITH_RUNTIME_STATE, VERSION_WITH_SESSION_MARKS,
+};
+use juniperdock_runtime_state::{Change, MAX_CHANGE_LEN};
 use std::collections::BTreeMap;
 use std::os::fd::OwnedFd;
 use std::path::Path;
@@ -44,25 +51,34 @@
     in_flight: BTreeMap<u64, TransferResult>,
     /// Idle connections to members that are to be sent.
     idle_channel: (Sender<IdleConnection>, Receiver<IdleConnection>),
+    reloader: Arc<Reloader>,
+    /// What the new process is to be told of what is put in force here, and what it tells.
+    changes: ChangeSender,
+    received_changes: ChangePieces,
     log: slog::Logger,
 }
 
 /// Starts the program and transfers listener and clients to it. Sends `result_tx` the id of the new process once that
 /// serves, or the reason why this process continues to serve.
 pub fn run_upgrade(
-    clients: Arc<SharedClients>,
+    reloader: Arc<Reloader>,
     listener: Arc<Listener>,
     program: &Path,
     timeouts: Timeouts,
     result_tx: &SyncSender<Result<u32, String>>,
     log: slog::Logger,
 ) {
+    let clients = reloader.clients.clone();
+    // From here on: the new process may read its files before or after they are reloaded here.
+    let changes = ChangeSender::new(reloader.runtime_state.subscribe(Peer::Successor));
     let started = PacketSocket::pair().and_then(|(socket, child_socket)| {
-        let child = Command::new(program)
-            .args(std::env::args_os().skip(1))
-            .env(SUCCESSOR_ENV, "1")
-            .stdin(Stdio::from(child_socket))
-            .spawn();
+        let mut command = Command::new(program);
+        command.args(std::env::args_os().skip(1)).env(SUCCESSOR_ENV, "1").stdin(Stdio::from(child_socket));
+        // A program that can't be told of the runtime state gets at least what is in force now.
+        if let Some(address) = reloader.runtime_state.discovery() {
+            command.env(DISCOVERY_ENV, address.to_string());
+        }
+        let child = command.spawn();
         child.map(|child| (socket, child)).map_err(|e| format!("starting {}: {e}", program.display()))
     });
     let (socket, child) = match started {
@@ -83,6 +99,9 @@
         transfer_rx,
         in_flight: BTreeMap::new(),
         idle_channel: channel(),
+        reloader,
+        changes,
+        received_changes: ChangePieces::new(MAX_CHANGE_LEN),
         log,
     }
     .run(result_tx);
@@ -92,6 +111,8 @@
     fn run(mut self, result_tx: &SyncSender<Result<u32, String>>) {
         loop {
             self.receive_messages();
+            self.apply_changes();
+            self.send_changes();
             if !matches!(self.child.try_wait(), Ok(None)) {
                 self.state.on_disconnected();
             }
@@ -127,7 +148,9 @@
         let mut wait = POLL_INTERVAL;
         for _ in 0..4 * BATCH_SIZE {
             match self.socket.receive(MAX_MESSAGE_LEN, wait) {
-                Ok(Received::Packet(message, _)) => message::deliver_to_old(&message, &mut self.state),
+                Ok(Received::Packet(message, _)) => {
+                    message::deliver_to_old(&message, &mut self.state, &mut self.received_changes);
+                }
                 Ok(Received::TimedOut) => return,
                 Ok(Received::Closed) => return self.state.on_disconnected(),
                 Err(_) => return self.state.on_protocol_error(),
@@ -145,6 +168,36 @@
         sent
     }
 
+    /// Tells the new process what has been put in force here since the last call. What it has no room for waits, and
+    /// holds the commit up.
+    fn send_changes(&mut self) {
+        if self.state.version() < VERSION_WITH_RUNTIME_STATE {
+            return;
+        }
+        match self.changes.send(&self.socket) {
+            Ok(all_sent) => self.state.set_changes_waiting(self.clients.clock.now(), !all_sent),
+            Err(why) => {
+                slog::warn!(self.log, "the new process can't be told what is in force"; "why" => why);
+                self.state.on_disconnected();
+            }
+        }
+    }
+
+    /// Puts in force what was put in force in the new process.
+    fn apply_changes(&mut self) {
+        for encoded in self.received_changes.take_complete() {
+            match Change::decode(&encoded) {
+                Ok(Change::Reload) => self.reloader.reload(Some(Peer::Successor)),
+                // It follows from the reload, which this process has done by itself.
+                Ok(Change::DiscoveryAddress(_)) => {}
+                Err(why) => {
+                    slog::warn!(self.log, "the new process sends no runtime state"; "why" => why);
+                    self.state.on_protocol_error();
+                }
+            }
+        }
+    }
+
     /// Returns an encoded snapshot, which is empty if the dispatcher does not produce one in time.
     fn snapshot(&self) -> Vec<u8> {
         let (reply, response) = sync_channel(1);
@@ -203,7 +256,11 @@
     /// Performs an action. Returns true once the upgrade is complete.
     fn perform(&mut self, action: Action, result_tx: &SyncSender<Result<u32, String>>) -> bool {
         match action {
-            Action::SendVersion(version) => drop(self.send_message(&message::agree(version), None)),
+            Action::SendVersion(version) => {
+                if self.send_message(&message::agree(version), None) {
+                    self.reloader.runtime_state.tell(Peer::Successor, Update::InitialStateComplete);
+                }
+            }
             Action::SendListener => match self.listener.descriptor() {
                 Ok(listener) => {
                     if self.send_session_marks()
--- /dev/null
+++ b/crates/front/tests/runtime_state.rs
@@ -0,0 +1,264 @@
+//! What was put in force while one process of a front ran is in force in the next one, in any order of reloads and
+//! upgrades of real processes (`docs/incidents/state-put-in-force.md`).
+
+use juniperdock_test_support::{
+    Agent, Behaviour, Client, Front, Member, OperatedFront, WATCH, address, has_ended, list, signal, txn,
+    wait_until,
+};
+use std::process::{Child, Stdio};
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperdock");
+const NAMES: [&str; 3] = ["m-0", "m-1", "m-2"];
+/// Reads in a row; replicas serve them all if they may.
+const READS: usize = 24;
+/// Longer than one process takes to tell the other of a change.
+const TELLING_TIME: Duration = Duration::from_millis(300);
+
+/// A front before a primary and two replicas, and several addresses of discovery of which it knows the first.
+struct Cluster {
+    members: Vec<Member>,
+    agents: Vec<Agent>,
+    front: OperatedFront,
+}
+
+/// An upgrade whose new process is held up before it is ready.
+struct HeldUpgrade {
+    command: Child,
+    new: String,
+}
+
+impl Cluster {
+    fn start() -> Cluster {
+        Cluster::start_with_charter("")
+    }
+
+    fn start_with_charter(charter: &str) -> Cluster {
+        let members: Vec<Member> = (0..NAMES.len()).map(|i| Member::start(i == 0)).collect();
+        let agents: Vec<Agent> = (0..3).map(|_| Agent::start(WATCH)).collect();
+        let config = config(&members, &agents[0]);
+        let front = OperatedFront::start(PROGRAM, address(), agents[0].at, &config, charter);
+        let cluster = Cluster { members, agents, front };
+        wait_until(|| cluster.front.client().query(&txn("order", 2000, "first")).value.is_some());
+        cluster
+    }
+
+    /// Puts a configuration in place that names this address of discovery.
+    fn configure(&self, agent: usize) {
+        self.front.front.replace_file("config.json", &config(&self.members, &self.agents[agent]));
+    }
+
+    /// Puts the address in place and tells a process to reload, which has reloaded as often before.
+    fn reload(&self, pid: &str, agent: usize, reloads_before: u64) {
+        self.configure(agent);
+        signal(pid, "-HUP");
+        wait_until(|| self.front.status_number("reloads") > Some(reloads_before));
+    }
+
+    /// The reads that come to replicas when some are sent.
+    fn reads_at_replicas(&self) -> usize {
+        self.members.iter().for_each(|member| member.seen.try_iter().for_each(drop));
+        let mut client = self.front.client();
+        (0..READS).for_each(|_| drop(client.query(&txn("lookup", 2000, "read"))));
+        self.members[1..].iter().map(|member| member.seen.try_iter().count()).sum()
+    }
+
+    /// Checks that drains which only this address of discovery tells are kept.
+    fn assert_discovery_is(&self, agent: usize) {
+        wait_until(|| self.reads_at_replicas() == READS);
+        self.agents[agent].publish(listed(&self.members, 9, ["up", "draining", "draining"]));
+        wait_until(|| self.reads_at_replicas() == 0);
+        assert_eq!(self.reads_at_replicas(), 0, "reads at draining servers");
+    }
+
+    /// Begins an upgrade and holds the new process up once it has started from its files and asks for the list.
+    fn begin_upgrade(&self) -> HeldUpgrade {
+        // A new process waits for a primary before it says that it is ready.
+        self.members[0].set_primary(false);
+        self.agents.iter().for_each(|agent| agent.requests.try_iter().for_each(drop));
+        let program = self.front.wrapped_program("next", "");
+        let command = self.spawn_upgrade(&program.path.display().to_string());
+        let new = program.await_start();
+        wait_until(|| self.agents.iter().any(|agent| agent.requests.try_recv().is_ok()));
+        signal(&new, "-STOP");
+        HeldUpgrade { command, new }
+    }
+
+    fn spawn_upgrade(&self, program: &str) -> Child {
+        let mut command = self.front.to_command(&["upgrade", "--program", program]);
+        command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it runs")
+    }
+
+    /// Lets an upgrade go on; it is committed.
+    fn finish_upgrade(&self, upgrade: HeldUpgrade) {
+        let HeldUpgrade { mut command, new } = upgrade;
+        self.members[0].set_primary(true);
+        signal(&new, "-CONT");
+        assert!(command.wait().expect("it ends").success(), "the upgrade is committed");
+        wait_until(|| self.front.serving_pid() == new);
+    }
+
+    /// A client whose write the old process has in hand, so that it outlives an upgrade.
+    fn long_write(&self) -> Client {
+        let mut client = self.front.client();
+        self.members[0].set_behaviour(Behaviour::Hang);
+        client.send(&txn("order", 20_000, "long"));
+        wait_until(|| self.members[0].seen.try_iter().any(|seen| seen.contains("id=long")));
+        self.members[0].set_behaviour(Behaviour::Serve);
+        client
+    }
+}
+
+fn listed(members: &[Member], version: u64, states: [&str; 3]) -> String {
+    let entries: Vec<_> = (0..3).map(|i| (NAMES[i], members[i].at, states[i])).collect();
+    list(version, true, &entries)
+}
+
+fn config(members: &[Member], agent: &Agent) -> String {
+    let discovery = format!("{{\"discovery\":\"{}\",", agent.at);
+    Front::config(&listed(members, 1, ["up"; 3]), 1024).replacen('{', &discovery, 1)
+}
+
+/// Guards against a new process that asks the address of discovery of its environment although a reload has put another
+/// one in force, also after a second upgrade, and where a reload was taken back.
+#[test]
+fn address_that_reloads_have_put_in_force_holds_after_upgrades() {
+    let cluster = Cluster::start();
+    let first = cluster.front.serving_pid();
+    cluster.reload(&first, 1, 0);
+    cluster.reload(&first, 2, 1);
+    cluster.reload(&first, 1, 2);
+    cluster.front.upgrade();
+    let third = cluster.front.upgrade();
+    cluster.assert_discovery_is(1);
+    cluster.reload(&third, 2, 0);
+    cluster.reload(&third, 0, 1);
+    cluster.front.upgrade();
+    cluster.agents[0].requests.try_iter().for_each(drop);
+    cluster.front.upgrade();
+    wait_until(|| cluster.agents[0].requests.try_recv().is_ok());
+}
+
+/// Guards against an upgrade that puts an address in force which nobody has told a process to reload.
+#[test]
+fn address_in_the_file_is_not_in_force_before_a_reload() {
+    let cluster = Cluster::start();
+    cluster.configure(1);
+    cluster.front.upgrade();
+    cluster.configure(2);
+    signal(&cluster.front.serving_pid(), "-HUP");
+    wait_until(|| cluster.front.status_number("reloads") == Some(1));
+    cluster.configure(1);
+    cluster.front.upgrade();
+    cluster.assert_discovery_is(2);
+}
+
+/// Guards against a reload that fails after one that has succeeded, and then counts in the next process.
+#[test]
+fn address_in_force_outlives_a_reload_that_fails() {
+    let cluster = Cluster::start();
+    let pid = cluster.front.serving_pid();
+    cluster.reload(&pid, 1, 0);
+    let without_discovery = Front::config(&listed(&cluster.members, 1, ["up"; 3]), 1024);
+    cluster.front.front.replace_file("config.json", &without_discovery);
+    signal(&pid, "-HUP");
+    wait_until(|| cluster.front.status_number("reloads_failed") == Some(1));
+    cluster.front.upgrade();
+    cluster.assert_discovery_is(1);
+}
+
+/// Guards against a reload that falls between the start of the new process and the commit.
+#[test]
+fn reload_during_an_upgrade_is_in_force_in_the_new_process() {
+    let cluster = Cluster::start();
+    let old = cluster.front.serving_pid();
+    let upgrade = cluster.begin_upgrade();
+    cluster.reload(&old, 2, 0);
+    cluster.reload(&old, 1, 1);
+    cluster.finish_upgrade(upgrade);
+    cluster.assert_discovery_is(1);
+}
+
+/// Guards against a reload that falls between the start of the new process and its first line.
+#[test]
+fn reload_before_the_new_process_has_read_its_files_is_in_force_there() {
+    let cluster = Cluster::start();
+    let old = cluster.front.serving_pid();
+    let program = cluster.front.wrapped_program("slow", "sleep 1");
+    let mut command = cluster.spawn_upgrade(&program.path.display().to_string());
+    cluster.reload(&old, 1, 0);
+    assert!(command.wait().expect("it ends").success(), "the upgrade is committed");
+    cluster.front.await_successor(&old);
+    cluster.assert_discovery_is(1);
+}
+
+/// Guards against limits of the operators' file that the new process has read before they were reloaded.
+#[test]
+fn operators_file_that_is_reloaded_during_an_upgrade_is_in_force_in_the_new_process() {
+    let cluster = Cluster::start();
+    let old = cluster.front.serving_pid();
+    let upgrade = cluster.begin_upgrade();
+    let charter = OperatedFront::charter(cluster.front.front.at, "held: { of_all: 1 }");
+    cluster.front.front.replace_file("charter.json5", &charter);
+    cluster.reload(&old, 0, 0);
+    cluster.finish_upgrade(upgrade);
+    wait_until(|| cluster.front.status_number("reloads") == Some(1));
+    cluster.members[0].set_primary(false);
+    let mut clients = [cluster.front.client(), cluster.front.client()];
+    wait_until(|| cluster.front.command(&["status"]).1.contains("vacant"));
+    for client in &mut clients {
+        client.send(&txn("order", 20_000, "held"));
+        wait_until(|| cluster.front.status_number("waiting") == Some(1));
+    }
+    let is_refused = |client: &mut Client| {
+        client.stream.set_read_timeout(Some(Duration::from_secs(2))).expect("a timeout");
+        client.reply().code.is_some()
+    };
+    let refused = clients.iter_mut().map(is_refused).filter(|refused| *refused).count();
+    assert_eq!(refused, 1, "one may wait, the other one is refused at once");
+}
+
+/// Guards against a reload that only the old process is told of, while it answers what it has in hand.
+#[test]
+fn reload_of_the_old_process_after_the_commit_is_in_force_in_the_new_one() {
+    let cluster = Cluster::start();
+    let old = cluster.front.serving_pid();
+    let mut client = cluster.long_write();
+    cluster.front.upgrade();
+    cluster.reload(&old, 1, 0);
+    cluster.assert_discovery_is(1);
+    assert!(!has_ended(&old), "it has a write in hand");
+    cluster.members[0].close_hanging();
+    assert_eq!(client.reply().code.as_deref(), Some("40003"));
+}
+
+/// Guards against an old process that goes on after the new one has served and died, and lacks what was put in force
+/// there.
+#[test]
+fn reload_of_a_new_process_that_dies_is_in_force_in_the_old_one() {
+    let cluster = Cluster::start();
+    let mut client = cluster.long_write();
+    let new = cluster.front.upgrade();
+    cluster.reload(&new, 1, 0);
+    std::thread::sleep(TELLING_TIME);
+    signal(&new, "-KILL");
+    wait_until(|| has_ended(&new));
+    cluster.assert_discovery_is(1);
+    cluster.members[0].close_hanging();
+    assert_eq!(client.reply().code.as_deref(), Some("40003"));
+}
+
+/// Guards against an upgrade that is taken back and takes back with it what was put in force meanwhile.
+#[test]
+fn reload_during_an_upgrade_that_is_taken_back_stays_in_force() {
+    let cluster = Cluster::start();
+    let old = cluster.front.serving_pid();
+    let mut upgrade = cluster.begin_upgrade();
+    cluster.reload(&old, 1, 0);
+    signal(&upgrade.new, "-KILL");
+    assert!(!upgrade.command.wait().expect("it ends").success(), "the upgrade is taken back");
+    cluster.members[0].set_primary(true);
+    assert_eq!(cluster.front.serving_pid(), old);
+    cluster.front.upgrade();
+    cluster.assert_discovery_is(1);
+}
--- a/crates/hot-restart/src/lib.rs
+++ b/crates/hot-restart/src/lib.rs
@@ -6,19 +6,25 @@
 //! received it, and neither process reads from a client in flight. After the commit the new process serves. Clients
 //! with a request in progress stay with the old process until they are answered, and are then transferred one by one.
 
+mod change_pieces;
 pub mod message;
 mod new_process;
 mod old_process;
 
+pub use change_pieces::ChangePieces;
 pub use new_process::{NewProcess, Stage};
 pub use old_process::{AbortReason, Action, OldProcess, Phase, Timeouts};
 
 /// The lowest and the highest protocol version that this build supports.
-pub const SUPPORTED_VERSIONS: (u16, u16) = (1, 2);
+pub const SUPPORTED_VERSIONS: (u16, u16) = (1, 3);
 
 /// From this version on, the old process shares the marks of its sessions with the new one.
 pub const VERSION_WITH_SESSION_MARKS: u16 = 2;
 
+/// From this version on, each process tells the other what is put in force there, and the new one starts from what the
+/// old one has told.
+pub const VERSION_WITH_RUNTIME_STATE: u16 = 3;
+
 /// Returns the highest version that both sides support.
 ///
 /// ```
--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between the two processes. Each is one packet: a letter, then fixed fields in network byte order. A
 //! file descriptor may accompany it.
 
+use crate::change_pieces::ChangePieces;
 use crate::old_process::OldProcess;
 
 /// Maximum length of one message, in bytes.
@@ -40,6 +41,18 @@
     b"k".to_vec()
 }
 
+/// Splits a change of the runtime state into messages, for either process.
+pub fn change(encoded: &[u8]) -> impl Iterator<Item = Vec<u8>> {
+    let pieces = encoded.chunks(MAX_MESSAGE_LEN - 2);
+    let count = pieces.len();
+    pieces.enumerate().map(move |(at, piece)| [&[b'x', u8::from(at + 1 == count)], piece].concat())
+}
+
+/// Encodes the end of the runtime state from which the new process starts.
+pub fn state_complete() -> Vec<u8> {
+    b"y".to_vec()
+}
+
 /// Encodes a piece of the old process's snapshot; an empty piece ends it.
 pub fn memory(piece: &[u8]) -> Vec<u8> {
     [&b"m"[..], piece].concat()
@@ -67,8 +80,13 @@
 }
 
 /// Decodes a message from the new process and passes it to the old one's state machine.
-pub fn deliver_to_old(message: &[u8], old_process: &mut OldProcess) {
+pub fn deliver_to_old(message: &[u8], old_process: &mut OldProcess, changes: &mut ChangePieces) {
     match message.split_first() {
+        Some((b'x', [last @ (0 | 1), piece @ ..])) => {
+            if !changes.append(piece, *last == 1) {
+                old_process.on_protocol_error();
+            }
+        }
         Some((b'h', fields)) => match split_field(fields).zip(fields.get(2..).and_then(split_field)) {
             Some(((lowest, _), (highest, []))) => {
                 old_process.on_hello(u16::from_be_bytes(lowest), u16::from_be_bytes(highest));
@@ -87,6 +105,10 @@
 /// Handles the messages that the new process receives.
 pub trait MessageHandler {
     fn agreed(&mut self, version: u16);
+    /// A piece of a change of the runtime state.
+    fn change(&mut self, piece: &[u8], last: bool);
+    /// The runtime state to start from is complete.
+    fn state_complete(&mut self);
     fn session_marks(&mut self);
     fn memory(&mut self, piece: &[u8]);
     fn listener(&mut self);
@@ -104,6 +126,8 @@
             Some((version, [])) => handler.agreed(u16::from_be_bytes(version)),
             _ => handler.nonsense(),
         },
+        Some((b'x', [last @ (0 | 1), piece @ ..])) => handler.change(piece, *last == 1),
+        Some((b'y', [])) => handler.state_complete(),
         Some((b'k', [])) => handler.session_marks(),
         Some((b'm', piece)) => handler.memory(piece),
         Some((b'l', [])) => handler.listener(),
--- a/crates/hot-restart/src/new_process.rs
+++ b/crates/hot-restart/src/new_process.rs
@@ -5,7 +5,9 @@
 pub enum Stage {
     /// No protocol version is agreed yet.
     AwaitingVersion,
-    /// A version is agreed; the process may report that it is ready.
+    /// A version is agreed; the process waits for the runtime state from which it starts.
+    ReceivingState,
+    /// The process may report that it is ready.
     Preparing,
     /// The process receives the listener and clients, and serves none of them yet.
     Receiving,
@@ -17,7 +19,7 @@
 
 /// The new process's side of one hot restart. Each input returns whether it was expected at this stage; after one
 /// that was not, the process has to exit.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct NewProcess {
     stage: Stage,
     received_clients: u64,
@@ -42,9 +44,17 @@
 
     /// Handles the protocol version chosen by the old process.
     pub fn on_version(&mut self, version: u16) -> bool {
-        let supported = (crate::SUPPORTED_VERSIONS.0..=crate::SUPPORTED_VERSIONS.1).contains(&version);
-        self.advance(&[Stage::AwaitingVersion], if supported { Stage::Preparing } else { Stage::Failed })
-            && supported
+        let next = match version {
+            v if !(crate::SUPPORTED_VERSIONS.0..=crate::SUPPORTED_VERSIONS.1).contains(&v) => Stage::Failed,
+            crate::VERSION_WITH_RUNTIME_STATE.. => Stage::ReceivingState,
+            _ => Stage::Preparing,
+        };
+        self.advance(&[Stage::AwaitingVersion], next) && next != Stage::Failed
+    }
+
+    /// Handles the end of the runtime state from which this process starts.
+    pub fn on_state_complete(&mut self) -> bool {
+        self.advance(&[Stage::ReceivingState], Stage::Preparing)
     }
 
     /// Handles the arrival of the listener.
--- a/crates/hot-restart/src/old_process.rs
+++ b/crates/hot-restart/src/old_process.rs
@@ -86,6 +86,8 @@
     disconnected: bool,
     canceled: bool,
     no_clients_left: bool,
+    /// Since when the new process has taken no further change of the runtime state, while some wait for it.
+    changes_wait_since: Option<Duration>,
     /// Sent, but not yet confirmed by the new process.
     in_flight: BTreeSet<u64>,
     /// Confirmed by the new process, but not yet released.
@@ -108,6 +110,7 @@
             disconnected: false,
             canceled: false,
             no_clients_left: false,
+            changes_wait_since: None,
             in_flight: BTreeSet::new(),
             received: BTreeSet::new(),
             last_sent: now,
@@ -171,6 +174,11 @@
         self.no_clients_left = clients == 0;
     }
 
+    /// Records whether changes of the runtime state are still to be sent: they go over before the commit.
+    pub fn set_changes_waiting(&mut self, now: Duration, waiting: bool) {
+        self.changes_wait_since = waiting.then(|| self.changes_wait_since.unwrap_or(now));
+    }
+
     /// Whether clients may be sent now.
     pub fn is_transferring(&self) -> bool {
         matches!(self.phase, Phase::Transferring | Phase::Committed)
@@ -184,7 +192,9 @@
         let late = match self.phase {
             Phase::Started | Phase::Preparing => now >= self.phase_began + self.timeouts.ready,
             Phase::Transferring => {
-                !self.in_flight.is_empty() && now >= self.last_sent + self.timeouts.acknowledge
+                let limit = self.timeouts.acknowledge;
+                !self.in_flight.is_empty() && now >= self.last_sent + limit
+                    || self.changes_wait_since.is_some_and(|since| now >= since + limit)
             }
             // The new process serves and may already be reading from the client: waiting is safer than taking it back.
             Phase::Committed => false,
@@ -242,7 +252,9 @@
                 Some(Action::TransferAll)
             }
             Phase::Transferring
-                if self.in_flight.is_empty() && now >= self.phase_began + self.timeouts.gather =>
+                if self.in_flight.is_empty()
+                    && self.changes_wait_since.is_none()
+                    && now >= self.phase_began + self.timeouts.gather =>
             {
                 self.enter(now, Phase::Committed);
                 Some(Action::Commit)
--- a/crates/hot-restart/tests/scenarios.rs
+++ b/crates/hot-restart/tests/scenarios.rs
@@ -2,8 +2,8 @@
 
 use juniperdock_hot_restart::message::{self, MessageHandler};
 use juniperdock_hot_restart::{
-    AbortReason, Action, NewProcess, OldProcess, Phase, SUPPORTED_VERSIONS, Stage, Timeouts,
-    VERSION_WITH_SESSION_MARKS,
+    AbortReason, Action, ChangePieces, NewProcess, OldProcess, Phase, SUPPORTED_VERSIONS, Stage, Timeouts,
+    VERSION_WITH_RUNTIME_STATE, VERSION_WITH_SESSION_MARKS,
 };
 use proptest::prelude::*;
 use std::time::Duration;
@@ -141,9 +141,10 @@
         (actions_at(&mut old_process, 1), old_process.phase()),
         (vec![Action::Resume], Phase::Aborted(AbortReason::Version))
     );
-    for message in [&b"x"[..], b"", b"h\0", b"t\0\0\0\0\0\0\0\x09", b"r", b"t"] {
+    for message in [&b"x"[..], b"x\x020", b"x\x010123456789", b"", b"h\0", b"t\0\0\0\0\0\0\0\x09", b"r", b"t"]
+    {
         let mut old_process = transferring();
-        message::deliver_to_old(message, &mut old_process);
+        message::deliver_to_old(message, &mut old_process, &mut ChangePieces::new(9));
         assert_eq!(actions_at(&mut old_process, 110)[0], Action::Resume, "{message:?}");
         assert_eq!(old_process.phase(), Phase::Aborted(AbortReason::Nonsense));
     }
@@ -167,10 +168,46 @@
     assert!(old_process.version() < VERSION_WITH_SESSION_MARKS);
 }
 
+/// Guards against a commit before the new process has all that is in force, and against one that is waited for for good.
+#[test]
+fn changes_of_the_runtime_state_go_over_before_the_commit_or_the_restart_is_aborted() {
+    let acknowledged = || {
+        let mut old_process = transferring();
+        (1..4).for_each(|client| old_process.on_received(client));
+        old_process.set_changes_waiting(ms(120), true);
+        old_process
+    };
+    let mut old_process = acknowledged();
+    old_process.set_changes_waiting(ms(900), true);
+    assert!(actions_at(&mut old_process, 1119).is_empty(), "the commit waits");
+    old_process.set_changes_waiting(ms(1119), false);
+    assert_eq!(actions_at(&mut old_process, 1119)[0], Action::Commit);
+    let mut old_process = acknowledged();
+    old_process.set_changes_waiting(ms(900), true);
+    assert_eq!(actions_at(&mut old_process, 1120)[0], Action::Resume);
+    assert_eq!(old_process.phase(), Phase::Aborted(AbortReason::Late));
+}
+
+#[test]
+fn changes_longer_than_a_message_are_joined_and_those_too_long_are_refused() {
+    let long: Vec<u8> = (0..3 * message::MAX_MESSAGE_LEN).map(|i| i as u8).collect();
+    let (mut pieces, mut old_process) = (ChangePieces::new(long.len()), transferring());
+    let messages: Vec<_> = message::change(&long).chain(message::change(b"short")).collect();
+    assert!(messages.len() > 4 && messages.iter().all(|message| message.len() <= message::MAX_MESSAGE_LEN));
+    messages.iter().for_each(|message| message::deliver_to_old(message, &mut old_process, &mut pieces));
+    assert_eq!(pieces.take_complete(), [long.clone(), b"short".to_vec()]);
+    assert!(actions_at(&mut old_process, 110).is_empty());
+    let mut pieces = ChangePieces::new(long.len() - 1);
+    message::change(&long)
+        .for_each(|message| message::deliver_to_old(&message, &mut old_process, &mut pieces));
+    assert_eq!(actions_at(&mut old_process, 110)[0], Action::Resume);
+}
+
 #[test]
 fn new_process_serves_no_client_before_commit() {
     let mut new_process = NewProcess::default();
-    assert!(new_process.on_version(SUPPORTED_VERSIONS.1) && new_process.on_listener());
+    assert!(new_process.on_version(VERSION_WITH_RUNTIME_STATE) && !new_process.clone().on_listener());
+    assert!(new_process.on_state_complete() && new_process.on_listener());
     assert_eq!(new_process.on_client(), Some(false));
     assert!(new_process.on_commit());
     assert_eq!(
@@ -179,7 +216,7 @@
     );
     let mut new_process = NewProcess::default();
     assert!(
-        new_process.on_version(SUPPORTED_VERSIONS.1)
+        new_process.on_version(VERSION_WITH_SESSION_MARKS)
             && new_process.on_listener()
             && !new_process.on_disconnected()
     );
@@ -197,6 +234,12 @@
     fn agreed(&mut self, version: u16) {
         self.0.push(format!("agreed {version}"));
     }
+    fn change(&mut self, piece: &[u8], last: bool) {
+        self.0.push(format!("change {} {last}", piece.len()));
+    }
+    fn state_complete(&mut self) {
+        self.0.push("state complete".to_owned());
+    }
     fn session_marks(&mut self) {
         self.0.push("session marks".to_owned());
     }
@@ -234,15 +277,19 @@
         message::commit(),
         message::idle("m"),
         message::session_marks(),
+        message::state_complete(),
     ];
+    let messages: Vec<_> = messages.into_iter().chain(message::change(b"abcd")).collect();
     messages.iter().for_each(|message| message::deliver_to_new(message, &mut handler));
-    for bad in [&b""[..], b"c", b"c\0\0\0\0\0\0\0\x01\x02\0", b"a\0", b"sx", b"l1", b"kx", b"?"] {
+    for bad in [&b""[..], b"c", b"c\0\0\0\0\0\0\0\x01\x02\0", b"a\0", b"sx", b"l1", b"kx", b"x", b"yx", b"?"]
+    {
         message::deliver_to_new(bad, &mut handler);
     }
     let good =
         ["agreed 1", "listener", "unread 3", "client 7 true false", "commit", "idle m", "session marks"];
     assert_eq!(handler.0[..7], good);
-    assert!(handler.0[7..].iter().all(|said| said == "nonsense") && handler.0.len() == 15);
+    assert_eq!(handler.0[7..9], ["state complete", "change 4 true"]);
+    assert!(handler.0[9..].iter().all(|said| said == "nonsense") && handler.0.len() == 19);
 }
 
 proptest! {
@@ -302,7 +349,7 @@
 
     #[test]
     fn arbitrary_bytes_never_panic(message in proptest::collection::vec(any::<u8>(), 0..40)) {
-        message::deliver_to_old(&message, &mut transferring());
+        message::deliver_to_old(&message, &mut transferring(), &mut ChangePieces::new(9));
         message::deliver_to_new(&message, &mut RecordingHandler::default());
     }
 }
--- a/crates/lab/src/upgrade.rs
+++ b/crates/lab/src/upgrade.rs
@@ -314,6 +314,8 @@
     fn agreed(&mut self, _version: u16) {
         self.agreed = true;
     }
+    fn change(&mut self, _piece: &[u8], _last: bool) {}
+    fn state_complete(&mut self) {}
     fn session_marks(&mut self) {}
     fn memory(&mut self, _piece: &[u8]) {}
     fn listener(&mut self) {
--- /dev/null
+++ b/crates/runtime-state/src/lib.rs
@@ -0,0 +1,51 @@
+//! What is put in force while a process of a front runs: by a signal, by a command or by discovery. In an upgrade two
+//! processes are the same front, so each gets what the other one has been told. Performs no I/O.
+//!
+//! The process that is to be replaced sends its [`InitialState`] as soon as both have agreed on a protocol version, and
+//! every later [`Change`] as it happens. The new process starts from that state and not from its files, which may be
+//! older. Until the commit, what the old process is told binds the new one; after it, both tell each other.
+
+mod initial;
+
+pub use initial::InitialState;
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The longest encoded change that is accepted, in bytes: a list of 20,000 servers of 400 bytes each.
+pub const MAX_CHANGE_LEN: usize = 8 << 20;
+
+/// Something that was put in force in one process of a front.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    /// A reload of the configuration has put this address of discovery in force.
+    DiscoveryAddress(SocketAddr),
+    /// The configuration and the operators' file are to be read again.
+    Reload,
+}
+
+impl Change {
+    /// Encodes a change.
+    ///
+    /// # Errors
+    /// If it is longer than [`MAX_CHANGE_LEN`].
+    pub fn encode(&self) -> Result<Vec<u8>, String> {
+        let bytes = postcard::to_allocvec(self).map_err(|e| format!("runtime state: {e}"))?;
+        if bytes.len() > MAX_CHANGE_LEN {
+            return Err(format!(
+                "runtime state: expected at most {MAX_CHANGE_LEN} bytes, found {}",
+                bytes.len()
+            ));
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes a change.
+    ///
+    /// # Errors
+    /// If the bytes are not exactly one change.
+    pub fn decode(bytes: &[u8]) -> Result<Change, String> {
+        let (change, rest) = postcard::take_from_bytes(bytes).map_err(|e| format!("runtime state: {e}"))?;
+        if rest.is_empty() { Ok(change) } else { Err("runtime state: unexpected bytes after it".to_owned()) }
+    }
+}
