Start a new process from the server list that the old one has in force

Change: the old process sends all servers that it knows, removed ones too, with the version, before the new one starts; that list goes before the file's, unless the file's version is above all that were ever in force (somebody has put a newer list there; after discovery was reset, versions below the highest are no news). Lists that the old process accepts afterwards follow. The new process takes one whole only if its own version is the one before it, so that no change can be missed in between, else the entries that take servers out of use. Its watch asks for changes after the version in force.

--- a/crates/front/src/discovery_client.rs
+++ b/crates/front/src/discovery_client.rs
@@ -7,6 +7,7 @@
 use crate::messages::{DiscoveryMessage, DispatcherMessage, WatchEnd};
 use juniperdock_connection::{BufferLimits, Waker, spawn};
 use juniperdock_discovery::{Answer, MAX_UNREAD, watch_request};
+use juniperdock_runtime_state::ListChange;
 use juniperdock_server_list::{Backoff, ServerList, Versions};
 use may::sync::mpsc::{Receiver, Sender, channel};
 use std::net::SocketAddr;
@@ -105,6 +106,11 @@
                     }
                 }
                 DiscoveryMessage::ListReceived(number, list) => self.list_received(number, list),
+                DiscoveryMessage::PeerList(ListChange { from, list }) => {
+                    let list = self.versions.accept_from_peer(from, list);
+                    list.into_iter()
+                        .for_each(|list| drop(self.dispatcher.send(DispatcherMessage::List(list))));
+                }
                 DiscoveryMessage::WatchEnded(number, why) => self.watch_ended(number, &why),
             }
         }
--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -2,6 +2,7 @@
 //! the router decides goes out as messages to the other actors. The dispatcher itself decides nothing.
 
 mod host;
+mod runtime_state;
 mod session_marks;
 mod snapshot;
 
@@ -13,6 +14,7 @@
     TransferIdle,
 };
 use crate::request_log::{RequestEvent, RequestLog};
+use crate::runtime_state::RuntimeState;
 use crate::worker_watchdog::WorkerWatchdog;
 use host::{OpenRequest, RouterHost};
 use juniperdock_deployment::{Indices, span};
@@ -71,6 +73,8 @@
     idle_closed_at: Option<Duration>,
     /// How marks of sessions are shared with other processes of this front.
     mark_sharing: MarkSharing,
+    /// The version of the server list that is in force.
+    list_version: Option<u64>,
     log: slog::Logger,
 }
 
@@ -92,6 +96,7 @@
         counters: Arc<Counters>,
         log: slog::Logger,
         request_log: RequestLog,
+        runtime_state: Arc<RuntimeState>,
     ) -> Result<Dispatcher, String> {
         let mut known = Indices::default();
         zones.into_iter().for_each(|zone| {
@@ -120,6 +125,7 @@
             probes_due: None,
             counters,
             observer: None,
+            runtime_state,
         };
         let (membership, fleet_changes) = (None, Vec::new());
         Ok(Dispatcher {
@@ -134,6 +140,7 @@
             fleet_changes,
             idle_closed_at: None,
             mark_sharing: MarkSharing::default(),
+            list_version: None,
             log,
         })
     }
@@ -422,6 +429,7 @@
                 self.host.counters.lists_failed.add();
                 self.router.discovery_lost(now, &mut self.host);
             }
+            DispatcherMessage::SendInitialState => self.send_initial_state(),
             DispatcherMessage::TakeSnapshot(reply) => {
                 drop(reply.try_send(juniperdock_snapshot::encode(&self.take_snapshot(now))))
             }
@@ -621,18 +629,22 @@
     /// Applies a full or partial server list, at a cost proportional to its entries.
     pub fn apply_list(&mut self, now: Duration, list: &ServerList) {
         self.host.counters.lists.add();
-        let mut named = Vec::with_capacity(list.servers.len());
+        let (mut named, mut changed) = (Vec::with_capacity(list.servers.len()), Vec::new());
         for entry in &list.servers {
-            named.push(self.apply_entry(now, entry, list.full));
+            let (member, has_changed) = self.apply_entry(now, entry, list.full);
+            named.push(member);
+            changed.extend(has_changed.then_some(member));
         }
         let gone = if list.full { self.host.servers.remove_unnamed(&named) } else { Vec::new() };
-        gone.into_iter().for_each(|member| self.host.send_to_member(member, MemberMessage::Removed));
+        gone.iter().for_each(|member| self.host.send_to_member(*member, MemberMessage::Removed));
+        changed.extend(gone);
+        self.list_in_force(list.version, &changed);
         self.router.list_completed(now, list.full.then_some(&named), &mut self.host);
     }
 
-    /// Applies one entry, notifies the member's actor if it has one, and returns the member's index. In a full list,
-    /// unchanged entries are not reported to the router.
-    fn apply_entry(&mut self, now: Duration, entry: &ServerEntry, full: bool) -> usize {
+    /// Applies one entry, notifies the member's actor if it has one, and returns the member's index and whether the entry
+    /// has changed anything. In a full list, unchanged entries are not reported to the router.
+    fn apply_entry(&mut self, now: Duration, entry: &ServerEntry, full: bool) -> (usize, bool) {
         let member = self.host.ids.known(&entry.id).unwrap_or_else(|| self.host.ids.index(entry.id.clone()));
         let group = self.host.groups.index(entry.group);
         let zone = self.zones.known(&entry.zone).unwrap_or_else(|| self.zones.index(entry.zone.clone()));
@@ -655,7 +667,7 @@
         if update.changed || !full {
             self.report_listed(now, member, &server);
         }
-        member
+        (member, update.changed)
     }
 
     /// Reports a server and its state to the router.
--- a/crates/front/src/dispatcher/host.rs
+++ b/crates/front/src/dispatcher/host.rs
@@ -7,6 +7,7 @@
     Answer, Arrival, AttemptEnd, DiscoveryMessage, DispatcherMessage, Job, MemberMessage, Submit,
 };
 use crate::request_log::{RequestEvent, RequestLog};
+use crate::runtime_state::RuntimeState;
 use juniperdock_deployment::{Indices, Origin, span};
 use juniperdock_fleet_tasks::{HealthObserver, Observation};
 use juniperdock_primary_tracker::{ChangeReason, Step};
@@ -86,6 +87,8 @@
     /// Health observation that is shared among the fronts, if it is on: a few fronts probe each member on behalf of
     /// all.
     pub(super) observer: Option<HealthObserver>,
+    /// Tells the other processes of this front what is put in force here.
+    pub(super) runtime_state: Arc<RuntimeState>,
 }
 
 impl RouterHost {
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -7,6 +7,7 @@
 use juniperdock_membership::Keys;
 use juniperdock_request_guard::{AttemptPermit, RequestGuard};
 use juniperdock_router::host::{AttemptOutcome, Report, Role, SessionWrite};
+use juniperdock_runtime_state::ListChange;
 use juniperdock_server_list::ServerList;
 use juniperdock_session_marks::{SharedMarks, TableError};
 use juniperdock_wait_queue::WaitLimits;
@@ -177,6 +178,8 @@
         handle: u64,
         at: Duration,
     },
+    /// Tells the next process all that it starts from.
+    SendInitialState,
     /// Asks for a snapshot of the router's state.
     TakeSnapshot(SyncSender<Result<Vec<u8>, String>>),
     /// A snapshot from the previous process.
@@ -344,6 +347,8 @@
     WakerReady(u64, Waker),
     /// From a watch: a full or partial server list.
     ListReceived(u64, ServerList),
+    /// From the previous process: a list that it has accepted.
+    PeerList(ListChange),
     /// From a watch: why it has ended.
     WatchEnded(u64, WatchEnd),
 }
--- a/crates/front/src/runtime_state.rs
+++ b/crates/front/src/runtime_state.rs
@@ -1,9 +1,9 @@
 //! Tells the other processes of this front what is put in force here while it runs: during an upgrade both are the same
 //! front. `juniperdock_runtime_state` says what goes over and what follows from it.
 
-use juniperdock_runtime_state::Change;
+use juniperdock_runtime_state::{Change, InitialState};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -36,13 +36,22 @@
 pub struct RuntimeState {
     inner: Mutex<Inner>,
     subscriber_count: AtomicUsize,
+    /// The highest version of a server list that was ever in force, also in earlier processes.
+    highest_list_version: AtomicU64,
 }
 
 impl RuntimeState {
-    /// `discovery`: its address, if a reload in an earlier process has put it in force.
-    pub fn new(discovery: Option<SocketAddr>) -> RuntimeState {
-        let inner = Inner { discovery, subscribers: Vec::new() };
-        RuntimeState { inner: Mutex::new(inner), subscriber_count: AtomicUsize::new(0) }
+    /// The state of a process that starts with `initial`.
+    pub fn new(initial: &InitialState) -> RuntimeState {
+        let state = RuntimeState::default();
+        state.lock().discovery = initial.discovery;
+        state.list_in_force(initial.servers.as_ref().map_or(0, |known| known.highest_version));
+        state
+    }
+
+    /// Records that a list of that version is in force; returns the highest that ever was.
+    pub fn list_in_force(&self, version: u64) -> u64 {
+        self.highest_list_version.fetch_max(version, Ordering::AcqRel).max(version)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -109,10 +109,10 @@
         .set_worker_pin(false);
     let (clock, run_clock) = Clock::start(START_TIMEOUT)?;
     let mut settings = Settings::read()?;
-    let initial_state = target.as_mut().map(TransferTarget::take_initial_state).unwrap_or_default();
+    let mut initial_state = target.as_mut().map(TransferTarget::take_initial_state).unwrap_or_default();
     let listen = settings.address("GW_LISTEN", "listen")?;
     let discovery = settings.discovery(initial_state.discovery)?;
-    let runtime_state = Arc::new(RuntimeState::new(initial_state.discovery));
+    let runtime_state = Arc::new(RuntimeState::new(&initial_state));
     let (routers, held) = (settings.routers()?, config.held.clone());
     let make_router: dispatcher::MakeRouter = Box::new(move || {
         let mut router = routers()?;
@@ -136,7 +136,7 @@
     }));
     let counters = Arc::new(Counters::default());
     let (dispatcher_tx, dispatcher_rx) = channel();
-    let known_list = settings.take_known_list();
+    let known_list = initial_state.take_starting_list(settings.take_known_list());
     let discovery_client = discovery_client::DiscoveryClient::new(
         discovery,
         known_list.as_ref().ok().map(|list| list.version),
@@ -178,12 +178,15 @@
         counters.clone(),
         log.clone(),
         request_log.clone(),
+        runtime_state.clone(),
     )?;
     if target.is_some() {
         let _ = dispatcher_tx.send(DispatcherMessage::PredecessorServes(None));
     }
     match known_list {
-        Ok(list) => drop(dispatcher_tx.send(DispatcherMessage::List(list))),
+        Ok(known) => {
+            known.lists.into_iter().for_each(|list| drop(dispatcher_tx.send(DispatcherMessage::List(list))));
+        }
         Err(why) => slog::warn!(log, "no server list known yet"; "why" => why),
     }
     // A snapshot received from the old process is newer than any file.
@@ -195,6 +198,9 @@
     }
     spawn("desk", LARGE_STACK_BYTES, move || dispatcher_actor.run(&dispatcher_rx))?;
     spawn("discovery", CONNECTION_STACK_BYTES, move || discovery_client.run())?;
+    for change in initial_state.server_changes {
+        let _ = discovery_tx.send(DiscoveryMessage::PeerList(change));
+    }
     let _ = discovery_tx.send(DiscoveryMessage::OpenWatch);
 
     spawn("clock", CONNECTION_STACK_BYTES, run_clock)?;
--- a/crates/front/src/upgrade/new_process.rs
+++ b/crates/front/src/upgrade/new_process.rs
@@ -210,6 +210,11 @@
                 target.clock.post(&target.discovery, DiscoveryMessage::SetAddress(address));
             }
             (Some(_), Change::Reload) => self.reload_due = true,
+            (Some(target), Change::ServersChanged(change)) => {
+                target.clock.post(&target.discovery, DiscoveryMessage::PeerList(change));
+            }
+            // It is sent once, at the start.
+            (Some(_), Change::Servers(_)) => {}
         }
         Ok(())
     }
--- a/crates/front/src/upgrade/old_process.rs
+++ b/crates/front/src/upgrade/old_process.rs
@@ -7,7 +7,7 @@
 use crate::clients::{ClientTransfer, SharedClients, TransferResult};
 use crate::messages::{DispatcherMessage, MembershipMessage};
 use crate::reload::Reloader;
-use crate::runtime_state::{Peer, Update};
+use crate::runtime_state::Peer;
 use crate::settings::DISCOVERY_ENV;
 use juniperdock_connection::{Listener, spawn};
 use juniperdock_fd_passing::{PacketSocket, Received};
@@ -188,8 +188,8 @@
         for encoded in self.received_changes.take_complete() {
             match Change::decode(&encoded) {
                 Ok(Change::Reload) => self.reloader.reload(Some(Peer::Successor)),
-                // It follows from the reload, which this process has done by itself.
-                Ok(Change::DiscoveryAddress(_)) => {}
+                // This process reads the address itself, and has a watch of its own.
+                Ok(Change::DiscoveryAddress(_) | Change::Servers(_) | Change::ServersChanged(_)) => {}
                 Err(why) => {
                     slog::warn!(self.log, "the new process sends no runtime state"; "why" => why);
                     self.state.on_protocol_error();
@@ -258,7 +258,7 @@
         match action {
             Action::SendVersion(version) => {
                 if self.send_message(&message::agree(version), None) {
-                    self.reloader.runtime_state.tell(Peer::Successor, Update::InitialStateComplete);
+                    self.clients.clock.post(&self.clients.dispatcher, DispatcherMessage::SendInitialState);
                 }
             }
             Action::SendListener => match self.listener.descriptor() {
--- a/crates/front/tests/dispatcher.rs
+++ b/crates/front/tests/dispatcher.rs
@@ -117,6 +117,7 @@
         counters.clone(),
         log.clone(),
         RequestLog::new(log, false),
+        Arc::default(),
     );
     let dispatcher = dispatcher.expect("a dispatcher");
     std::thread::spawn(move || dispatcher.run(&messages));
--- a/crates/front/tests/runtime_state.rs
+++ b/crates/front/tests/runtime_state.rs
@@ -109,6 +109,12 @@
     }
 }
 
+/// A list that names the first members only.
+fn listed_first(members: &[Member], version: u64, count: usize) -> String {
+    let entries: Vec<_> = (0..count).map(|i| (NAMES[i], members[i].at, "up")).collect();
+    list(version, true, &entries)
+}
+
 fn listed(members: &[Member], version: u64, states: [&str; 3]) -> String {
     let entries: Vec<_> = (0..3).map(|i| (NAMES[i], members[i].at, states[i])).collect();
     list(version, true, &entries)
@@ -262,3 +268,63 @@
     cluster.front.upgrade();
     cluster.assert_discovery_is(1);
 }
+
+/// Guards against a new process that starts from the list of its file while discovery can't be asked, and sends to servers
+/// that were removed, also after a second upgrade.
+#[test]
+fn removed_servers_stay_removed_in_an_upgrade_while_discovery_is_silent() {
+    let cluster = Cluster::start();
+    wait_until(|| cluster.reads_at_replicas() == READS);
+    cluster.agents[0].publish(listed_first(&cluster.members, 7, 1));
+    wait_until(|| cluster.reads_at_replicas() == 0);
+    cluster.agents[0].ignore_new_watches(true);
+    cluster.front.upgrade();
+    assert_eq!(cluster.reads_at_replicas(), 0, "reads at removed servers");
+    cluster.front.upgrade();
+    assert_eq!(cluster.reads_at_replicas(), 0, "reads at removed servers after the second upgrade");
+    let asks_for_changes = |request: String| request.contains("after=7");
+    assert!(cluster.agents[0].requests.try_iter().last().is_some_and(asks_for_changes));
+}
+
+/// Guards against a new process that does not know servers which were added since its file was written.
+#[test]
+fn added_servers_stay_known_in_an_upgrade_while_discovery_is_silent() {
+    let cluster = Cluster::start();
+    cluster
+        .front
+        .front
+        .replace_file("config.json", &Front::config(&listed_first(&cluster.members, 1, 1), 1024));
+    cluster.agents[0].ignore_new_watches(true);
+    cluster.front.upgrade();
+    wait_until(|| cluster.reads_at_replicas() == READS);
+}
+
+/// Guards against a removal that only the old process is told of while the new one starts.
+#[test]
+fn list_that_only_the_old_process_gets_during_an_upgrade_binds_the_new_one() {
+    let cluster = Cluster::start();
+    wait_until(|| cluster.reads_at_replicas() == READS);
+    cluster.agents[0].ignore_new_watches(true);
+    let upgrade = cluster.begin_upgrade();
+    let lists = cluster.front.status_number("lists");
+    cluster.agents[0].publish(listed_first(&cluster.members, 7, 1));
+    wait_until(|| cluster.front.status_number("lists") > lists);
+    cluster.finish_upgrade(upgrade);
+    assert_eq!(cluster.reads_at_replicas(), 0, "reads at removed servers");
+}
+
+/// Guards against a list that was put into the file because discovery is down, and that an upgrade passes over.
+#[test]
+fn list_in_the_file_is_taken_up_by_an_upgrade_if_it_is_newer_than_any_before() {
+    let cluster = Cluster::start();
+    cluster.agents[0].publish(listed(&cluster.members, 7, ["up"; 3]));
+    wait_until(|| cluster.reads_at_replicas() == READS);
+    cluster.agents[0].ignore_new_watches(true);
+    let config = |version| Front::config(&listed_first(&cluster.members, version, 1), 1024);
+    cluster.front.front.replace_file("config.json", &config(6));
+    cluster.front.upgrade();
+    wait_until(|| cluster.reads_at_replicas() == READS);
+    cluster.front.front.replace_file("config.json", &config(8));
+    cluster.front.upgrade();
+    wait_until(|| cluster.reads_at_replicas() == 0);
+}
--- a/crates/runtime-state/src/lib.rs
+++ b/crates/runtime-state/src/lib.rs
@@ -7,8 +7,9 @@
 
 mod initial;
 
-pub use initial::InitialState;
+pub use initial::{InitialState, StartingList};
 
+use juniperdock_server_list::ServerList;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -22,6 +23,28 @@
     DiscoveryAddress(SocketAddr),
     /// The configuration and the operators' file are to be read again.
     Reload,
+    /// All servers that are known.
+    Servers(KnownList),
+    /// A list that was accepted.
+    ServersChanged(ListChange),
+}
+
+/// The servers that a process knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KnownList {
+    /// A full list, which names removed servers, too.
+    pub list: ServerList,
+    /// The highest version that was ever in force. It is above that of `list` if discovery was reset to an earlier state.
+    pub highest_version: u64,
+}
+
+/// What an accepted list has changed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListChange {
+    /// The version that was in force before.
+    pub from: Option<u64>,
+    /// The entries that have changed; its version is in force since.
+    pub list: ServerList,
 }
 
 impl Change {
--- a/crates/server-list/src/entry.rs
+++ b/crates/server-list/src/entry.rs
@@ -1,10 +1,12 @@
 //! A list of servers as discovery sends it, validated and typed.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+use crate::table::KnownServer;
+
 /// The state of a server according to discovery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ServerState {
     Up,
@@ -22,7 +24,7 @@
 }
 
 /// One server of a list. Fields that the front does not use are ignored.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
     pub id: String,
     #[serde(rename = "addr")]
@@ -41,10 +43,26 @@
     started_ms: Option<i64>,
 }
 
+/// The role of a primary in a list.
+const LEADER: &str = "leader";
+
 impl ServerEntry {
+    /// The entry that tells what is known of a server; `zone` and `group` are those of its indices.
+    pub fn of(id: String, zone: String, group: u64, known: &KnownServer) -> ServerEntry {
+        ServerEntry {
+            id,
+            address: known.address,
+            zone,
+            group,
+            state: known.state,
+            role: known.leader.then(|| LEADER.to_owned()),
+            started_ms: known.started_ms,
+        }
+    }
+
     /// Whether the list names it as the primary of its group.
     pub fn is_leader(&self) -> bool {
-        self.role.as_deref() == Some("leader")
+        self.role.as_deref() == Some(LEADER)
     }
 
     /// When it last started, in Unix milliseconds, unless that was long ago.
@@ -54,7 +72,7 @@
 }
 
 /// A full list, or a list of changes.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerList {
     pub version: u64,
     /// Whether servers that it does not name are gone.
--- a/crates/server-list/tests/server_list.rs
+++ b/crates/server-list/tests/server_list.rs
@@ -73,6 +73,25 @@
     assert_eq!(versions.known(), Some(2));
 }
 
+/// Guards against changes that are missed because a later one has come from another process of the front.
+#[test]
+fn lists_of_another_process_count_whole_only_where_no_change_is_missing_before_them() {
+    let (mut versions, some) = (Versions::new(Some(7)), |ids: &[&str]| {
+        Some(ids.iter().map(|id| (*id).to_owned()).collect::<Vec<_>>())
+    });
+    let states = [("a", "up"), ("b", "draining")];
+    assert_eq!(ids(versions.accept(1, change(7, true, &[]))), some(&[]));
+    assert_eq!(ids(versions.accept_from_peer(Some(6), change(9, false, &states))), some(&["b"]));
+    assert_eq!(versions.known(), Some(7), "version 8 may be missing");
+    assert_eq!(ids(versions.accept_from_peer(Some(7), change(9, false, &states))), some(&["a", "b"]));
+    assert_eq!(versions.known(), Some(9));
+    assert_eq!(ids(versions.accept(1, change(8, false, &[("b", "up")]))), None, "the watch is behind");
+    assert_eq!(ids(versions.accept(1, change(10, false, &[("b", "up")]))), some(&["b"]));
+    // Discovery was reset, and the other process has heard of it first.
+    assert_eq!(ids(versions.accept_from_peer(Some(10), change(3, false, &states))), some(&["a", "b"]));
+    assert_eq!(versions.known(), Some(3));
+}
+
 fn known(port: u16, state: ServerState) -> KnownServer {
     let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
     KnownServer { address, group: 0, zone: 0, state, leader: false, started_ms: None }
--- a/crates/test-support/src/agent.rs
+++ b/crates/test-support/src/agent.rs
@@ -3,6 +3,7 @@
 use crate::address;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 
@@ -10,6 +11,7 @@
 pub struct Agent {
     pub at: SocketAddr,
     lists: Lists,
+    ignores_new: Arc<AtomicBool>,
     /// Request lines received.
     pub requests: Receiver<String>,
 }
@@ -22,7 +24,8 @@
         let at = listener.local_addr().expect("an address");
         let lists = Lists::default();
         let (report_sender, requests) = channel();
-        let shared = lists.clone();
+        let (shared, ignores_new) = (lists.clone(), Arc::<AtomicBool>::default());
+        let ignores = ignores_new.clone();
         std::thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 if shared.have_ended() {
@@ -31,8 +34,11 @@
                 let mut line = String::new();
                 let _ = BufReader::new(&stream).read_line(&mut line);
                 let _ = report_sender.send(line);
-                let lists = shared.clone();
+                let (lists, is_ignored) = (shared.clone(), ignores.load(Ordering::SeqCst));
                 std::thread::spawn(move || {
+                    if is_ignored {
+                        return lists.wait_for_end();
+                    }
                     if stream.write_all(head.as_bytes()).is_err() {
                         return;
                     }
@@ -50,7 +56,7 @@
                 });
             }
         });
-        Agent { at, lists, requests }
+        Agent { at, lists, ignores_new, requests }
     }
 
     /// Publishes a list to all watches.
@@ -58,6 +64,11 @@
         self.lists.publish(list);
     }
 
+    /// Sets whether new watches are taken and get nothing. Those that are open go on.
+    pub fn ignore_new_watches(&self, ignore: bool) {
+        self.ignores_new.store(ignore, Ordering::SeqCst);
+    }
+
     /// Returns a handle that can publish lists from another thread.
     pub fn lists(&self) -> Lists {
         self.lists.clone()
@@ -102,6 +113,11 @@
         self.lock().has_ended
     }
 
+    fn wait_for_end(&self) {
+        let has_ended = self.0.1.wait_while(self.lock(), |published| !published.has_ended);
+        drop(has_ended.unwrap_or_else(PoisonError::into_inner));
+    }
+
     /// Waits for the list with the given index; returns `None` once the agent has ended.
     fn wait_for(&self, number: usize) -> Option<String> {
         let waits = |published: &mut Published| !published.has_ended && published.lines.len() <= number;
