Hand over restarts of servers that a process has inferred

Cause: that a server had no process, and until when it counts as cold since, is known to the router that saw it alone.

Change: it goes over with the state that a new process starts from, dated by the machine's clock; from then on the new process probes by itself. A new router takes it from the one that it replaces.

Result: a test of the dispatcher, from one process to the next and through a clock correction. It does not compile before.

--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -295,6 +295,7 @@
         }
         let now = self.host.clock.now();
         let (drains, plans) = (self.router.drains(), self.plans_in_progress());
+        let restarts = self.router.inferred_restarts(now);
         self.router.session_marks_lost(now);
         self.router.stop_sharing_session_marks();
         self.router = (self.make_router)()?;
@@ -304,6 +305,7 @@
         let named = self.relist_servers(now);
         // The list may have named a drained server as removed or up since.
         drains.into_iter().for_each(|drain| self.router.keep_drain(now, drain));
+        restarts.into_iter().for_each(|restart| self.router.keep_inferred_restart(restart));
         self.router.list_completed(now, Some(&named), &mut self.host);
         self.router.restore_primary_changes(now, &plans, &mut self.host);
         Ok(())
@@ -435,7 +437,8 @@
                 self.host.counters.lists_failed.add();
                 self.router.discovery_lost(now, &mut self.host);
             }
-            DispatcherMessage::SendInitialState => self.send_initial_state(),
+            DispatcherMessage::SendInitialState => self.send_initial_state(now),
+            DispatcherMessage::KeepInferredRestarts(restarts) => self.keep_inferred_restarts(restarts),
             DispatcherMessage::FollowPrimaryChanges(changes) => self.follow_primary_changes(now, changes),
             DispatcherMessage::TakeSnapshot(reply) => {
                 drop(reply.try_send(juniperdock_snapshot::encode(&self.take_snapshot(now))))
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -7,7 +7,7 @@
 use juniperdock_membership::Keys;
 use juniperdock_request_guard::{AttemptPermit, RequestGuard};
 use juniperdock_router::host::{AttemptOutcome, Report, Role, SessionWrite};
-use juniperdock_runtime_state::{ListChange, PrimaryChange};
+use juniperdock_runtime_state::{InferredRestart, ListChange, PrimaryChange};
 use juniperdock_server_list::ServerList;
 use juniperdock_session_marks::{SharedMarks, TableError};
 use juniperdock_wait_queue::WaitLimits;
@@ -180,6 +180,8 @@
     },
     /// Tells the next process all that it starts from.
     SendInitialState,
+    /// Restarts of servers that the previous process has observed.
+    KeepInferredRestarts(Vec<InferredRestart>),
     /// Planned changes of primaries in another process of this front.
     FollowPrimaryChanges(Vec<PrimaryChange>),
     /// Asks for a snapshot of the router's state.
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -189,6 +189,8 @@
         }
         Err(why) => slog::warn!(log, "no server list known yet"; "why" => why),
     }
+    let _ =
+        dispatcher_tx.send(DispatcherMessage::KeepInferredRestarts(initial_state.inferred_restarts.clone()));
     // A snapshot received from the old process is newer than any file.
     let snapshot_config = config.snapshot.as_ref().filter(|_| target.is_none());
     if let Some(bytes) =
--- a/crates/front/src/upgrade/new_process.rs
+++ b/crates/front/src/upgrade/new_process.rs
@@ -217,8 +217,8 @@
                 target.clock.post(&target.discovery, DiscoveryMessage::PeerList(change));
             }
             (Some(_), Change::PrimaryChanges(changes)) => self.primary_changes = Some(changes),
-            // It is sent once, at the start.
-            (Some(_), Change::Servers(_)) => {}
+            // They are sent once, at the start.
+            (Some(_), Change::Servers(_) | Change::InferredRestarts(_)) => {}
         }
         Ok(())
     }
--- a/crates/front/src/upgrade/old_process.rs
+++ b/crates/front/src/upgrade/old_process.rs
@@ -192,8 +192,13 @@
                     .clients
                     .clock
                     .post(&self.clients.dispatcher, DispatcherMessage::FollowPrimaryChanges(changes)),
-                // This process reads the address itself, and has a watch of its own.
-                Ok(Change::DiscoveryAddress(_) | Change::Servers(_) | Change::ServersChanged(_)) => {}
+                // This process reads the address, watches the list and probes servers itself.
+                Ok(
+                    Change::DiscoveryAddress(_)
+                    | Change::Servers(_)
+                    | Change::ServersChanged(_)
+                    | Change::InferredRestarts(_),
+                ) => {}
                 Err(why) => {
                     slog::warn!(self.log, "the new process sends no runtime state"; "why" => why);
                     self.state.on_protocol_error();
--- a/crates/front/tests/dispatcher.rs
+++ b/crates/front/tests/dispatcher.rs
@@ -9,11 +9,13 @@
     Answer, Arrival, DiscoveryMessage, DispatcherMessage, Job, MemberMessage, ToldWrite,
 };
 use juniperdock_front::request_log::RequestLog;
+use juniperdock_front::runtime_state::{Peer, RuntimeState, Update};
 use juniperdock_request_guard::{ClientPresence, RequestGuard};
 use juniperdock_router::host::AttemptOutcome;
 use juniperdock_router::host::Role;
 use juniperdock_router::host::{ColdStart, Consistency, Effect, FrontInfo, Report, TxnType};
 use juniperdock_router::routing::Router;
+use juniperdock_runtime_state::{Change, InferredRestart};
 use juniperdock_server_list::{ProbeLimits, ProbeQueue, ServerList};
 use may::sync::mpsc::{Receiver, Sender, channel};
 use std::net::SocketAddr;
@@ -97,13 +99,14 @@
     clock: Clock,
     sender: Sender<DispatcherMessage>,
     counters: Arc<Counters>,
+    runtime_state: Arc<RuntimeState>,
     _discovery: Receiver<DiscoveryMessage>,
 }
 
 fn start(spawn_member: SpawnMember) -> Started {
     let (clock, _run_timers) = Clock::start(Duration::ZERO).expect("a clock");
     let ((sender, messages), (discovery, _discovery)) = (channel(), channel());
-    let counters = Arc::new(Counters::default());
+    let (counters, runtime_state) = (Arc::new(Counters::default()), Arc::<RuntimeState>::default());
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let dispatcher = Dispatcher::new(
         Box::new(make_router),
@@ -117,11 +120,11 @@
         counters.clone(),
         log.clone(),
         RequestLog::new(log, false),
-        Arc::default(),
+        runtime_state.clone(),
     );
     let dispatcher = dispatcher.expect("a dispatcher");
     std::thread::spawn(move || dispatcher.run(&messages));
-    Started { clock, sender, counters, _discovery }
+    Started { clock, sender, counters, runtime_state, _discovery }
 }
 
 /// Members' actors that hand all their messages to the test: jobs stay unwritten.
@@ -141,7 +144,7 @@
 
 #[test]
 fn after_a_panic_the_dispatcher_answers_all_and_goes_on() {
-    let Started { clock, sender, counters, _discovery } = start(Box::new(|_, _, _, _| Ok(())));
+    let Started { clock, sender, counters, _discovery, .. } = start(Box::new(|_, _, _, _| Ok(())));
     let now = clock.now();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
     let at = listener.local_addr().expect("an address");
@@ -190,6 +193,41 @@
 }
 
 /// Guards against a drain that is forgotten as the router is replaced, if the list has named its server as up since.
+/// The restarts of servers that a process tells the next one.
+fn told_restarts(started: &Started) -> Vec<InferredRestart> {
+    let updates = started.runtime_state.subscribe(Peer::Successor);
+    let _ = started.sender.send(DispatcherMessage::SendInitialState);
+    loop {
+        if let Update::Change(Change::InferredRestarts(restarts)) = updates.recv().expect("the state") {
+            return restarts;
+        }
+    }
+}
+
+/// Guards against a server that refused connections, is back and cold, and gets a warm server's work from the next process
+/// or the next router, as no list has told its start yet.
+#[test]
+fn restart_that_was_inferred_goes_over_to_the_next_process_and_the_next_router() {
+    let probed = |outcome, report| DispatcherMessage::Probed { member: 0, outcome, report };
+    let down = InferredRestart { server: "m".to_owned(), cold_until_us: None };
+    let (old, new) = (start(recorded_members().0), start(recorded_members().0));
+    for process in [&old, &new] {
+        let _ = process.sender.send(DispatcherMessage::List(list(SocketAddr::from(([127, 0, 0, 1], 1)))));
+        assert_eq!(told_restarts(process), []);
+    }
+    let _ = old.sender.send(DispatcherMessage::KeepInferredRestarts(vec![down.clone()]));
+    assert_eq!(told_restarts(&old), [down]);
+    let report = Report { position: Some(old.clock.now()), ..Report::default() };
+    let _ = old.sender.send(probed(AttemptOutcome::Committed, report));
+    let told = told_restarts(&old);
+    assert!(told[0].cold_until_us > Some(old.clock.boot_time_us(old.clock.now())), "{told:?}");
+    let _ = new.sender.send(DispatcherMessage::KeepInferredRestarts(told.clone()));
+    let _ = new.sender.send(DispatcherMessage::ClockAdvanced(Duration::from_secs(3)));
+    let kept = told_restarts(&new);
+    let difference = kept[0].cold_until_us.zip(told[0].cold_until_us).map(|(a, b)| a.abs_diff(b));
+    assert!(difference.is_some_and(|us| us < 1000), "{kept:?} of {told:?}");
+}
+
 /// Guards against a router that begins anew and knows nothing of a planned change for which writes are held.
 #[test]
 fn planned_change_goes_on_after_a_clock_correction_and_after_a_panic() {
--- a/crates/router/src/snapshot.rs
+++ b/crates/router/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! Parts of the router's state that a process passes on to its successor. No routing decision is made here.
 
 use crate::routing::Router;
+use crate::state::Member;
 use juniperdock_primary_tracker::{ClaimsSnapshot, GroupSnapshot};
 use juniperdock_snapshot::{Decay, StartRecord};
 use std::time::Duration;
@@ -30,6 +31,14 @@
     pub claims: ClaimsSnapshot,
 }
 
+/// A restart of a member that this front has observed itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InferredRestart {
+    pub member: usize,
+    /// The end of its warm-up; `None` while its process is down.
+    pub cold_until: Option<Duration>,
+}
+
 impl Router {
     /// The state of a member that is worth keeping; `None` for a member that is not listed.
     pub fn snapshot_member(&mut self, now: Duration, member: usize) -> Option<MemberSnapshot> {
@@ -99,4 +108,23 @@
         self.base_latency[kind] = decay.estimate(base_latency, self.base_latency[kind]);
         self.mean_latency[kind] = decay.estimate(mean_latency, self.mean_latency[kind]);
     }
+
+    /// The members that were found to have no process and are not warm since.
+    pub fn inferred_restarts(&self, now: Duration) -> Vec<InferredRestart> {
+        let restart = |(member, m): (usize, &Member)| {
+            let cold_until = (!m.process_down).then_some(m.cold_until);
+            let is_cold = cold_until.is_none_or(|until| until > now);
+            (m.listed && is_cold).then_some(InferredRestart { member, cold_until })
+        };
+        self.members.iter().enumerate().filter_map(restart).collect()
+    }
+
+    /// Keeps a restart that was observed elsewhere; to be called once the member is listed.
+    pub fn keep_inferred_restart(&mut self, restart: InferredRestart) {
+        let Some(m) = self.members.get_mut(restart.member).filter(|m| m.listed) else { return };
+        match restart.cold_until {
+            Some(cold_until) => m.cold_until = m.cold_until.max(cold_until),
+            None => m.process_down = true,
+        }
+    }
 }
--- a/crates/runtime-state/src/initial.rs
+++ b/crates/runtime-state/src/initial.rs
@@ -1,6 +1,6 @@
 //! The state from which a new process starts.
 
-use crate::{Change, KnownList, ListChange, PrimaryChange};
+use crate::{Change, InferredRestart, KnownList, ListChange, PrimaryChange};
 use juniperdock_server_list::ServerList;
 use std::net::SocketAddr;
 
@@ -17,6 +17,8 @@
     pub server_changes: Vec<ListChange>,
     /// Planned changes of primaries.
     pub primary_changes: Vec<PrimaryChange>,
+    /// Servers whose restart no list has told yet.
+    pub inferred_restarts: Vec<InferredRestart>,
 }
 
 /// The list from which a new process starts.
@@ -41,6 +43,7 @@
             }
             Change::ServersChanged(change) => self.server_changes.push(change),
             Change::PrimaryChanges(changes) => self.primary_changes = changes,
+            Change::InferredRestarts(restarts) => self.inferred_restarts = restarts,
         }
     }
 
--- a/crates/runtime-state/src/lib.rs
+++ b/crates/runtime-state/src/lib.rs
@@ -7,9 +7,11 @@
 
 mod initial;
 mod plans;
+mod restarts;
 
 pub use initial::{InitialState, StartingList};
 pub use plans::{ChangeStep, Follow, PrimaryChange};
+pub use restarts::InferredRestart;
 
 use juniperdock_server_list::ServerList;
 use serde::{Deserialize, Serialize};
@@ -31,6 +33,8 @@
     ServersChanged(ListChange),
     /// All planned changes of primaries that operators have ordered and that are in progress or were called off.
     PrimaryChanges(Vec<PrimaryChange>),
+    /// Servers whose restart no list has told yet.
+    InferredRestarts(Vec<InferredRestart>),
 }
 
 /// The servers that a process knows.
