Hand over the servers' time in an upgrade

Cause: the reading of the wall clock at the start, corrected by what servers prove, is known to the old process alone.

Change: it goes over, tied to the machine's clock, which no step moves. A time that a primary has confirmed within the last 10 s goes before the new process's reading; otherwise the later of both counts, so that data seems older, never younger. Later corrections are learned anew, as before.

Result: a test of two clocks, for a correction, a reading that is behind and one that is ahead. It does not compile before.

--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -11,6 +11,7 @@
 use crate::messages::DispatcherMessage;
 use juniperdock_connection::{Timer, TimerSetter, since_boot};
 use juniperdock_deployment::{Origin, span};
+use juniperdock_runtime_state::ServerTime;
 use juniperdock_server_clock::{PositionSample, ServerClock, Verdict};
 use juniperdock_timer_wheel::{TimerKey, TimerWheel};
 use may::sync::mpsc::{Sender, channel};
@@ -126,6 +127,25 @@
         span(boot_time_us.saturating_sub(self.started_at_boot_us))
     }
 
+    /// The servers' time as far as it is known here, for another process of this machine. `origin` is the one in force
+    /// where this is called.
+    pub fn server_time(&self, origin: Origin) -> ServerTime {
+        let (now, servers) = (self.now(), self.servers());
+        ServerTime {
+            boot_us: self.boot_time_us(now),
+            unix_us: origin.start.saturating_add(now.as_micros() as i64),
+            confirmed: servers.is_confirmed(now),
+            ahead: servers.ahead(),
+        }
+    }
+
+    /// Goes by the servers' time as another process of this machine knew it. To be called before anything is dated.
+    pub fn adopt_server_time(&self, time: &ServerTime) {
+        let read = self.start_unix.load(Ordering::Relaxed);
+        self.start_unix.store(time.origin(self.started_at_boot_us, read), Ordering::Relaxed);
+        self.servers().adopt_ahead(self.now(), time.ahead);
+    }
+
     /// Judges a position that a server reported. If it proves that this process's clock is behind, the origin moves
     /// forward: positions dated by the old origin are too late by as much, and whoever keeps some has to drop them.
     pub fn judge(&self, sample: PositionSample) -> Verdict {
--- a/crates/front/src/dispatcher/runtime_state.rs
+++ b/crates/front/src/dispatcher/runtime_state.rs
@@ -16,6 +16,7 @@
             let highest_version = self.host.runtime_state.list_in_force(version);
             self.tell_successor(Change::Servers(KnownList { list, highest_version }));
         }
+        self.tell_successor(Change::ServerTime(self.host.clock.server_time(self.host.origin)));
         self.tell_successor(Change::InferredRestarts(self.inferred_restarts(now)));
         self.tell_successor(Change::PrimaryChanges(self.primary_changes()));
         self.host.runtime_state.tell(Peer::Successor, Update::InitialStateComplete);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -101,6 +101,7 @@
 pub fn serve(config: &OperatorConfig, file: Option<&Path>) -> Result<(), String> {
     let signals = signals::listen()?;
     let mut target = TransferTarget::connect().transpose()?;
+    let mut initial_state = target.as_mut().map(TransferTarget::take_initial_state).unwrap_or_default();
     // This must precede any other use of `may`.
     may::config()
         .set_workers(1)
@@ -108,8 +109,10 @@
         .set_pool_capacity(POOLED_STACKS)
         .set_worker_pin(false);
     let (clock, run_clock) = Clock::start(START_TIMEOUT)?;
+    if let Some(time) = &initial_state.server_time {
+        clock.adopt_server_time(time);
+    }
     let mut settings = Settings::read()?;
-    let mut initial_state = target.as_mut().map(TransferTarget::take_initial_state).unwrap_or_default();
     let listen = settings.address("GW_LISTEN", "listen")?;
     let discovery = settings.discovery(initial_state.discovery)?;
     let runtime_state = Arc::new(RuntimeState::new(&initial_state));
--- a/crates/front/src/upgrade/new_process.rs
+++ b/crates/front/src/upgrade/new_process.rs
@@ -218,7 +218,7 @@
             }
             (Some(_), Change::PrimaryChanges(changes)) => self.primary_changes = Some(changes),
             // They are sent once, at the start.
-            (Some(_), Change::Servers(_) | Change::InferredRestarts(_)) => {}
+            (Some(_), Change::Servers(_) | Change::InferredRestarts(_) | Change::ServerTime(_)) => {}
         }
         Ok(())
     }
--- a/crates/front/src/upgrade/old_process.rs
+++ b/crates/front/src/upgrade/old_process.rs
@@ -197,7 +197,8 @@
                     Change::DiscoveryAddress(_)
                     | Change::Servers(_)
                     | Change::ServersChanged(_)
-                    | Change::InferredRestarts(_),
+                    | Change::InferredRestarts(_)
+                    | Change::ServerTime(_),
                 ) => {}
                 Err(why) => {
                     slog::warn!(self.log, "the new process sends no runtime state"; "why" => why);
--- a/crates/front/tests/clock_skew.rs
+++ b/crates/front/tests/clock_skew.rs
@@ -130,6 +130,32 @@
     clock.judge(sample(1))
 }
 
+/// Guards against a new process that reads a wall clock which was stepped since the old one has read it, and against one that
+/// knows nothing of a correction: a time that servers have confirmed goes before the reading, else the later one.
+#[test]
+fn servers_time_goes_over_to_another_process() {
+    const HOUR: Duration = Duration::from_secs(3600);
+    let start = || Clock::start(Duration::ZERO).expect("a clock").0;
+    let difference = |one: &Clock, other: &Clock| {
+        (other.server_time(other.origin()).unix_us - one.server_time(one.origin()).unix_us) as f64 / 1e6
+    };
+    let (old, new) = (start(), start());
+    assert!(matches!(ahead_by(&old, HOUR), Verdict::Behind(_)));
+    new.adopt_server_time(&old.server_time(old.origin()));
+    assert!(difference(&old, &new).abs() < 0.5, "the correction goes over");
+    // The old process reads an hour less than the new one.
+    let mut told = start().server_time(old.origin());
+    told.unix_us -= 2 * HOUR.as_micros() as i64;
+    let later = start();
+    later.adopt_server_time(&told);
+    assert!(difference(&start(), &later).abs() < 0.5, "the later of both counts");
+    (told.confirmed, told.ahead) = (true, Duration::from_secs(5));
+    let confirmed = start();
+    confirmed.adopt_server_time(&told);
+    assert!((difference(&start(), &confirmed) + 3600.0).abs() < 0.5, "servers have confirmed it");
+    assert_eq!(confirmed.ahead(), Duration::from_secs(5));
+}
+
 #[test]
 fn clock_correction_moves_no_timer_and_no_span() {
     const HOUR: Duration = Duration::from_secs(3600);
--- a/crates/runtime-state/src/initial.rs
+++ b/crates/runtime-state/src/initial.rs
@@ -1,6 +1,6 @@
 //! The state from which a new process starts.
 
-use crate::{Change, InferredRestart, KnownList, ListChange, PrimaryChange};
+use crate::{Change, InferredRestart, KnownList, ListChange, PrimaryChange, ServerTime};
 use juniperdock_server_list::ServerList;
 use std::net::SocketAddr;
 
@@ -19,6 +19,8 @@
     pub primary_changes: Vec<PrimaryChange>,
     /// Servers whose restart no list has told yet.
     pub inferred_restarts: Vec<InferredRestart>,
+    /// The servers' time.
+    pub server_time: Option<ServerTime>,
 }
 
 /// The list from which a new process starts.
@@ -44,6 +46,7 @@
             Change::ServersChanged(change) => self.server_changes.push(change),
             Change::PrimaryChanges(changes) => self.primary_changes = changes,
             Change::InferredRestarts(restarts) => self.inferred_restarts = restarts,
+            Change::ServerTime(time) => self.server_time = Some(time),
         }
     }
 
--- a/crates/runtime-state/src/lib.rs
+++ b/crates/runtime-state/src/lib.rs
@@ -8,10 +8,12 @@
 mod initial;
 mod plans;
 mod restarts;
+mod server_time;
 
 pub use initial::{InitialState, StartingList};
 pub use plans::{ChangeStep, Follow, PrimaryChange};
 pub use restarts::InferredRestart;
+pub use server_time::ServerTime;
 
 use juniperdock_server_list::ServerList;
 use serde::{Deserialize, Serialize};
@@ -35,6 +37,8 @@
     PrimaryChanges(Vec<PrimaryChange>),
     /// Servers whose restart no list has told yet.
     InferredRestarts(Vec<InferredRestart>),
+    /// The servers' time.
+    ServerTime(ServerTime),
 }
 
 /// The servers that a process knows.
--- a/crates/server-clock/src/lib.rs
+++ b/crates/server-clock/src/lib.rs
@@ -78,7 +78,7 @@
         let claim = self.claims.entry(sample.server).or_insert(Claim { behind, first: sample.now });
         claim.behind = behind;
         let claim = *claim;
-        let confirmed = self.confirmed.is_some_and(|at| sample.now < at + CONFIRMED_FOR);
+        let confirmed = self.is_confirmed(sample.now);
         let others = self.claims.iter().filter(|(server, _)| **server != sample.server);
         let agreed =
             others.map(|(_, claim)| claim.behind).filter(|other| other.abs_diff(behind) <= MAX_DISAGREEMENT);
@@ -97,6 +97,16 @@
         self.ahead.map(|(ahead, _)| ahead).filter(|ahead| *ahead >= MIN_AHEAD).unwrap_or_default()
     }
 
+    /// Whether a primary has shown of late that this process is not behind the servers.
+    pub fn is_confirmed(&self, now: Duration) -> bool {
+        self.confirmed.is_some_and(|at| now < at + CONFIRMED_FOR)
+    }
+
+    /// Takes a lower bound over from another process of this machine that goes by the same estimate.
+    pub fn adopt_ahead(&mut self, now: Duration, ahead: Duration) {
+        self.ahead = (!ahead.is_zero()).then_some((ahead, now));
+    }
+
     fn behind(&mut self, by: Duration) -> Verdict {
         self.claims.clear();
         self.ahead = None;
