Take an upgrade back on SIGTERM, or end its new process, too

Cause: SIGTERM sets off the end of the old process's clients after 450 ms, and says nothing to the upgrade, which goes on to its commit meanwhile. After the commit the new process is not told, although docs/upgrade.md says that it ends.

Change: the upgrade is called off before the commit; after it, while the old process still answers what it has in hand, the new one is told to end and does so the usual way.

Result: two tests on real processes.

--- a/crates/front/src/runtime_state.rs
+++ b/crates/front/src/runtime_state.rs
@@ -3,7 +3,7 @@
 
 use juniperdock_runtime_state::{Change, InitialState};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -36,6 +36,8 @@
 pub struct RuntimeState {
     inner: Mutex<Inner>,
     subscriber_count: AtomicUsize,
+    /// This process was told to end.
+    terminates: AtomicBool,
     /// The highest version of a server list that was ever in force, also in earlier processes.
     highest_list_version: AtomicU64,
 }
@@ -103,4 +105,15 @@
         self.lock().discovery = Some(address);
         self.tell(Peer::Successor, Update::Change(Change::DiscoveryAddress(address)));
     }
+
+    /// Records that this process was told to end, and tells a successor, which ends too if it serves by now.
+    pub fn terminate(&self) {
+        self.terminates.store(true, Ordering::Release);
+        self.tell(Peer::Successor, Update::Change(Change::Terminate));
+    }
+
+    /// Whether this process was told to end.
+    pub fn terminates(&self) -> bool {
+        self.terminates.load(Ordering::Acquire)
+    }
 }
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -64,6 +64,7 @@
             _ => break,
         }
     }
+    reloader.runtime_state.terminate();
     // All deadlines count from here, so that a delay of this thread does not postpone the later steps.
     let terminated_at = clients.clock.now();
     let close_at = terminated_at + CLOSE_DELAY;
--- a/crates/front/src/upgrade/new_process.rs
+++ b/crates/front/src/upgrade/new_process.rs
@@ -63,6 +63,8 @@
     change_target: Option<ChangeTarget>,
     /// The operators' files were reloaded in the old process before the commit.
     reload_due: bool,
+    /// The old process was told to end the front.
+    terminate_due: bool,
     /// Planned changes of primaries in the old process, until they are passed on.
     primary_changes: Option<Vec<PrimaryChange>>,
     error: Option<&'static str>,
@@ -162,6 +164,7 @@
                 initial_state: InitialState::default(),
                 change_target: None,
                 reload_due: false,
+                terminate_due: false,
                 primary_changes: None,
                 error: None,
             };
@@ -217,6 +220,7 @@
                 target.clock.post(&target.discovery, DiscoveryMessage::PeerList(change));
             }
             (Some(_), Change::PrimaryChanges(changes)) => self.primary_changes = Some(changes),
+            (Some(_), Change::Terminate) => self.terminate_due = true,
             // They are sent once, at the start.
             (Some(_), Change::Servers(_) | Change::InferredRestarts(_) | Change::ServerTime(_)) => {}
         }
@@ -264,6 +268,10 @@
                 if std::mem::take(&mut self.reload_due) {
                     reloader.reload(Some(Peer::Predecessor));
                 }
+                if std::mem::take(&mut self.terminate_due) {
+                    // This process ends the usual way.
+                    let _ = signal_hook::low_level::raise(signal_hook::consts::SIGTERM);
+                }
                 if changes.send(&self.socket).is_err() || self.receive_message(CHANGES_INTERVAL).is_err() {
                     break;
                 }
--- a/crates/front/src/upgrade/old_process.rs
+++ b/crates/front/src/upgrade/old_process.rs
@@ -113,6 +113,9 @@
             self.receive_messages();
             self.apply_changes();
             self.send_changes();
+            if self.reloader.runtime_state.terminates() {
+                self.state.cancel();
+            }
             if !matches!(self.child.try_wait(), Ok(None)) {
                 self.state.on_disconnected();
             }
@@ -192,13 +195,14 @@
                     .clients
                     .clock
                     .post(&self.clients.dispatcher, DispatcherMessage::FollowPrimaryChanges(changes)),
-                // This process reads the address, watches the list and probes servers itself.
+                // This process reads the address, watches the list and probes servers itself, and sees when the other ends.
                 Ok(
                     Change::DiscoveryAddress(_)
                     | Change::Servers(_)
                     | Change::ServersChanged(_)
                     | Change::InferredRestarts(_)
-                    | Change::ServerTime(_),
+                    | Change::ServerTime(_)
+                    | Change::Terminate,
                 ) => {}
                 Err(why) => {
                     slog::warn!(self.log, "the new process sends no runtime state"; "why" => why);
--- a/crates/front/tests/runtime_state.rs
+++ b/crates/front/tests/runtime_state.rs
@@ -441,3 +441,32 @@
     cluster.members[0].close_hanging();
     assert_eq!(client.reply().code.as_deref(), Some("40003"));
 }
+
+/// Guards against an upgrade that is committed after SIGTERM: its process would serve beside the front that is started
+/// next.
+#[test]
+fn termination_during_an_upgrade_takes_it_back() {
+    let cluster = Cluster::start();
+    let old = cluster.front.serving_pid();
+    let mut upgrade = cluster.begin_upgrade();
+    signal(&old, "-TERM");
+    std::thread::sleep(TELLING_TIME);
+    cluster.members[3].set_primary(true);
+    signal(&upgrade.new, "-CONT");
+    assert!(!upgrade.command.wait().expect("it ends").success(), "the upgrade is taken back");
+    wait_until(|| has_ended(&old) && has_ended(&upgrade.new));
+}
+
+/// Guards against a front that goes on in its new process although the old one was told to end it.
+#[test]
+fn termination_of_the_old_process_after_the_commit_ends_the_new_one() {
+    let cluster = Cluster::start();
+    let old = cluster.front.serving_pid();
+    let mut client = cluster.long_write();
+    let new = cluster.front.upgrade();
+    signal(&old, "-TERM");
+    wait_until(|| has_ended(&new));
+    cluster.members[0].close_hanging();
+    assert_eq!(client.reply().code.as_deref(), Some("40003"));
+    wait_until(|| has_ended(&old));
+}
--- a/crates/runtime-state/src/initial.rs
+++ b/crates/runtime-state/src/initial.rs
@@ -47,6 +47,8 @@
             Change::PrimaryChanges(changes) => self.primary_changes = changes,
             Change::InferredRestarts(restarts) => self.inferred_restarts = restarts,
             Change::ServerTime(time) => self.server_time = Some(time),
+            // The old process takes the upgrade back.
+            Change::Terminate => {}
         }
     }
 
--- a/crates/runtime-state/src/lib.rs
+++ b/crates/runtime-state/src/lib.rs
@@ -39,6 +39,8 @@
     InferredRestarts(Vec<InferredRestart>),
     /// The servers' time.
     ServerTime(ServerTime),
+    /// The front is to end, whichever process serves by now.
+    Terminate,
 }
 
 /// The servers that a process knows.
