Force the crossing of a termination and an upgrade in its test

The new process waited for a primary until after the old one had ended, so the test passed on the text before its fix, too.

--- a/crates/front/tests/runtime_state.rs
+++ b/crates/front/tests/runtime_state.rs
@@ -449,9 +449,11 @@
     let cluster = Cluster::start();
     let old = cluster.front.serving_pid();
     let mut upgrade = cluster.begin_upgrade();
+    // From now on the new process waits for no primary any more.
+    std::thread::sleep(Duration::from_millis(700));
     signal(&old, "-TERM");
-    std::thread::sleep(TELLING_TIME);
-    cluster.members[3].set_primary(true);
+    // Clients are served for 450 ms more, in which the new process would be ready.
+    std::thread::sleep(Duration::from_millis(50));
     signal(&upgrade.new, "-CONT");
     assert!(!upgrade.command.wait().expect("it ends").success(), "the upgrade is taken back");
     wait_until(|| has_ended(&old) && has_ended(&upgrade.new));
