Tell a predecessor only what its version of the protocol understands

Found on reading once more: a new process told an old one of version 1 or 2 of reloads and of planned changes, which that takes for nonsense; it would have ended with what it has in hand unanswered. The test that plays an old process of version 1 has the new one reload, and fails if it gets anything behind the commit.

--- a/crates/front/src/upgrade/new_process.rs
+++ b/crates/front/src/upgrade/new_process.rs
@@ -57,6 +57,8 @@
     /// Idle connections to members, by their ids.
     idle: Vec<(String, TcpStream)>,
     received_changes: ChangePieces,
+    /// The old process speaks a version of the protocol in which both tell each other what is put in force.
+    shares_runtime_state: bool,
     /// What this process starts from.
     initial_state: InitialState,
     /// Set once this process has started from it: later changes go there.
@@ -92,6 +94,7 @@
         if !self.state.on_state_complete() {
             self.error = Some("unexpected end of the runtime state");
         }
+        self.shares_runtime_state = true;
     }
 
     fn memory(&mut self, piece: &[u8]) {
@@ -161,6 +164,7 @@
                 peer,
                 idle: Vec::new(),
                 received_changes: ChangePieces::new(MAX_CHANGE_LEN),
+                shares_runtime_state: false,
                 initial_state: InitialState::default(),
                 change_target: None,
                 reload_due: false,
@@ -262,7 +266,8 @@
         self.admit_received(clients);
         let (clients, reloader) = (clients.clone(), reloader.clone());
         clients.receiving_transfers.store(true, Ordering::Release);
-        let mut changes = ChangeSender::new(reloader.runtime_state.subscribe(Peer::Predecessor));
+        let subscribe = || ChangeSender::new(reloader.runtime_state.subscribe(Peer::Predecessor));
+        let mut changes = self.shares_runtime_state.then(subscribe);
         threads::start("received clients", move || {
             loop {
                 if std::mem::take(&mut self.reload_due) {
@@ -272,7 +277,8 @@
                     // This process ends the usual way.
                     let _ = signal_hook::low_level::raise(signal_hook::consts::SIGTERM);
                 }
-                if changes.send(&self.socket).is_err() || self.receive_message(CHANGES_INTERVAL).is_err() {
+                let sent = changes.as_mut().map_or(Ok(true), |changes| changes.send(&self.socket));
+                if sent.is_err() || self.receive_message(CHANGES_INTERVAL).is_err() {
                     break;
                 }
                 self.pass_primary_changes_on(&clients);
--- a/crates/front/tests/session_upgrades.rs
+++ b/crates/front/tests/session_upgrades.rs
@@ -153,7 +153,7 @@
     let (socket, child_socket) = PacketSocket::pair().expect("a socket pair");
     let child =
         Command::new(PROGRAM).env("JUNIPERDOCK_TAKES_OVER", "1").stdin(Stdio::from(child_socket)).spawn();
-    drop(child.expect("it starts"));
+    let new = child.expect("it starts").id().to_string();
     let send = |packet: &[u8], with| socket.send(packet, with).expect("sent");
     let await_message = |letter: u8| match socket.receive(MAX_MESSAGE_LEN, TEST_TIMEOUT) {
         Ok(Received::Packet(packet, _)) => assert_eq!(packet.first(), Some(&letter)),
@@ -165,6 +165,11 @@
     send(&message::memory(&[]), None);
     send(&message::listener(), Some(&listener));
     send(&message::commit(), None);
+    // What the new one is told to put in force is nothing that this version understands.
+    std::thread::sleep(Duration::from_millis(300));
+    signal(&new, "-HUP");
+    let received = socket.receive(MAX_MESSAGE_LEN, Duration::from_millis(500));
+    assert!(matches!(received, Ok(Received::TimedOut)), "a message of a later version");
     std::thread::sleep(4 * TEST_TIMEOUT);
 }
 
@@ -226,6 +231,8 @@
     let before = cluster.group.reads_at_replicas();
     (0..READS).for_each(|_| assert!(read(&mut client, "another session").is_some()));
     assert_eq!(cluster.group.reads_at_replicas(), before, "any session may have written there");
+    std::thread::sleep(Duration::from_secs(1));
+    assert!(matches!(old_process.child.try_wait(), Ok(None)), "it got nothing that it does not understand");
     old_process.kill();
     cluster.assert_reads_see(&mut client, "session", 7, "right after the end of the old process");
     cluster.group.set_lag(Duration::from_millis(5));
