--- a/crates/test-support/src/agent.rs
+++ b/crates/test-support/src/agent.rs
@@ -42,7 +42,7 @@
                     if stream.write_all(head.as_bytes()).is_err() {
                         return;
                     }
-                    let mut sent = 0;
+                    let mut sent = lists.first();
                     while let Some(line) = lists.wait_for(sent) {
                         sent += 1;
                         // Sent as two chunks, so that the front has to join the parts of a line.
@@ -64,6 +64,11 @@
         self.lists.publish(list);
     }
 
+    /// Publishes a full list to all watches; later watches begin with it.
+    pub fn publish_current(&self, list: String) {
+        self.lists.publish_current(list);
+    }
+
     /// Sets whether new watches are taken and get nothing. Those that are open go on.
     pub fn ignore_new_watches(&self, ignore: bool) {
         self.ignores_new.store(ignore, Ordering::SeqCst);
@@ -86,6 +91,8 @@
 #[derive(Default)]
 struct Published {
     lines: Vec<String>,
+    /// Where a new watch begins.
+    first: usize,
     has_ended: bool,
 }
 
@@ -104,6 +111,17 @@
         self.0.1.notify_all();
     }
 
+    fn publish_current(&self, list: String) {
+        let mut published = self.lock();
+        published.first = published.lines.len();
+        published.lines.push(list);
+        self.0.1.notify_all();
+    }
+
+    fn first(&self) -> usize {
+        self.lock().first
+    }
+
     fn end(&self) {
         self.lock().has_ended = true;
         self.0.1.notify_all();
