Ask for the state that a new process starts from before that process is there

Cause: the old process asked its dispatcher for the state only once both had agreed on a version, and looked for it at the next turn of its loop.

Change: it is asked for before the new process is started, and sent right behind the version. Changes since then follow as they do anyway.

--- a/crates/front/src/upgrade/old_process.rs
+++ b/crates/front/src/upgrade/old_process.rs
@@ -71,6 +71,8 @@
     let clients = reloader.clients.clone();
     // From here on: the new process may read its files before or after they are reloaded here.
     let changes = ChangeSender::new(reloader.runtime_state.subscribe(Peer::Successor));
+    // Asked for early, so that it is there once both processes have agreed on a version.
+    clients.clock.post(&clients.dispatcher, DispatcherMessage::SendInitialState);
     let started = PacketSocket::pair().and_then(|(socket, child_socket)| {
         let mut command = Command::new(program);
         command.args(std::env::args_os().skip(1)).env(SUCCESSOR_ENV, "1").stdin(Stdio::from(child_socket));
@@ -272,7 +274,7 @@
         match action {
             Action::SendVersion(version) => {
                 if self.send_message(&message::agree(version), None) {
-                    self.clients.clock.post(&self.clients.dispatcher, DispatcherMessage::SendInitialState);
+                    self.send_changes();
                 }
             }
             Action::SendListener => match self.listener.descriptor() {
