Read all clients in transit and the newest address of discovery in a new process

A new process that could not tell the old one of a change, as that had just closed the socket, read nothing more from it: clients still in the socket would have been lost. And an address that an old process had read before the new one's own reload, and told after it, went before that.

Change: the new process goes on reading, and takes no address from the old one behind the commit: it reads the file itself when it is told to reload.

--- a/crates/front/src/upgrade/new_process.rs
+++ b/crates/front/src/upgrade/new_process.rs
@@ -143,8 +143,8 @@
 }
 
 impl TransferTarget {
-    /// Connects to the process to be replaced, agrees on a protocol version and receives the state to start from; `None` if this process was started
-    /// otherwise.
+    /// Connects to the process to be replaced, agrees on a protocol version and receives the state to start from; `None`
+    /// if this process was started otherwise.
     pub fn connect() -> Option<Result<TransferTarget, String>> {
         std::env::var_os(SUCCESSOR_ENV)?;
         let socket = std::io::stdin().as_fd().try_clone_to_owned().map(PacketSocket::from_fd);
@@ -215,6 +215,8 @@
     fn apply(&mut self, change: Change) -> Result<(), String> {
         match (&self.change_target, change) {
             (None, change) => self.initial_state.record(change),
+            // From the commit on this process reads the address itself, maybe a later one.
+            (Some(_), Change::DiscoveryAddress(_)) if self.state.stage() == Stage::Serving => {}
             (Some(target), Change::DiscoveryAddress(address)) => {
                 target.runtime_state.set_discovery(address);
                 target.clock.post(&target.discovery, DiscoveryMessage::SetAddress(address));
@@ -277,8 +279,9 @@
                     // This process ends the usual way.
                     let _ = signal_hook::low_level::raise(signal_hook::consts::SIGTERM);
                 }
-                let sent = changes.as_mut().map_or(Ok(true), |changes| changes.send(&self.socket));
-                if sent.is_err() || self.receive_message(CHANGES_INTERVAL).is_err() {
+                // An old process that takes nothing more may have sent clients that are not read yet.
+                changes.take_if(|changes| changes.send(&self.socket).is_err());
+                if self.receive_message(CHANGES_INTERVAL).is_err() {
                     break;
                 }
                 self.pass_primary_changes_on(&clients);
