Wake one client of the laboratory for a statement, not all of them every millisecond

The recording process of a play kept up to 850 client threads on one condition variable and woke all of them every millisecond: a perf record of a_stopped_owner shows a third of its time in __pv_queued_spin_lock_slowpath, where a virtual machine whose processors are taken by the hypervisor stands still. /proc/stat showed windows with up to 38 % stolen here, from the 17th second of that binary on.

Change: a condition variable for each front, one client woken for each pending statement. A history now has the share of stolen time for each half second, and the tests of owners and fleets print it when they fail. No check is changed.

--- a/crates/front/tests/fleet.rs
+++ b/crates/front/tests/fleet.rs
@@ -4,6 +4,7 @@
 use juniperdock_lab::fleet::audit::figures;
 use juniperdock_lab::fleet::history::{Line, read};
 use juniperdock_lab::fleet::play::{ConfigEdit, play};
+use juniperdock_lab::fleet::stolen_time::StolenTime;
 use juniperdock_lab::fleet::{FaultKind, Figures, InjectedFault, Schedule};
 use serde_json::Value;
 use std::time::Duration;
@@ -52,6 +53,7 @@
     if std::env::var_os("JUNIPERDOCK_KEEP").is_none() {
         let _ = std::fs::remove_file(&path);
     }
+    println!("{name}: {}", StolenTime::read(&lines));
     let seen = figures(&lines);
     Run { lines, seen }
 }
--- a/crates/front/tests/owners.rs
+++ b/crates/front/tests/owners.rs
@@ -4,6 +4,7 @@
 use juniperdock_lab::fleet::history::{Line, read};
 use juniperdock_lab::fleet::owners::{Figures, changes, probes};
 use juniperdock_lab::fleet::play::{ConfigEdit, play};
+use juniperdock_lab::fleet::stolen_time::StolenTime;
 use juniperdock_lab::fleet::{FaultKind, InjectedFault, Schedule};
 use serde_json::Value;
 use std::time::Duration;
@@ -55,6 +56,7 @@
     if std::env::var_os("JUNIPERDOCK_KEEP").is_none() {
         let _ = std::fs::remove_file(&path);
     }
+    println!("{name}: {}", StolenTime::read(&lines));
     let seen = changes(&lines);
     let rules = seen.fleet.found.iter().filter(|found| !["views", "majority"].contains(&found.auditor));
     let rules: Vec<_> = rules.collect();
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod relay;
 pub mod schedule;
 pub mod soak;
+pub mod stolen_time;
 
 pub use audit::{Figures, figures};
 pub use control::ask;
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -10,6 +10,7 @@
 use super::process::{POLL_INTERVAL, PROCESS_TIMEOUT, Process};
 use super::relay::Relay;
 use super::schedule::{FaultKind, InjectedFault, Schedule};
+use super::stolen_time::record_stolen_time;
 use crate::scenario::{Befallen, Befalls, Fleet, Load, Of, OfKind, Reads, Runs, Scenario};
 use crate::sockets::{State, TestCluster, client, list, settings};
 use juniperdock_emulator::{Entry, Note, Out, World};
@@ -241,6 +242,8 @@
     let over = Arc::new(AtomicBool::new(false));
     let clock = cluster.clone();
     record_pauses(history.clone(), move || clock.now(), over.clone());
+    let clock = cluster.clone();
+    record_stolen_time(history.clone(), move || clock.now(), over.clone());
     // Enough clients for the concurrent load while all writes are held: a txn that waits for a free client connection
     // reaches its front with its deadline already spent.
     let busy_s = (1.2 * schedule.expiry_ms as f64 / 1000.0).max(3.0);
@@ -368,7 +371,7 @@
             for (at, note) in state.world.take_notes() {
                 self.record_note(at, note);
             }
-            self.cluster.asked.notify_all();
+            self.cluster.wake_clients(&state);
             let open = (0..self.schedule.fronts).any(|front| state.world.open(front) > 0);
             drop(state);
             if now > lasts && !open || now > lasts + Duration::from_secs(5) {
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -129,7 +129,8 @@
 /// The members, clients and emulator around the fronts under test.
 pub(crate) struct TestCluster {
     pub state: Mutex<State>,
-    pub asked: Condvar,
+    /// Wakes the clients of each front that wait for a statement.
+    statements_arrived: Vec<Condvar>,
     pub begun: Instant,
     /// Wall-clock time of the start, in milliseconds since 1970.
     pub origin: u128,
@@ -163,14 +164,15 @@
 
 impl TestCluster {
     pub fn new(state: State, slack: Duration) -> Arc<TestCluster> {
-        let (state, asked) = (Mutex::new(state), Condvar::new());
+        let statements_arrived = state.pending_statements.iter().map(|_| Condvar::new()).collect();
+        let state = Mutex::new(state);
         let leaving = Mutex::new(Leaving { share: 0.0, chance: Stream::of(1, "leaving", 0) });
         let (begun, monotonic_origin, origin) = (Instant::now(), monotonic(), unix_ms());
         let listening = Mutex::default();
         let foreign = Mutex::default();
         Arc::new(TestCluster {
             state,
-            asked,
+            statements_arrived,
             begun,
             origin,
             monotonic_origin,
@@ -184,12 +186,19 @@
     /// Ends the run: client and member threads terminate.
     pub fn end(&self) {
         self.lock().over = true;
-        self.asked.notify_all();
+        self.statements_arrived.iter().for_each(Condvar::notify_all);
         // Each listener wakes up on a connection and then checks whether the run is over.
         let listening = std::mem::take(&mut *self.listening.lock().unwrap_or_else(PoisonError::into_inner));
         listening.iter().for_each(|at| drop(TcpStream::connect(at)));
     }
 
+    /// Wakes one waiting client for each pending statement.
+    pub fn wake_clients(&self, state: &State) {
+        for (arrived, pending) in self.statements_arrived.iter().zip(&state.pending_statements) {
+            pending.iter().for_each(|_| arrived.notify_one());
+        }
+    }
+
     /// Starts listeners for `most` members of one front, on one IP address, and returns their addresses.
     pub fn members(self: &Arc<TestCluster>, front: usize, most: usize) -> Result<Vec<SocketAddr>, String> {
         let ip = address().ip();
@@ -409,8 +418,7 @@
             if let Some(ask) = state.pending_statements[front].pop_front() {
                 return Some(ask);
             }
-            let waited = self.asked.wait_timeout(state, Duration::from_millis(100));
-            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+            state = self.statements_arrived[front].wait(state).unwrap_or_else(PoisonError::into_inner);
         }
     }
 
@@ -562,7 +570,7 @@
                 out => drop(state.pass_on(out, scenario)),
             }
         }
-        cluster.asked.notify_all();
+        cluster.wake_clients(&state);
         if now >= next && now < lasts {
             next += SAMPLE_INTERVAL;
             let held = (0..state.world.members())
--- a/crates/lab/src/upgrade.rs
+++ b/crates/lab/src/upgrade.rs
@@ -138,7 +138,7 @@
                 _ => {}
             }
         }
-        cluster.asked.notify_all();
+        cluster.wake_clients(&state);
         if state.over {
             return ran;
         }
