Answer commands while calls on the control socket are interrupted or lack memory

Callers saw "the front closed the connection without an answer", also for an upgrade that was under way. Cause: one EINTR, ENOMEM or ENOBUFS in a read or a write of the control socket, at either end, ended its connection. Such calls are repeated for at most the time that a read may take (2 s).

The fault shim now covers sendmsg and recvmsg (EINTR, ENOBUFS, ENOMEM, ETOOMANYREFS), and no longer cuts packets of SOCK_SEQPACKET short, which Linux does not do.

--- a/crates/connection/src/lib.rs
+++ b/crates/connection/src/lib.rs
@@ -12,7 +12,7 @@
 pub use connect::{ConnectError, Connecting};
 pub use coroutine::{live_coroutines, spawn, yield_now};
 pub use datagram::DatagramSocket;
-pub use link::{BufferLimits, Failure, Link, Reached};
+pub use link::{BufferLimits, Failure, Link, Reached, is_transient};
 pub use listener::Listener;
 pub use timer::{Timer, TimerSetter, monotonic, since_boot};
 
--- a/crates/connection/src/link.rs
+++ b/crates/connection/src/link.rs
@@ -52,7 +52,7 @@
 
 /// Whether an error means a temporary shortage of memory or buffers (`send(2)`, `recv(2)`), which gives no information
 /// about the connection. It is reported as progress, so that the caller tries again.
-fn is_transient(error: &std::io::Error) -> bool {
+pub fn is_transient(error: &std::io::Error) -> bool {
     matches!(Errno::from_io_error(error), Some(Errno::NOBUFS | Errno::NOMEM))
 }
 
--- a/crates/fault-shim/src/calls.rs
+++ b/crates/fault-shim/src/calls.rs
@@ -1,7 +1,9 @@
 //! The functions of the C library that this library replaces.
 
 use juniperdock_fault_controls::{Controls, LENGTH, VARIABLE};
-use libc::{c_char, c_int, c_void, clockid_t, epoll_event, size_t, sockaddr, socklen_t, ssize_t, timespec};
+use libc::{
+    c_char, c_int, c_void, clockid_t, epoll_event, msghdr, size_t, sockaddr, socklen_t, ssize_t, timespec,
+};
 use std::cell::Cell;
 use std::ffi::CStr;
 use std::mem::transmute;
@@ -139,7 +141,30 @@
         unsafe { libc::syscall(libc::SYS_shutdown, fd, libc::SHUT_RDWR) };
         return Err(one_of(&[libc::ETIMEDOUT, libc::EHOSTUNREACH, libc::ECONNRESET]));
     }
-    Ok(if length > 1 && drawn(controls.short) { 1 + random() as usize % (length - 1) } else { length })
+    // Packets are transferred as a whole.
+    let is_short = length > 1 && drawn(controls.short) && !keeps_packet_boundaries(fd);
+    Ok(if is_short { 1 + random() as usize % (length - 1) } else { length })
+}
+
+/// Draws whether a call that transfers a message with descriptors fails; `exhausted` are the errors for lack of memory
+/// or buffers.
+fn inject_message_error(exhausted: &[c_int]) -> Option<c_int> {
+    let controls = controls();
+    delay(&controls);
+    if drawn(controls.fails) {
+        return Some(one_of(exhausted));
+    }
+    drawn(controls.interrupted).then_some(libc::EINTR)
+}
+
+fn keeps_packet_boundaries(fd: c_int) -> bool {
+    let mut kind: c_int = 0;
+    let mut length = size_of::<c_int>() as socklen_t;
+    // SAFETY: the result fits into the variable, whose size is passed.
+    let found = unsafe {
+        libc::getsockopt(fd, libc::SOL_SOCKET, libc::SO_TYPE, (&raw mut kind).cast(), &raw mut length)
+    };
+    found == 0 && kind == libc::SOCK_SEQPACKET
 }
 
 fn is_regular(fd: c_int) -> bool {
@@ -156,6 +181,8 @@
 static CONNECT: Next = Next::of(c"connect");
 static RECV: Next = Next::of(c"recv");
 static SEND: Next = Next::of(c"send");
+static SENDMSG: Next = Next::of(c"sendmsg");
+static RECVMSG: Next = Next::of(c"recvmsg");
 static WRITE: Next = Next::of(c"write");
 static FSYNC: Next = Next::of(c"fsync");
 static EPOLL_WAIT: Next = Next::of(c"epoll_wait");
@@ -267,6 +294,34 @@
     }
 }
 
+/// # Safety
+/// As `sendmsg(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn sendmsg(fd: c_int, message: *const msghdr, flags: c_int) -> ssize_t {
+    if let Some(errno) = inject_message_error(&[libc::ENOBUFS, libc::ENOMEM, libc::ETOOMANYREFS]) {
+        return fail(errno) as ssize_t;
+    }
+    // SAFETY: as above.
+    unsafe {
+        let next: extern "C" fn(c_int, *const msghdr, c_int) -> ssize_t = transmute(SENDMSG.address());
+        next(fd, message, flags)
+    }
+}
+
+/// # Safety
+/// As `recvmsg(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recvmsg(fd: c_int, message: *mut msghdr, flags: c_int) -> ssize_t {
+    if let Some(errno) = inject_message_error(&[libc::ENOMEM]) {
+        return fail(errno) as ssize_t;
+    }
+    // SAFETY: as above.
+    unsafe {
+        let next: extern "C" fn(c_int, *mut msghdr, c_int) -> ssize_t = transmute(RECVMSG.address());
+        next(fd, message, flags)
+    }
+}
+
 /// # Safety
 /// As `write(2)`.
 #[unsafe(no_mangle)]
--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -4,7 +4,7 @@
 //! changed. It is never part of a deployment.
 //!
 //! The injected errors are those that Linux documents for each call: accept (ECONNABORTED, ENFILE, ENOBUFS), socket
-//! (ENFILE, ENOBUFS), connect (EADDRNOTAVAIL, ENETUNREACH), send (ENOBUFS), recv (ENOMEM), reads, writes and waits
+//! (ENFILE, ENOBUFS), connect (EADDRNOTAVAIL, ENETUNREACH), send (ENOBUFS), recv (ENOMEM), sendmsg (ENOBUFS, ENOMEM, ETOOMANYREFS), recvmsg (ENOMEM), reads, writes and waits
 //! (EINTR), connections opened by this process (ETIMEDOUT, EHOSTUNREACH, ECONNRESET), writes and syncs of regular
 //! files (ENOSPC, EIO), mappings for stacks (ENOMEM).
 
--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -6,6 +6,7 @@
 use crate::membership;
 use crate::messages::{DispatcherMessage, MembershipMessage, UpgradeFn};
 use crate::threads;
+use juniperdock_connection::is_transient;
 use juniperdock_control::{Frames, error_reply, frame, ok_reply};
 use may::sync::mpsc::Sender;
 use serde_json::{Value, json};
@@ -16,12 +17,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::sync_channel;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Connections served at a time.
 const MAX_CONNECTIONS: usize = 4;
 /// How long one read or write, or an answer of an actor, may take.
 const TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a failed call waits to be repeated.
+const RETRY_INTERVAL: Duration = Duration::from_millis(1);
 /// How long a planned change may take until all fronts hold the group's writes.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(4500);
 /// Maximum number of groups in one answer.
@@ -96,7 +99,7 @@
         loop {
             let request = match frames.next_frame() {
                 Ok(Some(request)) => request,
-                Ok(None) => match stream.read(&mut buffer).map_err(failed)? {
+                Ok(None) => match read(&mut stream, &mut buffer).map_err(failed)? {
                     0 => return Ok(()),
                     n => {
                         frames.take(&buffer[..n]);
@@ -109,7 +112,7 @@
                 }
             };
             let answer = self.answer(&request).map_or_else(|why| error_reply(&why), ok_reply);
-            stream.write_all(&frame(&answer)).map_err(failed)?;
+            write_all(&mut stream, &frame(&answer)).map_err(failed)?;
         }
     }
 
@@ -223,12 +226,44 @@
         .into()
 }
 
+/// Reads what has arrived.
+fn read(stream: &mut UnixStream, buffer: &mut [u8]) -> std::io::Result<usize> {
+    retry_transient(|| stream.read(buffer))
+}
+
+fn write_all(stream: &mut UnixStream, mut bytes: &[u8]) -> std::io::Result<()> {
+    while !bytes.is_empty() {
+        match retry_transient(|| stream.write(bytes))? {
+            0 => return Err(std::io::ErrorKind::WriteZero.into()),
+            written => bytes = &bytes[written..],
+        }
+    }
+    Ok(())
+}
+
+/// Repeats a call that is interrupted, or for which the kernel lacks memory, for at most `TIMEOUT`.
+fn retry_transient(mut call: impl FnMut() -> std::io::Result<usize>) -> std::io::Result<usize> {
+    let started_at = Instant::now();
+    loop {
+        match call() {
+            Err(e) if is_retryable(&e) && started_at.elapsed() < TIMEOUT => {
+                std::thread::sleep(RETRY_INTERVAL);
+            }
+            result => return result,
+        }
+    }
+}
+
+fn is_retryable(error: &std::io::Error) -> bool {
+    error.kind() == std::io::ErrorKind::Interrupted || is_transient(error)
+}
+
 /// Sends a request to a front through its control socket. The error is the front's own, or why there is no answer.
 pub fn send_request(path: &Path, request: &Value, wait: Duration) -> Result<Value, String> {
     let failed = |e: std::io::Error| format!("control socket {}: {e}", path.display());
     let mut stream = UnixStream::connect(path).map_err(failed)?;
     stream.set_read_timeout(Some(wait)).map_err(failed)?;
-    stream.write_all(&frame(request)).map_err(failed)?;
+    write_all(&mut stream, &frame(request)).map_err(failed)?;
     let (mut frames, mut buffer) = (Frames::default(), [0; 4096]);
     loop {
         if let Some(answer) = frames.next_frame()? {
@@ -236,7 +271,7 @@
             let why = answer["why"].as_str().unwrap_or("the front refused the request");
             return if good { Ok(answer["is"].clone()) } else { Err(why.to_owned()) };
         }
-        match stream.read(&mut buffer).map_err(failed)? {
+        match read(&mut stream, &mut buffer).map_err(failed)? {
             0 => return Err("the front closed the connection without an answer".to_owned()),
             n => frames.take(&buffer[..n]),
         }
--- a/crates/front/tests/runtime_cluster/mod.rs
+++ b/crates/front/tests/runtime_cluster/mod.rs
@@ -5,6 +5,7 @@
 use juniperdock_test_support::{
     Agent, Behaviour, Client, Entry, Front, Member, OperatedFront, WATCH, address, signal, txn, wait_until,
 };
+use std::path::PathBuf;
 use std::process::{Child, Stdio};
 use std::time::Duration;
 
@@ -44,10 +45,15 @@
     }
 
     pub fn start_with_charter(charter: &str) -> Cluster {
+        Cluster::start_with_environment(charter, &[])
+    }
+
+    pub fn start_with_environment(charter: &str, environment: &[(&str, PathBuf)]) -> Cluster {
         let members: Vec<Member> = (0..NAMES.len()).map(|i| Member::start(i == 0 || i == 3)).collect();
         let agents: Vec<Agent> = (0..3).map(|_| Agent::start(WATCH)).collect();
         let config = config(&members, &agents[0]);
-        let front = OperatedFront::start(PROGRAM, address(), agents[0].at, &config, charter);
+        let (at, agent) = (address(), agents[0].at);
+        let front = OperatedFront::start_with_environment(PROGRAM, at, agent, &config, charter, environment);
         let cluster = Cluster { members, agents, front };
         wait_until(|| cluster.front.client().query(&txn("order", 2000, "first")).value.is_some());
         cluster
--- a/crates/test-support/src/operated.rs
+++ b/crates/test-support/src/operated.rs
@@ -27,9 +27,22 @@
         agent: SocketAddr,
         config: &str,
         charter: &str,
+    ) -> Self {
+        OperatedFront::start_with_environment(program, at, agent, config, charter, &[])
+    }
+
+    /// Like [`OperatedFront::start`], with additional environment variables.
+    pub fn start_with_environment(
+        program: &'static str,
+        at: SocketAddr,
+        agent: SocketAddr,
+        config: &str,
+        charter: &str,
+        environment: &[(&str, PathBuf)],
     ) -> Self {
         let text = OperatedFront::charter(at, charter);
-        OperatedFront { front: Front::start_with_config(program, at, agent, config, Some(&text)), program }
+        let front = Front::start_with_environment(program, at, agent, config, Some(&text), environment);
+        OperatedFront { front, program }
     }
 
     /// The text of the operators' file of a front at this address.
