--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod runtime_state;
 pub mod serve;
 pub mod settings;
+pub mod signal_waiter;
 pub mod signals;
 pub mod snapshot_file;
 pub mod standard_error;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -11,6 +11,7 @@
 use crate::request_log::RequestLog;
 use crate::runtime_state::RuntimeState;
 use crate::settings::{DISCOVERY_ENV, Settings, TxnTypes};
+use crate::signal_waiter::SignalWaiter;
 use crate::upgrade::{self, ChangeTarget, TransferTarget};
 use crate::{
     control, discovery_client, dispatcher, logging, member, membership, signals, snapshot_file, threads,
@@ -99,7 +100,7 @@
 
 /// Reads the configuration, creates and connects the actors, and serves until SIGTERM.
 pub fn serve(config: &OperatorConfig, file: Option<&Path>) -> Result<(), String> {
-    let signals = signals::listen()?;
+    let signals = SignalWaiter::register(&signals::HANDLED)?;
     let mut target = TransferTarget::connect().transpose()?;
     let mut initial_state = target.as_mut().map(TransferTarget::take_initial_state).unwrap_or_default();
     // This must precede any other use of `may`.
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -4,27 +4,21 @@
 use crate::clients::SharedClients;
 use crate::messages::MembershipMessage;
 use crate::reload::Reloader;
+use crate::signal_waiter::SignalWaiter;
 use crate::standard_error::LinePrinter;
 use juniperdock_connection::{Listener, Waker};
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
-use signal_hook::iterator::Signals;
-use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
 /// After SIGTERM clients may still arrive for 0.4 s. After this delay those between txns are disconnected with a
 /// notice.
 const CLOSE_DELAY: Duration = Duration::from_millis(450);
 
-/// Registers for the signals that [`follow`] handles.
-pub fn listen() -> Result<Signals, String> {
-    Signals::new([SIGHUP, SIGTERM, SIGUSR1]).map_err(|e| format!("signals: {e}"))
-}
-
+/// The signals that [`follow`] handles.
+pub const HANDLED: [i32; 3] = [SIGHUP, SIGTERM, SIGUSR1];
 /// Limit on the time for open requests: a supervisor may kill the process this long and 0.7 s after SIGTERM, however
 /// long a request may take.
 const MAX_SHUTDOWN: Duration = Duration::from_secs(3);
-/// Delay between a failed wait for a signal and the next.
-const RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Time for the last answers to be sent.
 const FINAL_ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for the counters to be written at the end.
@@ -42,23 +36,17 @@
     clients.clock.run_at(Duration::ZERO, move || waker.wake());
 }
 
-/// Returns the next signal. `signal_hook` panics on any failed read of its own socket, but a read that fails for lack
-/// of memory on the machine can be retried.
-fn next_signal(signals: &mut Signals) -> Option<i32> {
-    loop {
-        match catch_unwind(AssertUnwindSafe(|| signals.forever().next())) {
-            Ok(signal) => return signal,
-            Err(_) => std::thread::sleep(RETRY_DELAY),
-        }
-    }
-}
-
 /// Handles signals until SIGTERM, then shuts down: answers open requests for at most `max_request_time`.
-pub fn follow(mut signals: Signals, reloader: &Reloader, listener: &Listener, max_request_time: Duration) {
+pub fn follow(
+    mut signals: SignalWaiter,
+    reloader: &Reloader,
+    listener: &Listener,
+    max_request_time: Duration,
+) {
     let (clients, counters) = (&reloader.clients, &reloader.clients.counters);
     let mut printer = LinePrinter::default();
-    while let Some(signal) = next_signal(&mut signals) {
-        match signal {
+    loop {
+        match signals.wait() {
             SIGUSR1 => printer.print(format!("counters: {counters}")),
             SIGHUP => reloader.reload(None),
             _ => break,
--- a/crates/front/tests/syscall_faults.rs
+++ b/crates/front/tests/syscall_faults.rs
@@ -2,7 +2,7 @@
 
 use cluster::{PROGRAM, TestCluster, wait_until};
 use juniperdock_fault_controls::{Controls, preload};
-use juniperdock_test_support::{Client, Front, TEST_TIMEOUT, address, message, txn};
+use juniperdock_test_support::{Client, Front, TEST_TIMEOUT, address, has_ended, message, txn};
 use std::io::Write;
 use std::net::TcpStream;
 use std::path::PathBuf;
@@ -16,6 +16,9 @@
 /// One call in eight.
 const ONE_IN_EIGHT: u32 = EVERY_CALL / 8;
 
+/// A supervisor may kill a process this long after SIGTERM.
+const KILLED_AFTER: Duration = Duration::from_millis(3700);
+
 struct Faults(PathBuf);
 
 impl Faults {
@@ -75,6 +78,23 @@
     }
 }
 
+/// Guards against a process that does not know of SIGTERM until the next signal, as the handler's wake-up failed: it would
+/// be killed with requests in hand.
+#[test]
+fn signal_is_followed_although_its_wake_up_fails() {
+    let cluster = TestCluster::new();
+    let faults = Faults::new("wake-up", Controls::default());
+    let front = faults.front(&cluster);
+    wait_until(|| front.client().query(&txn("order", 3000, "w")).value.is_some());
+    faults.set(Controls { fails: EVERY_CALL, ..Controls::default() });
+    front.signal("-TERM");
+    let terminated_at = Instant::now();
+    while !has_ended(&front.id().to_string()) {
+        assert!(terminated_at.elapsed() < KILLED_AFTER, "it is killed");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 #[test]
 fn failing_disk_leaves_the_last_complete_snapshot() {
     let cluster = TestCluster::new();
