Repeat calls between the processes of an upgrade that lack memory

Callers saw an upgrade undone ("Ended") by one ENOBUFS, ENOMEM or ETOOMANYREFS in a send to the new process, and, behind the commit, connections that closed: one failed read made the new process read no more clients in transit. Cause: all errors of the socket between the processes but EINTR counted as its end.

Change: a send is repeated for at most 0.5 s, a read or a wait that lacks memory counts as one in which nothing came; the packet stays in the socket.

--- a/crates/fd-passing/src/lib.rs
+++ b/crates/fd-passing/src/lib.rs
@@ -15,7 +15,11 @@
 use std::io::{IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, OwnedFd};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// How long a packet is sent again while the kernel lacks memory for it.
+const EXHAUSTION_TIMEOUT: Duration = Duration::from_millis(500);
+const RETRY_INTERVAL: Duration = Duration::from_millis(1);
 
 /// One end of a socket pair.
 pub struct PacketSocket(OwnedFd);
@@ -30,6 +34,19 @@
     Closed,
 }
 
+impl Received {
+    /// The packet stays in the socket. The pause keeps callers that wait for it from spinning.
+    fn after_exhaustion(timeout: Duration) -> Received {
+        std::thread::sleep(RETRY_INTERVAL.min(timeout));
+        Received::TimedOut
+    }
+}
+
+/// Whether the kernel lacked memory, buffers or room for descriptors in transit, which passes.
+fn is_exhaustion(error: Errno) -> bool {
+    matches!(error, Errno::NOBUFS | Errno::NOMEM | Errno::TOOMANYREFS)
+}
+
 impl PacketSocket {
     /// Creates a socket pair. Neither end survives an exec unless it is explicitly passed to the new program.
     pub fn pair() -> Result<(PacketSocket, OwnedFd), String> {
@@ -51,8 +68,10 @@
         PeerProcess::of(&self.0)
     }
 
-    /// Sends one packet, optionally with a descriptor. Blocks while the other end does not read; an error means that it
-    /// is closed.
+    /// Sends one packet, optionally with a descriptor. Blocks while the other end does not read.
+    ///
+    /// # Errors
+    /// If the other end is closed, or the kernel has lacked memory for `EXHAUSTION_TIMEOUT`.
     pub fn send(&self, packet: &[u8], fd: Option<&OwnedFd>) -> Result<(), String> {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut ancillary = SendAncillaryBuffer::new(&mut space);
@@ -60,10 +79,14 @@
         if !fds.is_empty() && !ancillary.push(SendAncillaryMessage::ScmRights(&fds)) {
             return Err("no space for a descriptor in the control message".to_owned());
         }
+        let started_at = Instant::now();
         loop {
             match sendmsg(&self.0, &[IoSlice::new(packet)], &mut ancillary, SendFlags::NOSIGNAL) {
                 Ok(_) => return Ok(()),
                 Err(Errno::INTR) => {}
+                Err(e) if is_exhaustion(e) && started_at.elapsed() < EXHAUSTION_TIMEOUT => {
+                    std::thread::sleep(RETRY_INTERVAL);
+                }
                 Err(e) => return Err(format!("sending a packet: {e}")),
             }
         }
@@ -77,18 +100,21 @@
         let flags = SendFlags::NOSIGNAL | SendFlags::DONTWAIT;
         match send(&self.0, packet, flags) {
             Ok(_) => Ok(true),
-            Err(Errno::AGAIN | Errno::INTR | Errno::NOBUFS | Errno::NOMEM) => Ok(false),
+            Err(Errno::AGAIN | Errno::INTR) => Ok(false),
+            Err(e) if is_exhaustion(e) => Ok(false),
             Err(e) => Err(format!("sending a packet: {e}")),
         }
     }
 
-    /// Waits for one packet, at most for `timeout`. A packet longer than `max_len` is an error.
+    /// Waits for one packet, at most for `timeout`; less if a call is interrupted or the kernel lacks memory. A packet
+    /// longer than `max_len` is an error.
     pub fn receive(&self, max_len: usize, timeout: Duration) -> Result<Received, String> {
         let timespec = Timespec::try_from(timeout).map_err(|e| format!("timeout out of range: {e}"))?;
         let mut fds = [PollFd::new(&self.0, PollFlags::IN)];
         match poll(&mut fds, Some(&timespec)) {
             Ok(0) | Err(Errno::INTR) => return Ok(Received::TimedOut),
             Ok(_) => {}
+            Err(e) if is_exhaustion(e) => return Ok(Received::after_exhaustion(timeout)),
             Err(e) => return Err(format!("waiting for a packet: {e}")),
         }
         let mut packet = vec![0; max_len + 1];
@@ -99,6 +125,7 @@
             Ok(received) => received.bytes,
             Err(Errno::INTR) => return Ok(Received::TimedOut),
             Err(Errno::CONNRESET) => return Ok(Received::Closed),
+            Err(e) if is_exhaustion(e) => return Ok(Received::after_exhaustion(timeout)),
             Err(e) => return Err(format!("receiving a packet: {e}")),
         };
         let mut received_fd = None;
