Repeat a failed wake-up for a signal from the worker's tick, without a poll of its own

The worker already ticks every 20 ms: that tick now wakes the waiting thread if a signal has arrived that it has not seen.

--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -9,6 +9,7 @@
 //! that does not run.
 
 use crate::messages::DispatcherMessage;
+use crate::signal_waiter::SignalWakeUp;
 use juniperdock_connection::{Timer, TimerSetter, since_boot};
 use juniperdock_deployment::{Origin, span};
 use juniperdock_runtime_state::ServerTime;
@@ -229,12 +230,14 @@
         });
     }
 
-    /// Sends the dispatcher a watchdog tick each [`WATCHDOG_PERIOD`], for good.
-    pub fn start_watchdog(&self, dispatcher: Sender<DispatcherMessage>) {
+    /// Sends the dispatcher a watchdog tick each [`WATCHDOG_PERIOD`], for good, and wakes the thread that waits for
+    /// signals if it has missed one.
+    pub fn start_watchdog(&self, dispatcher: Sender<DispatcherMessage>, signals: SignalWakeUp) {
         let (clock, due) = (self.clone(), self.now() + WATCHDOG_PERIOD);
         self.run_at(due, move || {
             let _ = dispatcher.send(DispatcherMessage::WatchdogTick { posted: due });
-            clock.start_watchdog(dispatcher);
+            signals.repeat();
+            clock.start_watchdog(dispatcher, signals);
         });
     }
 
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -100,7 +100,7 @@
 
 /// Reads the configuration, creates and connects the actors, and serves until SIGTERM.
 pub fn serve(config: &OperatorConfig, file: Option<&Path>) -> Result<(), String> {
-    let signals = SignalWaiter::register(&signals::HANDLED)?;
+    let (signals, signal_wake_up) = SignalWaiter::register(&signals::HANDLED)?;
     let mut target = TransferTarget::connect().transpose()?;
     let mut initial_state = target.as_mut().map(TransferTarget::take_initial_state).unwrap_or_default();
     // This must precede any other use of `may`.
@@ -210,7 +210,7 @@
     let _ = discovery_tx.send(DiscoveryMessage::OpenWatch);
 
     spawn("clock", CONNECTION_STACK_BYTES, run_clock)?;
-    clock.start_watchdog(dispatcher_tx.clone());
+    clock.start_watchdog(dispatcher_tx.clone(), signal_wake_up);
     let listener = match &mut target {
         None => Listener::open(listen, START_TIMEOUT)?,
         Some(target) => {
