Read what a killed process of an upgrade has sent, also if it left messages unread

Linux answers the next read of a packet socket with ECONNRESET, ahead of the packets in it, if the other end was closed with packets to itself unread. That counted as the end: a new process whose predecessor was killed read none of the clients in the socket. They were not closed either, as its standard input keeps the socket open: their requests got no answer.

Change: ECONNRESET counts as nothing that came. What was sent is read by the next calls, then the end. An old process sees the end one call later.

The unit test failed before (no packet of two arrived).

--- a/crates/fd-passing/src/lib.rs
+++ b/crates/fd-passing/src/lib.rs
@@ -106,8 +106,8 @@
         }
     }
 
-    /// Waits for one packet, at most for `timeout`; less if a call is interrupted or the kernel lacks memory. A packet
-    /// longer than `max_len` is an error.
+    /// Waits for one packet, at most for `timeout`; less if a call is interrupted, the kernel lacks memory, or the other
+    /// end was closed with packets unread. A packet longer than `max_len` is an error.
     pub fn receive(&self, max_len: usize, timeout: Duration) -> Result<Received, String> {
         let timespec = Timespec::try_from(timeout).map_err(|e| format!("timeout out of range: {e}"))?;
         let mut fds = [PollFd::new(&self.0, PollFlags::IN)];
@@ -124,7 +124,8 @@
         let received = match recvmsg(&self.0, &mut [IoSliceMut::new(&mut packet)], &mut ancillary, flags) {
             Ok(received) => received.bytes,
             Err(Errno::INTR) => return Ok(Received::TimedOut),
-            Err(Errno::CONNRESET) => return Ok(Received::Closed),
+            // The other end was closed with packets unread. Those it has sent are still to be read, then the closing.
+            Err(Errno::CONNRESET) => return Ok(Received::TimedOut),
             Err(e) if is_exhaustion(e) => return Ok(Received::after_exhaustion(timeout)),
             Err(e) => return Err(format!("receiving a packet: {e}")),
         };
@@ -186,4 +187,25 @@
         while !matches!(there.receive(10, timeout), Ok(Received::Closed)) {}
         assert!(there.send(b"x", None).is_err());
     }
+
+    /// Guards against packets that are lost as their sender has ended without reading all that was sent to it.
+    #[test]
+    fn packets_of_an_end_that_is_closed_with_packets_unread_arrive() {
+        let (here, there) = PacketSocket::pair().expect("a socket pair");
+        let there = PacketSocket::from_fd(there);
+        let packets = [b"one", b"two"];
+        packets.iter().for_each(|packet| here.send(*packet, None).expect("sent"));
+        there.send(b"unread", None).expect("sent");
+        drop(here);
+        let timeout = Duration::from_secs(9);
+        let mut arrived = Vec::new();
+        loop {
+            match there.receive(10, timeout).expect("packets or the closing") {
+                Received::Packet(packet, _) => arrived.push(packet),
+                Received::TimedOut => {}
+                Received::Closed => break,
+            }
+        }
+        assert_eq!(arrived, packets);
+    }
 }
