Tests of the dispatcher: one set-up, one barrier, one client in place of copies

Cause: the set-up of a primary, the barrier, the client and the two ways to replace the router stood two or three times in tests/dispatcher.rs; a doc comment stood above the wrong function.

Change: Started and TestClient have them as methods. No check is changed.

--- a/crates/front/tests/dispatcher.rs
+++ b/crates/front/tests/dispatcher.rs
@@ -18,12 +18,18 @@
 use juniperdock_runtime_state::{Change, InferredRestart};
 use juniperdock_server_list::{ProbeLimits, ProbeQueue, ServerList};
 use may::sync::mpsc::{Receiver, Sender, channel};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
-fn list(at: SocketAddr) -> ServerList {
-    let entry = format!(r#"{{"id":"m","addr":"{at}","cell":3,"state":"up"}}"#);
+/// An address at which nothing listens.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+/// What replaces the router.
+const REPLACEMENTS: [fn() -> DispatcherMessage; 2] =
+    [|| DispatcherMessage::ClockAdvanced(Duration::from_secs(3)), panicking_input];
+
+fn list() -> ServerList {
+    let entry = format!(r#"{{"id":"m","addr":"{NOWHERE}","cell":3,"state":"up"}}"#);
     let text = format!(r#"{{"version":1,"full":true,"servers":[{entry}]}}"#);
     ServerList::parse(text.as_bytes()).expect("a list")
 }
@@ -41,6 +47,11 @@
     DispatcherMessage::Probed { member: 99, outcome: AttemptOutcome::Committed, report: Report::default() }
 }
 
+/// The server has answered a probe with this report.
+fn probed(report: Report) -> DispatcherMessage {
+    DispatcherMessage::Probed { member: 0, outcome: AttemptOutcome::Committed, report }
+}
+
 /// A client that does not leave.
 struct Stays;
 
@@ -94,6 +105,27 @@
     Link::new(stream, BufferLimits { inbound: 1, outbound: 1 }).expect("a link")
 }
 
+/// A client, whose answers come to the test.
+struct TestClient {
+    link: Link,
+    answers: Sender<Box<(u64, Answer)>>,
+    received: Receiver<Box<(u64, Answer)>>,
+    _listener: TcpListener,
+}
+
+impl TestClient {
+    fn connect() -> TestClient {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free address");
+        let link = link_to(listener.local_addr().expect("an address"));
+        let (answers, received) = channel();
+        TestClient { link, answers, received, _listener: listener }
+    }
+
+    fn mailbox(&self) -> Mailbox<(u64, Answer)> {
+        Mailbox { sender: self.answers.clone(), waker: self.link.waker() }
+    }
+}
+
 /// A dispatcher on a thread of its own.
 struct Started {
     clock: Clock,
@@ -103,6 +135,37 @@
     _discovery: Receiver<DiscoveryMessage>,
 }
 
+impl Started {
+    fn send(&self, message: DispatcherMessage) {
+        let _ = self.sender.send(message);
+    }
+
+    /// Returns once all messages that were sent before have been handled.
+    fn wait_until_handled(&self) {
+        let (reply, done) = channel();
+        self.send(DispatcherMessage::Barrier(reply));
+        let _ = done.recv();
+    }
+
+    /// Names one server and reports that it is its group's primary.
+    fn add_primary(&self) {
+        self.send(DispatcherMessage::List(list()));
+        let position = Some(self.clock.now());
+        self.send(probed(Report { role: Some(Role::Primary), position, ..Report::default() }));
+    }
+
+    /// The restarts of servers that this process tells the next one.
+    fn told_restarts(&self) -> Vec<InferredRestart> {
+        let updates = self.runtime_state.subscribe(Peer::Successor);
+        self.send(DispatcherMessage::SendInitialState);
+        loop {
+            if let Update::Change(Change::InferredRestarts(restarts)) = updates.recv().expect("the state") {
+                return restarts;
+            }
+        }
+    }
+}
+
 fn start(spawn_member: SpawnMember) -> Started {
     let (clock, _run_timers) = Clock::start(Duration::ZERO).expect("a clock");
     let ((sender, messages), (discovery, _discovery)) = (channel(), channel());
@@ -144,86 +207,59 @@
 
 #[test]
 fn after_a_panic_the_dispatcher_answers_all_and_goes_on() {
-    let Started { clock, sender, counters, _discovery, .. } = start(Box::new(|_, _, _, _| Ok(())));
-    let now = clock.now();
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
-    let at = listener.local_addr().expect("an address");
-    let link = link_to(at);
-    let (answers, received) = channel();
-    let arrival = |request_id, left| {
-        let client = Mailbox { sender: answers.clone(), waker: link.waker() };
-        arrival(request_id, now, now + Duration::from_secs(left), client)
-    };
-    let _ = sender.send(DispatcherMessage::List(list(at)));
-    let _ = sender.send(arrival(1, 9000));
-    let _ = sender.send(panicking_input());
-    assert!(matches!(received.recv().as_deref(), Ok((1, Answer::Unknown(_)))));
-    let _ = sender.send(arrival(2, 0));
-    assert!(matches!(received.recv().as_deref(), Ok((2, Answer::Declined(_)))), "it goes on");
-    assert_eq!(counters.panics.read(), 1);
+    let started = start(Box::new(|_, _, _, _| Ok(())));
+    let now = started.clock.now();
+    let client = TestClient::connect();
+    let arrival =
+        |request_id, left| arrival(request_id, now, now + Duration::from_secs(left), client.mailbox());
+    started.send(DispatcherMessage::List(list()));
+    started.send(arrival(1, 9000));
+    started.send(panicking_input());
+    assert!(matches!(client.received.recv().as_deref(), Ok((1, Answer::Unknown(_)))));
+    started.send(arrival(2, 0));
+    assert!(matches!(client.received.recv().as_deref(), Ok((2, Answer::Declined(_)))), "it goes on");
+    assert_eq!(started.counters.panics.read(), 1);
 }
 
 #[test]
 fn after_a_panic_no_answered_request_is_written() {
     let (spawn_member, job) = recorded_members();
-    let Started { clock, sender, .. } = &start(spawn_member);
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
-    let at = listener.local_addr().expect("an address");
-    let link = link_to(at);
-    let (answers, received) = channel();
-    let client = Mailbox { sender: answers, waker: link.waker() };
-    let _ = sender.send(DispatcherMessage::List(list(at)));
-    let report = Report { role: Some(Role::Primary), position: Some(clock.now()), ..Report::default() };
-    let _ = sender.send(DispatcherMessage::Probed { member: 0, outcome: AttemptOutcome::Committed, report });
-    let now = clock.now();
-    let _ = sender.send(arrival(1, now, now + Duration::from_secs(900), client));
+    let started = start(spawn_member);
+    let client = TestClient::connect();
+    started.add_primary();
+    let now = started.clock.now();
+    started.send(arrival(1, now, now + Duration::from_secs(900), client.mailbox()));
     let submit = loop {
         if let MemberMessage::Job(Job::Submit(submit)) = job.recv().expect("a job") {
             break submit;
         }
     };
-    assert_eq!(submit.permit.check(clock.now()), Ok(()));
+    assert_eq!(submit.permit.check(started.clock.now()), Ok(()));
     // The txn is answered while its connection is still being opened.
-    let _ = sender.send(panicking_input());
-    assert!(matches!(received.recv().as_deref(), Ok((1, Answer::Unknown(_)))));
-    let (reply, done) = channel();
-    let _ = sender.send(DispatcherMessage::Barrier(reply));
-    let _ = done.recv();
-    assert!(submit.permit.consume(clock.now()).is_err(), "rule 1: nothing is sent after the answer");
-}
-
-/// Guards against a drain that is forgotten as the router is replaced, if the list has named its server as up since.
-/// The restarts of servers that a process tells the next one.
-fn told_restarts(started: &Started) -> Vec<InferredRestart> {
-    let updates = started.runtime_state.subscribe(Peer::Successor);
-    let _ = started.sender.send(DispatcherMessage::SendInitialState);
-    loop {
-        if let Update::Change(Change::InferredRestarts(restarts)) = updates.recv().expect("the state") {
-            return restarts;
-        }
-    }
+    started.send(panicking_input());
+    assert!(matches!(client.received.recv().as_deref(), Ok((1, Answer::Unknown(_)))));
+    started.wait_until_handled();
+    assert!(submit.permit.consume(started.clock.now()).is_err(), "rule 1: nothing is sent after the answer");
 }
 
 /// Guards against a server that refused connections, is back and cold, and gets a warm server's work from the next process
 /// or the next router, as no list has told its start yet.
 #[test]
 fn restart_that_was_inferred_goes_over_to_the_next_process_and_the_next_router() {
-    let probed = |outcome, report| DispatcherMessage::Probed { member: 0, outcome, report };
     let down = InferredRestart { server: "m".to_owned(), cold_until_us: None };
     let (old, new) = (start(recorded_members().0), start(recorded_members().0));
     for process in [&old, &new] {
-        let _ = process.sender.send(DispatcherMessage::List(list(SocketAddr::from(([127, 0, 0, 1], 1)))));
-        assert_eq!(told_restarts(process), []);
+        process.send(DispatcherMessage::List(list()));
+        assert_eq!(process.told_restarts(), []);
     }
-    let _ = old.sender.send(DispatcherMessage::KeepInferredRestarts(vec![down.clone()]));
-    assert_eq!(told_restarts(&old), [down]);
-    let report = Report { position: Some(old.clock.now()), ..Report::default() };
-    let _ = old.sender.send(probed(AttemptOutcome::Committed, report));
-    let told = told_restarts(&old);
+    old.send(DispatcherMessage::KeepInferredRestarts(vec![down.clone()]));
+    assert_eq!(old.told_restarts(), [down]);
+    old.send(probed(Report { position: Some(old.clock.now()), ..Report::default() }));
+    let told = old.told_restarts();
     assert!(told[0].cold_until_us > Some(old.clock.boot_time_us(old.clock.now())), "{told:?}");
-    let _ = new.sender.send(DispatcherMessage::KeepInferredRestarts(told.clone()));
-    let _ = new.sender.send(DispatcherMessage::ClockAdvanced(Duration::from_secs(3)));
-    let kept = told_restarts(&new);
+    new.send(DispatcherMessage::KeepInferredRestarts(told.clone()));
+    new.send(DispatcherMessage::ClockAdvanced(Duration::from_secs(3)));
+    let kept = new.told_restarts();
     let difference = kept[0].cold_until_us.zip(told[0].cold_until_us).map(|(a, b)| a.abs_diff(b));
     assert!(difference.is_some_and(|us| us < 1000), "{kept:?} of {told:?}");
 }
@@ -231,72 +267,59 @@
 /// Guards against a router that begins anew and knows nothing of a planned change for which writes are held.
 #[test]
 fn planned_change_goes_on_after_a_clock_correction_and_after_a_panic() {
-    let replacements: [fn() -> DispatcherMessage; 2] =
-        [|| DispatcherMessage::ClockAdvanced(Duration::from_secs(3)), panicking_input];
-    for replacement in replacements {
+    for replacement in REPLACEMENTS {
         let (spawn_member, _job) = recorded_members();
-        let Started { sender, clock, .. } = &start(spawn_member);
-        let at = SocketAddr::from(([127, 0, 0, 1], 1));
-        let _ = sender.send(DispatcherMessage::List(list(at)));
-        let report = Report { role: Some(Role::Primary), position: Some(clock.now()), ..Report::default() };
-        let probed = DispatcherMessage::Probed { member: 0, outcome: AttemptOutcome::Committed, report };
-        let _ = sender.send(probed);
+        let started = start(spawn_member);
+        started.add_primary();
         let (reply, ordered) = std::sync::mpsc::sync_channel(1);
-        let order = DispatcherMessage::ChangePrimary { group: 3, successor: None, cancel: false, reply };
-        let _ = sender.send(order);
+        started.send(DispatcherMessage::ChangePrimary { group: 3, successor: None, cancel: false, reply });
         ordered.recv().expect("an answer").expect("a change");
-        let _ = sender.send(replacement());
+        started.send(replacement());
         let (reply, status) = std::sync::mpsc::sync_channel(1);
-        let _ = sender.send(DispatcherMessage::Status { group: None, max_groups: 1, reply });
+        started.send(DispatcherMessage::Status { group: None, max_groups: 1, reply });
         let status = status.recv().expect("an answer");
         assert_eq!(status["groups"][0]["plan"], "Order: Awaiting", "{status}");
     }
 }
 
+/// Guards against a drain that is forgotten as the router is replaced, if the list has named its server as up since.
 #[test]
 fn drain_binds_after_a_clock_correction_and_after_a_panic() {
-    let replacements: [fn() -> DispatcherMessage; 2] =
-        [|| DispatcherMessage::ClockAdvanced(Duration::from_secs(3)), panicking_input];
-    for replacement in replacements {
+    for replacement in REPLACEMENTS {
         let (spawn_member, job) = recorded_members();
-        let Started { sender, .. } = &start(spawn_member);
-        let probed = || {
-            let _ = sender.send(DispatcherMessage::ProbeAll);
-            let (reply, done) = channel();
-            let _ = sender.send(DispatcherMessage::Barrier(reply));
-            let _ = done.recv();
+        let started = start(spawn_member);
+        let is_probed = || {
+            started.send(DispatcherMessage::ProbeAll);
+            started.wait_until_handled();
             // The member's actor is a thread.
             std::thread::sleep(Duration::from_millis(50));
             job.try_iter().any(|message| matches!(message, MemberMessage::Job(Job::Probe { .. })))
         };
         for state in ["draining", "up"] {
-            let _ = sender.send(DispatcherMessage::List(list_started(state, 1000)));
-            assert!(!probed(), "{state}");
+            started.send(DispatcherMessage::List(list_started(state, 1000)));
+            assert!(!is_probed(), "{state}");
         }
-        let _ = sender.send(replacement());
-        assert!(!probed(), "the new router uses it");
-        let _ = sender.send(DispatcherMessage::List(list_started("up", 1001)));
-        assert!(probed(), "it has started again");
+        started.send(replacement());
+        assert!(!is_probed(), "the new router uses it");
+        started.send(DispatcherMessage::List(list_started("up", 1001)));
+        assert!(is_probed(), "it has started again");
     }
 }
 
 #[test]
 fn shortage_of_connections_closes_idle_ones_of_all_members_once_in_a_while_only() {
     let (spawn_member, job) = recorded_members();
-    let Started { clock, sender, .. } = &start(spawn_member);
-    let at = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-    let _ = sender.send(DispatcherMessage::List(list(at)));
-    let _ = sender.send(DispatcherMessage::ProbeAll);
+    let started = start(spawn_member);
+    started.send(DispatcherMessage::List(list()));
+    started.send(DispatcherMessage::ProbeAll);
     // The member has an actor once it is probed.
     assert!(matches!(job.recv(), Ok(MemberMessage::Job(Job::Probe { .. }))));
-    let started = clock.now();
+    let begun = started.clock.now();
     for _ in 0..1000 {
-        let _ = sender.send(DispatcherMessage::ConnectionsShort);
+        started.send(DispatcherMessage::ConnectionsShort);
     }
-    let (reply, done) = channel();
-    let _ = sender.send(DispatcherMessage::Barrier(reply));
-    let _ = done.recv();
-    let took = clock.now() - started;
+    started.wait_until_handled();
+    let took = started.clock.now() - begun;
     std::thread::sleep(Duration::from_millis(50));
     let closed = job.try_iter().filter(|message| matches!(message, MemberMessage::CloseIdle)).count();
     let most = 1 + took.as_millis() as usize / 10;
