--- a/crates/front/tests/upgrade_transit.rs
+++ b/crates/front/tests/upgrade_transit.rs
@@ -48,8 +48,8 @@
     }
 }
 
-/// Guards against a new process that reads nothing more of what the old one has sent once that has ended: as it can't be
-/// told of a reload, or as it had not read all messages to itself.
+/// Guards against a new process that can't tell the old one of a reload, as that has ended, and reads nothing more of what
+/// the old one has sent.
 #[test]
 fn clients_in_transit_are_served_when_the_old_process_is_killed() {
     let mut upgrade = StoppedUpgrade::start(CLIENTS);
