Tests wait for the control socket, and a failed one prints the front's log

Cause: a front answers its first request before its control socket is open. The test read the id of the process as empty, and `kill` with an empty id failed unnoticed; no process got the signal.

Change: a front of a test counts as started once it can be controlled, and a signal to no process is a failure.

--- a/crates/test-support/src/front.rs
+++ b/crates/test-support/src/front.rs
@@ -5,8 +5,12 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
+/// How long nothing has to come before a log counts as complete.
+const LOG_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// A running front. Dropping it kills the process and removes its folder.
 pub struct Front {
     pub at: SocketAddr,
@@ -174,10 +178,32 @@
     }
 }
 
+impl Front {
+    /// Prints what this process, and those that have replaced it, have written to standard error.
+    fn print_log(&mut self) {
+        let Some(mut err) = self.child.stderr.take() else { return };
+        let (sender, texts) = channel();
+        // Of a process that is left over the pipe would never end.
+        std::thread::spawn(move || {
+            let mut buffer = [0; 4096];
+            while let Ok(length @ 1..) = err.read(&mut buffer) {
+                let _ = sender.send(String::from_utf8_lossy(&buffer[..length]).into_owned());
+            }
+        });
+        while let Ok(text) = texts.recv_timeout(LOG_TIMEOUT) {
+            eprint!("{text}");
+        }
+    }
+}
+
 impl Drop for Front {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            eprintln!("log of the front {} at {}:", self.child.id(), self.at);
+            self.print_log();
+        }
         let _ = std::fs::remove_dir_all(&self.dir);
     }
 }
--- a/crates/test-support/src/operated.rs
+++ b/crates/test-support/src/operated.rs
@@ -20,7 +20,8 @@
 }
 
 impl OperatedFront {
-    /// Starts the program. `charter` has the fields of the operators' file but for the control socket.
+    /// Starts the program and waits until it can be controlled. `charter` has the fields of the operators' file but for the
+    /// control socket.
     pub fn start(
         program: &'static str,
         at: SocketAddr,
@@ -42,7 +43,9 @@
     ) -> Self {
         let text = OperatedFront::charter(at, charter);
         let front = Front::start_with_environment(program, at, agent, config, Some(&text), environment);
-        OperatedFront { front, program }
+        let front = OperatedFront { front, program };
+        wait_until(|| !front.serving_pid().is_empty());
+        front
     }
 
     /// The text of the operators' file of a front at this address.
@@ -129,6 +132,7 @@
 
 /// Sends a signal, given as an option of `kill` (`-HUP`), to a process that may have ended.
 pub fn signal(pid: &str, name: &str) {
+    assert!(!pid.is_empty(), "{name} to no process");
     let _ = Command::new("kill").args([name, pid]).stderr(Stdio::null()).status();
 }
 
