A new process reported that it is ready before it knew the primaries

Callers saw: requests that waited in the new process right after an upgrade.

Cause: it looked at the count of lists and at the gauge of groups without a primary. The dispatcher counts a list when it begins to apply it and sets the gauge later; in between there seemed to be no such group.

Change: it looks whether any group is counted as having a primary, then for groups without one; the gauges are set in the other order, with release and acquire.

--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -41,12 +41,13 @@
         self.0.fetch_max(amount, Ordering::Relaxed);
     }
 
+    /// Whoever reads this value then reads also what was set before.
     pub fn set(&self, amount: usize) {
-        self.0.store(amount as u64, Ordering::Relaxed);
+        self.0.store(amount as u64, Ordering::Release);
     }
 
     pub fn read(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+        self.0.load(Ordering::Acquire)
     }
 }
 
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -309,13 +309,23 @@
 /// Waits until the primary of each group is known, but not so long that clients would suffer more from the wait.
 fn await_roles(counters: &Counters) {
     let started_at = Instant::now();
-    while (counters.lists.read() == 0 || counters.groups_vacant.read() > 0)
-        && started_at.elapsed() < ROLE_WAIT
-    {
+    while !knows_all_primaries(counters) && started_at.elapsed() < ROLE_WAIT {
         std::thread::sleep(Duration::from_millis(2));
     }
 }
 
+/// Whether there are groups and each has a primary. The dispatcher sets these gauges some time after it has counted a
+/// list, that of groups without a primary first.
+fn knows_all_primaries(counters: &Counters) -> bool {
+    let with_primary = [
+        &counters.groups_settling,
+        &counters.groups_steady,
+        &counters.groups_doubted,
+        &counters.groups_handing_over,
+    ];
+    with_primary.iter().any(|gauge| gauge.read() > 0) && counters.groups_vacant.read() == 0
+}
+
 /// Returns the function that upgrades this front on request; only one upgrade runs at a time.
 fn make_upgrade_fn(
     reloader: &Arc<Reloader>,
