What an old process is told while it ends goes over to the new one

Callers saw: SIGHUP, SIGTERM and commands to an old process in the 0.45 s between the transfer of its last client and its exit were lost; a planned change was answered with success.

Cause: the thread that tells the new process what is put in force ended with the last client, and the one that follows signals with SIGTERM, which an old process raises by itself.

Change: an old process tells the new one what it is told until it exits, and follows SIGHUP and SIGTERM until then. That it ends by itself is no end of the front. Each reload, and the end of what the old process sends, is logged.

--- a/crates/front/src/reload.rs
+++ b/crates/front/src/reload.rs
@@ -34,6 +34,7 @@
         let mut operator_config = self.operator_config.lock().unwrap_or_else(PoisonError::into_inner);
         self.runtime_state.publish(Change::Reload, source);
         counters.reloads.add();
+        slog::info!(log, "reload"; "told_by" => source.map_or("SIGHUP", Peer::name));
         let warn = |changed: Vec<&str>| {
             if !changed.is_empty() {
                 slog::warn!(log, "configuration change takes effect only at the next start"; "in" => changed.join(", "));
--- a/crates/front/src/runtime_state.rs
+++ b/crates/front/src/runtime_state.rs
@@ -16,6 +16,16 @@
     Successor,
 }
 
+impl Peer {
+    /// Its name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Peer::Predecessor => "predecessor",
+            Peer::Successor => "successor",
+        }
+    }
+}
+
 /// What goes to another process.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Update {
@@ -38,6 +48,8 @@
     subscriber_count: AtomicUsize,
     /// This process was told to end.
     terminates: AtomicBool,
+    /// Another process serves in place of this one, which ends.
+    is_replaced: AtomicBool,
     /// The highest version of a server list that was ever in force, also in earlier processes.
     highest_list_version: AtomicU64,
 }
@@ -112,6 +124,16 @@
         self.tell(Peer::Successor, Update::Change(Change::Terminate));
     }
 
+    /// Records that another process serves in place of this one, which ends by itself: that is no end of the front.
+    pub fn record_replaced(&self) {
+        self.is_replaced.store(true, Ordering::Release);
+    }
+
+    /// Whether another process serves in place of this one.
+    pub fn is_replaced(&self) -> bool {
+        self.is_replaced.load(Ordering::Acquire)
+    }
+
     /// Whether this process was told to end.
     pub fn terminates(&self) -> bool {
         self.terminates.load(Ordering::Acquire)
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -1,13 +1,15 @@
 //! Signal handling: SIGUSR1 prints the counters, SIGHUP reloads the configuration, SIGTERM stops the front once all
-//! accepted requests are answered.
+//! accepted requests are answered. A process that was replaced and ends still passes both on.
 
 use crate::clients::SharedClients;
 use crate::messages::MembershipMessage;
 use crate::reload::Reloader;
 use crate::signal_waiter::SignalWaiter;
 use crate::standard_error::LinePrinter;
+use crate::threads;
 use juniperdock_connection::{Listener, Waker};
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// After SIGTERM clients may still arrive for 0.4 s. After this delay those between txns are disconnected with a
@@ -36,10 +38,27 @@
     clients.clock.run_at(Duration::ZERO, move || waker.wake());
 }
 
+/// Goes on handling signals while this process ends: another one may serve in its place.
+fn pass_on(mut signals: SignalWaiter, reloader: Arc<Reloader>) {
+    let log = reloader.clients.log.clone();
+    let started = threads::start("signals", move || {
+        loop {
+            match signals.wait() {
+                SIGHUP => reloader.reload(None),
+                SIGTERM => reloader.runtime_state.terminate(),
+                _ => {}
+            }
+        }
+    });
+    if let Err(why) = started {
+        slog::warn!(log, "signals are not followed any more"; "why" => why);
+    }
+}
+
 /// Handles signals until SIGTERM, then shuts down: answers open requests for at most `max_request_time`.
 pub fn follow(
     mut signals: SignalWaiter,
-    reloader: &Reloader,
+    reloader: &Arc<Reloader>,
     listener: &Listener,
     max_request_time: Duration,
 ) {
@@ -52,7 +71,10 @@
             _ => break,
         }
     }
-    reloader.runtime_state.terminate();
+    if !reloader.runtime_state.is_replaced() {
+        reloader.runtime_state.terminate();
+    }
+    pass_on(signals, reloader.clone());
     // All deadlines count from here, so that a delay of this thread does not postpone the later steps.
     let terminated_at = clients.clock.now();
     let close_at = terminated_at + CLOSE_DELAY;
--- a/crates/front/src/upgrade/new_process.rs
+++ b/crates/front/src/upgrade/new_process.rs
@@ -281,7 +281,8 @@
                 }
                 // An old process that takes nothing more may have sent clients that are not read yet.
                 changes.take_if(|changes| changes.send(&self.socket).is_err());
-                if self.receive_message(CHANGES_INTERVAL).is_err() {
+                if let Err(why) = self.receive_message(CHANGES_INTERVAL) {
+                    slog::info!(clients.log, "no more from the old process"; "why" => why);
                     break;
                 }
                 self.pass_primary_changes_on(&clients);
--- a/crates/front/src/upgrade/old_process.rs
+++ b/crates/front/src/upgrade/old_process.rs
@@ -136,7 +136,7 @@
             self.state.set_remaining(self.clients.present() + usize::from(still_receiving));
             while let Some(action) = self.state.next_action(self.clients.clock.now()) {
                 if self.perform(action, result_tx) {
-                    return;
+                    return self.relay_changes();
                 }
             }
             if let Phase::Aborted(why) = self.state.phase() {
@@ -188,6 +188,19 @@
         }
     }
 
+    /// Tells the new process what is put in force here until this one exits.
+    fn relay_changes(mut self) {
+        if self.state.version() < VERSION_WITH_RUNTIME_STATE {
+            return;
+        }
+        while self.changes.send(&self.socket).is_ok() {
+            match self.socket.receive(MAX_MESSAGE_LEN, POLL_INTERVAL) {
+                Ok(Received::Packet(..) | Received::TimedOut) => {}
+                Ok(Received::Closed) | Err(_) => return,
+            }
+        }
+    }
+
     /// Puts in force what was put in force in the new process.
     fn apply_changes(&mut self) {
         for encoded in self.received_changes.take_complete() {
@@ -314,6 +327,7 @@
             Action::Resume => self.resume(),
             Action::Exit => {
                 slog::info!(self.log, "last client transferred");
+                self.reloader.runtime_state.record_replaced();
                 // Ends the usual way; no client is left to wait for.
                 let _ = signal_hook::low_level::raise(signal_hook::consts::SIGTERM);
                 return true;
@@ -338,6 +352,7 @@
         if committed && (exited_cleanly || matches!(self.child.try_wait(), Ok(None))) {
             // The new process serves although its socket is closed, or it has served and was terminated in the regular
             // way: this process answers its pending requests and exits.
+            self.reloader.runtime_state.record_replaced();
             let _ = signal_hook::low_level::raise(signal_hook::consts::SIGTERM);
             return;
         }
--- a/crates/front/tests/runtime_cluster/mod.rs
+++ b/crates/front/tests/runtime_cluster/mod.rs
@@ -3,7 +3,8 @@
 
 use juniperdock_test_support::agent::entries;
 use juniperdock_test_support::{
-    Agent, Behaviour, Client, Entry, Front, Member, OperatedFront, WATCH, address, signal, txn, wait_until,
+    Agent, Behaviour, Client, Entry, Front, Member, OperatedFront, WATCH, address, has_ended, signal, txn,
+    wait_until,
 };
 use std::path::PathBuf;
 use std::process::{Child, Stdio};
@@ -100,6 +101,18 @@
         HeldUpgrade { command, new }
     }
 
+    /// Upgrades, and sends the old process a signal while that ends; returns the id of the new one.
+    pub fn upgrade_and_signal_ending(&self, name: &str) -> String {
+        loop {
+            let old = self.front.serving_pid();
+            let new = self.front.upgrade();
+            signal(&old, name);
+            if !has_ended(&old) {
+                return new;
+            }
+        }
+    }
+
     pub fn spawn_upgrade(&self, program: &str) -> Child {
         let mut command = self.front.to_command(&["upgrade", "--program", program]);
         command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it runs")
--- a/crates/front/tests/runtime_state.rs
+++ b/crates/front/tests/runtime_state.rs
@@ -1,8 +1,11 @@
 //! What was put in force while one process of a front ran is in force in the next one, in any order of reloads and
 //! upgrades of real processes (`docs/incidents/state-put-in-force.md`).
 
+use juniperdock_control::frame;
 use juniperdock_test_support::{Client, Front, OperatedFront, has_ended, signal, txn, wait_until};
 use runtime_cluster::{Cluster, READS, TELLING_TIME, listed, listed_first};
+use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant};
 
 mod runtime_cluster;
@@ -119,6 +122,39 @@
     assert_eq!(client.reply().code.as_deref(), Some("40003"));
 }
 
+/// Guards against a reload that is lost because the old process has nothing in hand any more and ends.
+#[test]
+fn reload_of_an_old_process_that_ends_is_in_force_in_the_new_one() {
+    let cluster = Cluster::start();
+    cluster.configure(1);
+    cluster.upgrade_and_signal_ending("-HUP");
+    wait_until(|| cluster.front.status_number("reloads") == Some(1));
+    cluster.assert_discovery_is(1);
+}
+
+/// Guards against a command that only an old process gets which ends, on a connection from before the upgrade.
+#[test]
+fn planned_change_that_is_ordered_of_an_old_process_that_ends_goes_over() {
+    let cluster = Cluster::start();
+    let mut control = UnixStream::connect(cluster.front.front.path("control")).expect("a control socket");
+    cluster.front.upgrade();
+    control.write_all(&frame(&serde_json::json!({ "do": "move", "group": 2 }))).expect("sent");
+    let mut answer = [0; 4096];
+    let length = control.read(&mut answer).expect("an answer");
+    let answer = String::from_utf8_lossy(&answer[..length]);
+    assert!(answer.contains("\"ok\":true"), "{answer}");
+    std::thread::sleep(TELLING_TIME);
+    cluster.assert_writes_held();
+}
+
+/// Guards against a front that goes on although its old process, which ends after an upgrade, was told to end it.
+#[test]
+fn termination_of_an_old_process_that_ends_ends_the_new_one() {
+    let cluster = Cluster::start();
+    let new = cluster.upgrade_and_signal_ending("-TERM");
+    wait_until(|| has_ended(&new));
+}
+
 /// Guards against an old process that goes on after the new one has served and died, and lacks what was put in force
 /// there.
 #[test]
