Tests of upgrades end all processes of their front

Cause: dropping a front of a test killed the process that served.

Change: all processes with the front's address are ended, until there is none.

--- a/crates/test-support/src/operated.rs
+++ b/crates/test-support/src/operated.rs
@@ -7,7 +7,7 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-/// A front with a control socket. Dropping it kills the process that serves, too.
+/// A front with a control socket. Dropping it kills all of its processes.
 pub struct OperatedFront {
     pub front: Front,
     program: &'static str,
@@ -123,13 +123,30 @@
 
 impl Drop for OperatedFront {
     fn drop(&mut self) {
-        let pid = self.serving_pid();
-        if !pid.is_empty() {
-            signal(&pid, "-KILL");
+        // One whose successor is killed right after an upgrade goes on serving, and one that was told to may still start
+        // another.
+        loop {
+            let pids = processes_at(self.front.at);
+            if pids.is_empty() {
+                break;
+            }
+            pids.iter().for_each(|pid| signal(pid, "-KILL"));
         }
     }
 }
 
+/// The ids of the processes of the front at this address, as far as they have not ended.
+fn processes_at(at: SocketAddr) -> Vec<String> {
+    let variable = format!("GW_LISTEN={at}");
+    let is_at = |pid: &String| {
+        let environment = std::fs::read(format!("/proc/{pid}/environ")).unwrap_or_default();
+        environment.split(|byte| *byte == 0).any(|its| its == variable.as_bytes())
+    };
+    let processes = std::fs::read_dir("/proc").expect("the processes");
+    let names = processes.flatten().map(|entry| entry.file_name().to_string_lossy().into_owned());
+    names.filter(|name| name.bytes().all(|byte| byte.is_ascii_digit())).filter(is_at).collect()
+}
+
 /// Sends a signal, given as an option of `kill` (`-HUP`), to a process that may have ended.
 pub fn signal(pid: &str, name: &str) {
     assert!(!pid.is_empty(), "{name} to no process");
