Soak of the runtime state: old processes are told while they end

Change: in half of the plain upgrades discovery is moved right behind the commit and the old process is told, which has nothing in hand and ends.

--- a/crates/front/tests/runtime_state_soak.rs
+++ b/crates/front/tests/runtime_state_soak.rs
@@ -5,6 +5,7 @@
 use juniperdock_test_support::{Agent, OperatedFront, WATCH, has_ended, signal, txn, wait_until};
 use oorandom::Rand32;
 use runtime_cluster::{Cluster, TELLING_TIME, listed_where};
+use std::time::{Duration, Instant};
 
 mod runtime_cluster;
 
@@ -13,6 +14,8 @@
 /// Reads in a row after each step; with both replicas in use each gets some of so many, by all odds.
 const READS: usize = 16;
 const REPLICAS: [usize; 2] = [1, 2];
+/// So long after an upgrade was ordered its old process has not ended and can still tell the new one.
+const OLD_PROCESS_LIVES: Duration = Duration::from_millis(400);
 
 /// What is in force.
 struct Play {
@@ -63,11 +66,30 @@
     /// Moves discovery to a new address, and tells that process.
     fn move_discovery(&mut self, pid: &str) {
         self.note("move discovery");
+        self.replace_agent();
+        self.cluster.reload(pid, 0, self.reloads);
+        self.reloads += 1;
+        wait_until(|| self.cluster.agents[0].requests.try_recv().is_ok());
+    }
+
+    fn replace_agent(&mut self) {
         self.cluster.agents.clear();
         self.cluster.agents.push(Agent::start(WATCH));
         self.cluster.agents[0].publish_current(self.list());
-        self.cluster.reload(pid, 0, self.reloads);
-        self.reloads += 1;
+    }
+
+    /// Moves discovery to a new address right after an upgrade, and tells the old process while that ends; the new one if
+    /// it may be too late for that.
+    fn move_discovery_by_ending_process(&mut self, old: &str, upgrade_ordered_at: Instant) {
+        self.note("the ending process is told to move discovery");
+        let before = self.front().status_number("reloads").expect("a count");
+        self.replace_agent();
+        self.cluster.configure(0);
+        signal(old, "-HUP");
+        if upgrade_ordered_at.elapsed() >= OLD_PROCESS_LIVES {
+            signal(&self.front().serving_pid(), "-HUP");
+        }
+        wait_until(|| self.front().status_number("reloads") > Some(before));
         wait_until(|| self.cluster.agents[0].requests.try_recv().is_ok());
     }
 
@@ -127,7 +149,11 @@
         let is_silent = self.chance(50);
         self.note(if is_silent { "upgrade, discovery silent" } else { "upgrade" });
         self.cluster.agents[0].ignore_new_watches(is_silent);
+        let (old, ordered_at) = (self.front().serving_pid(), Instant::now());
         self.front().upgrade();
+        if !is_silent && self.chance(50) {
+            self.move_discovery_by_ending_process(&old, ordered_at);
+        }
         self.await_reloads();
         self.check();
         self.cluster.agents[0].ignore_new_watches(false);
