Old process of an upgrade: commit, listener and return to service in functions of their own

Cause: two functions held all steps of an upgrade.

Change: none in behaviour.

Measured: the tests of upgrades, of their transit and call faults, of rolling upgrades and of the runtime state pass; no process is left over.

--- a/crates/front/src/upgrade/old_process.rs
+++ b/crates/front/src/upgrade/old_process.rs
@@ -290,34 +290,9 @@
                     self.send_changes();
                 }
             }
-            Action::SendListener => match self.listener.descriptor() {
-                Ok(listener) => {
-                    if self.send_session_marks()
-                        && self.send_snapshot()
-                        && self.send_message(&message::listener(), Some(&listener))
-                    {
-                        self.clients.start_transfer(self.transfer_tx.clone());
-                    }
-                }
-                Err(_) => self.state.cancel(),
-            },
+            Action::SendListener => self.send_listener(),
             Action::TransferAll => self.clients.transfer_all(),
-            Action::Commit => {
-                if self.send_message(&message::commit(), None) {
-                    self.committed = true;
-                    self.clients.acceptor.request_stop();
-                    let waker = self.listener.waker();
-                    self.clients.clock.run_at(Duration::ZERO, move || waker.wake());
-                    // The new process needs the peer address and represents this front from now on.
-                    self.clients.send_to_membership(MembershipMessage::Leave);
-                    self.clients.clock.post(
-                        &self.clients.dispatcher,
-                        DispatcherMessage::TransferIdle(self.idle_channel.0.clone()),
-                    );
-                    slog::info!(self.log, "upgrade committed"; "clients" => self.in_flight.len(), "pid" => self.child.id());
-                    let _ = result_tx.try_send(Ok(self.child.id()));
-                }
-            }
+            Action::Commit => self.commit(result_tx),
             Action::Release(client) => {
                 self.in_flight.remove(&client).iter().for_each(|result| result.complete(true))
             }
@@ -336,6 +311,48 @@
         false
     }
 
+    /// Hands the listener over, behind what the new process has to know before it serves; from then on clients follow.
+    fn send_listener(&mut self) {
+        let Ok(listener) = self.listener.descriptor() else { return self.state.cancel() };
+        let is_sent = self.send_session_marks()
+            && self.send_snapshot()
+            && self.send_message(&message::listener(), Some(&listener));
+        if is_sent {
+            self.clients.start_transfer(self.transfer_tx.clone());
+        }
+    }
+
+    /// Tells the new process that it serves from now on, and accepts no clients here any more.
+    fn commit(&mut self, result_tx: &SyncSender<Result<u32, String>>) {
+        if !self.send_message(&message::commit(), None) {
+            return;
+        }
+        self.committed = true;
+        self.clients.acceptor.request_stop();
+        let waker = self.listener.waker();
+        self.clients.clock.run_at(Duration::ZERO, move || waker.wake());
+        // The new process needs the peer address and represents this front from now on.
+        self.clients.send_to_membership(MembershipMessage::Leave);
+        let idle_connections = self.idle_channel.0.clone();
+        self.clients.clock.post(&self.clients.dispatcher, DispatcherMessage::TransferIdle(idle_connections));
+        slog::info!(self.log, "upgrade committed"; "clients" => self.in_flight.len(), "pid" => self.child.id());
+        let _ = result_tx.try_send(Ok(self.child.id()));
+    }
+
+    /// Whether the new process, which has been told to serve, does so or has ended the regular way. One that exits closes
+    /// its socket shortly before it is gone.
+    fn has_served(&mut self) -> bool {
+        let started_at = Instant::now();
+        while matches!(self.child.try_wait(), Ok(None)) && started_at.elapsed() < EXIT_GRACE {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        match self.child.try_wait() {
+            Ok(Some(status)) => status.success(),
+            Ok(None) => true,
+            Err(_) => false,
+        }
+    }
+
     /// Continues to serve: clients stay, and new ones are accepted again.
     fn resume(&mut self) {
         self.clients.stop_transfer();
@@ -343,15 +360,8 @@
             client.result.complete(false);
         }
         let committed = self.committed;
-        // An exiting process closes its socket shortly before it is gone.
-        let started_at = Instant::now();
-        while committed && matches!(self.child.try_wait(), Ok(None)) && started_at.elapsed() < EXIT_GRACE {
-            std::thread::sleep(POLL_INTERVAL);
-        }
-        let exited_cleanly = matches!(self.child.try_wait(), Ok(Some(status)) if status.success());
-        if committed && (exited_cleanly || matches!(self.child.try_wait(), Ok(None))) {
-            // The new process serves although its socket is closed, or it has served and was terminated in the regular
-            // way: this process answers its pending requests and exits.
+        if committed && self.has_served() {
+            // This process answers its pending requests and exits.
             self.reloader.runtime_state.record_replaced();
             let _ = signal_hook::low_level::raise(signal_hook::consts::SIGTERM);
             return;
@@ -364,13 +374,17 @@
             self.clients.send_to_membership(MembershipMessage::Join);
         }
         if resumption == Resumption::Restart {
-            let (clients, listener) = (self.clients.clone(), self.listener.clone());
-            if let Err(why) =
-                spawn("acceptor", CONNECTION_STACK_BYTES, move || clients.accept_until_stopped(&listener))
-            {
-                self.clients.acceptor.finish();
-                slog::crit!(self.log, "no acceptor: new clients can't be accepted"; "why" => why);
-            }
+            self.restart_acceptor();
+        }
+    }
+
+    fn restart_acceptor(&self) {
+        let (clients, listener) = (self.clients.clone(), self.listener.clone());
+        let started =
+            spawn("acceptor", CONNECTION_STACK_BYTES, move || clients.accept_until_stopped(&listener));
+        if let Err(why) = started {
+            self.clients.acceptor.finish();
+            slog::crit!(self.log, "no acceptor: new clients can't be accepted"; "why" => why);
         }
     }
 }
