--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -283,19 +283,7 @@
     let upgrade = make_upgrade_fn(&reloader, &listener, &config.upgrade, &log);
     let upgrade_for_roll = upgrade_for_roll(&upgrade, &config.upgrade);
     clients.send_to_membership(MembershipMessage::SetUpgrade(upgrade_for_roll));
-    if let Some(socket) = &config.control {
-        let membership = clients.membership.clone();
-        let fleet_tasks = config.fellows.as_ref().is_some_and(|fellows_config| fellows_config.duties);
-        let control = control::Control {
-            clock: clock.clone(),
-            dispatcher: dispatcher_tx,
-            counters: counters.clone(),
-            upgrade,
-            membership,
-            fleet_tasks,
-        };
-        control::serve(control::open(&socket.path)?, control, log.clone())?;
-    }
+    serve_control(config, &clients, upgrade)?;
     // Has an effect only if a supervisor has set NOTIFY_SOCKET.
     let states = [NotifyState::MainPid(std::process::id()), NotifyState::Ready];
     if let Err(why) = sd_notify::notify(&states) {
@@ -306,6 +294,24 @@
     Ok(())
 }
 
+/// Opens and serves the control socket, if the operators want one.
+fn serve_control(
+    config: &OperatorConfig,
+    clients: &SharedClients,
+    upgrade: messages::UpgradeFn,
+) -> Result<(), String> {
+    let Some(socket) = &config.control else { return Ok(()) };
+    let control = control::Control {
+        clock: clients.clock.clone(),
+        dispatcher: clients.dispatcher.clone(),
+        counters: clients.counters.clone(),
+        upgrade,
+        membership: clients.membership.clone(),
+        fleet_tasks: config.fellows.as_ref().is_some_and(|fellows_config| fellows_config.duties),
+    };
+    control::serve(control::open(&socket.path)?, control, clients.log.clone())
+}
+
 /// Waits until the primary of each group is known, but not so long that clients would suffer more from the wait.
 fn await_roles(counters: &Counters) {
     let started_at = Instant::now();
