A new process closes the socket to its old one when it gives that up

Callers saw: clients on their way to a new process hung if that could make nothing of a message: neither served nor closed.

Cause: it stopped reading and kept the socket, by its standard input and by the thread that waits for the end of the old process.

Change: standard input is /dev/null once the socket is taken from it, and the thread drops the socket when it stops reading. What plays an old process in tests is a module that two of them use.

--- a/crates/fd-passing/src/lib.rs
+++ b/crates/fd-passing/src/lib.rs
@@ -12,6 +12,8 @@
     AddressFamily, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags, SocketFlags, SocketType, recvmsg, send, sendmsg, socketpair,
 };
+use rustix::stdio::dup2_stdin;
+use std::fs::File;
 use std::io::{IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, OwnedFd};
@@ -55,11 +57,24 @@
         Ok((PacketSocket(here), there))
     }
 
-    /// Wraps an end that this process inherited at its start.
+    /// Wraps an end.
     pub fn from_fd(end: OwnedFd) -> PacketSocket {
         PacketSocket(end)
     }
 
+    /// Takes the end that this process inherited as its standard input, which reads nothing from then on: the end is closed
+    /// with what is returned.
+    ///
+    /// # Errors
+    /// If there is no descriptor for it, or /dev/null can't be opened.
+    pub fn take_stdin() -> Result<PacketSocket, String> {
+        let failed = |e: std::io::Error| format!("standard input: {e}");
+        let end = std::io::stdin().as_fd().try_clone_to_owned().map_err(failed)?;
+        let nothing = File::open("/dev/null").map_err(failed)?;
+        dup2_stdin(&nothing).map_err(|e| failed(e.into()))?;
+        Ok(PacketSocket(end))
+    }
+
     /// The process that created this pair of sockets.
     ///
     /// # Errors
--- a/crates/front/src/upgrade/new_process.rs
+++ b/crates/front/src/upgrade/new_process.rs
@@ -15,7 +15,7 @@
 use juniperdock_session_marks::{SharedMarks, TableError};
 use may::sync::mpsc::Sender;
 use std::net::{TcpListener, TcpStream};
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -147,8 +147,7 @@
     /// if this process was started otherwise.
     pub fn connect() -> Option<Result<TransferTarget, String>> {
         std::env::var_os(SUCCESSOR_ENV)?;
-        let socket = std::io::stdin().as_fd().try_clone_to_owned().map(PacketSocket::from_fd);
-        Some(socket.map_err(|e| format!("standard input: {e}")).and_then(|socket| {
+        Some(PacketSocket::take_stdin().and_then(|socket| {
             let (unread, received_clients, snapshot) = (Vec::new(), Vec::new(), Vec::new());
             // Opened before the old process answers, so its id can't have passed to another process.
             let peer = socket.peer();
@@ -289,6 +288,8 @@
                 self.admit_received(&clients);
             }
             drop(changes);
+            // Clients that are still in it are closed with it.
+            drop(self.socket);
             clients.receiving_transfers.store(false, Ordering::Release);
             match self.peer.and_then(|peer| peer.wait_for_end()) {
                 Ok(()) => clients.clock.post(&clients.dispatcher, DispatcherMessage::PredecessorEnded),
--- a/crates/front/tests/session_upgrades.rs
+++ b/crates/front/tests/session_upgrades.rs
@@ -1,19 +1,18 @@
 //! Reads that must see their session's writes, across an upgrade of real processes: what one process has reported as
 //! committed binds in the other.
 
-use juniperdock_fd_passing::{PacketSocket, Received};
-use juniperdock_hot_restart::message::{self, MAX_MESSAGE_LEN};
+use juniperdock_fd_passing::Received;
+use juniperdock_hot_restart::message::MAX_MESSAGE_LEN;
 use juniperdock_lab::sessions;
 use juniperdock_test_support::{
     Agent, Client, FROZEN, Front, OperatedFront, ReplicatedGroup, TEST_TIMEOUT, WATCH, address, has_ended,
     list, session_read, session_write, signal, wait_until,
 };
-use std::net::{SocketAddr, TcpListener};
-use std::os::fd::OwnedFd;
-use std::os::unix::process::CommandExt;
-use std::process::{Child, Command, Stdio};
+use old_process::{OldProcess, Played};
 use std::time::Duration;
 
+mod old_process;
+
 const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperdock");
 /// Reads that are sent in a row: without a mark each of them may go to any of the members.
 const READS: usize = 12;
@@ -141,85 +140,29 @@
     cluster.assert_reads_see(&mut stays, "session", 2, "on a connection that has stayed");
 }
 
-/// Set for a process of this test that plays an old process: the address at which the front listens.
-const PLAYS_OLD_PROCESS: &str = "PLAYS_OLD_PROCESS";
-
 /// No test by itself: where a test below says so, this process is an old process of the first protocol version, which
 /// shares no marks. It brings the program to serve in its place, and lives on until it is killed.
 #[test]
 fn play_old_process_of_the_first_version() {
-    let Ok(at) = std::env::var(PLAYS_OLD_PROCESS) else { return };
-    let listener: OwnedFd = TcpListener::bind(at).expect("a free address").into();
-    let (socket, child_socket) = PacketSocket::pair().expect("a socket pair");
-    let child =
-        Command::new(PROGRAM).env("JUNIPERDOCK_TAKES_OVER", "1").stdin(Stdio::from(child_socket)).spawn();
-    let new = child.expect("it starts").id().to_string();
-    let send = |packet: &[u8], with| socket.send(packet, with).expect("sent");
-    let await_message = |letter: u8| match socket.receive(MAX_MESSAGE_LEN, TEST_TIMEOUT) {
-        Ok(Received::Packet(packet, _)) => assert_eq!(packet.first(), Some(&letter)),
-        _ => panic!("expected message {letter:?}"),
-    };
-    await_message(b'h');
-    send(&message::agree(1), None);
-    await_message(b'r');
-    send(&message::memory(&[]), None);
-    send(&message::listener(), Some(&listener));
-    send(&message::commit(), None);
+    let Some(played) = Played::begin(PROGRAM) else { return };
+    played.upgrade();
     // What the new one is told to put in force is nothing that this version understands.
     std::thread::sleep(Duration::from_millis(300));
-    signal(&new, "-HUP");
-    let received = socket.receive(MAX_MESSAGE_LEN, Duration::from_millis(500));
+    signal(&played.new.id().to_string(), "-HUP");
+    let received = played.socket.receive(MAX_MESSAGE_LEN, Duration::from_millis(500));
     assert!(matches!(received, Ok(Received::TimedOut)), "a message of a later version");
     std::thread::sleep(4 * TEST_TIMEOUT);
 }
 
-/// A process that plays an old process, and the new process that it has started.
-struct OldProcess {
-    child: Child,
-    at: SocketAddr,
-}
-
-impl OldProcess {
-    fn start(cluster: &TestCluster) -> OldProcess {
-        let at = address();
-        let child = Command::new(std::env::current_exe().expect("its own path"))
-            .args(["--exact", "play_old_process_of_the_first_version"])
-            .env(PLAYS_OLD_PROCESS, at.to_string())
-            .env("GW_LISTEN", at.to_string())
-            .env("GW_DISCOVERY", cluster.agent.at.to_string())
-            .env("GW_CONFIG", cluster.front.front.path("config.json"))
-            .env_remove("JUNIPERDOCK_CHARTER")
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .process_group(0)
-            .spawn()
-            .expect("it starts");
-        OldProcess { child, at }
-    }
-
-    fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Drop for OldProcess {
-    fn drop(&mut self) {
-        // The new process is in the same process group.
-        let group = format!("-{}", self.child.id());
-        let _ = Command::new("kill").args(["-KILL", "--", &group]).status();
-        self.kill();
-    }
-}
-
 /// Guards against a new process that takes a predecessor without shared marks, as an older version is, for one that has
 /// committed nothing, and against one that still does not trust replicas when that has ended.
 #[test]
 fn all_writes_bind_until_an_old_process_without_shared_marks_has_ended() {
     let cluster = TestCluster::start();
     write(&mut cluster.front.client(), "session", 7);
-    let mut old_process = OldProcess::start(&cluster);
+    let config = cluster.front.front.path("config.json");
+    let role = "play_old_process_of_the_first_version";
+    let mut old_process = OldProcess::start(role, cluster.agent.at, &config);
     let mut client = None;
     wait_until(|| {
         client = Client::open_within(old_process.at, TEST_TIMEOUT);
--- a/crates/front/tests/upgrade_transit.rs
+++ b/crates/front/tests/upgrade_transit.rs
@@ -1,10 +1,16 @@
 //! Clients that are on their way from the old process of an upgrade to the new one, while the new one is stopped
 //! (`docs/incidents/state-put-in-force.md`).
 
-use juniperdock_test_support::{Client, has_ended, signal, txn, wait_until};
+use juniperdock_hot_restart::message;
+use juniperdock_test_support::{Client, TEST_TIMEOUT, has_ended, signal, txn, wait_until};
+use old_process::{OldProcess, Played};
 use runtime_cluster::{Cluster, TELLING_TIME};
+use std::io::Read;
+use std::net::TcpStream;
+use std::os::fd::OwnedFd;
 use std::time::Duration;
 
+mod old_process;
 mod runtime_cluster;
 
 /// Fewer than a socket between the two processes has room for.
@@ -65,3 +71,35 @@
     };
     assert!(upgrade.clients.iter_mut().all(is_served), "a client in transit is lost");
 }
+
+/// No test by itself: where the test below says so, this process is an old process that sends something that is no message
+/// and a client behind it.
+#[test]
+fn play_old_process_that_sends_nonsense() {
+    let Some(played) = Played::begin(env!("CARGO_BIN_EXE_juniperdock")) else { return };
+    let (client, _) = played.listener.accept().expect("a client");
+    let client: OwnedFd = client.into();
+    played.upgrade();
+    played.send(b"nonsense", None);
+    played.send(&message::client(1, true, false), Some(&client));
+    drop(client);
+    std::thread::sleep(4 * TEST_TIMEOUT);
+}
+
+/// Guards against clients that are neither served nor closed, as the new process gives the socket up and keeps it open.
+#[test]
+fn clients_in_transit_are_closed_when_the_new_process_gives_the_socket_up() {
+    let cluster = Cluster::start();
+    let config = cluster.front.front.path("config.json");
+    let old_process =
+        OldProcess::start("play_old_process_that_sends_nonsense", cluster.agents[0].at, &config);
+    let mut client = None;
+    wait_until(|| {
+        client = TcpStream::connect(old_process.at).ok();
+        client.is_some()
+    });
+    let mut client = client.expect("a client");
+    client.set_read_timeout(Some(CLIENT_TIMEOUT)).expect("a timeout");
+    let read = client.read(&mut [0; 16]);
+    assert!(matches!(read, Ok(0)), "it is closed: {read:?}");
+}
